--- /dev/null
+++ b/src/cmd/daemon.rs
@@ -0,0 +1,116 @@
+//! `poplarmux-daemon`: the whole system on one machine, for a platform that a dialect speaks.
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_signal::Signal;
+use async_signal::Signals;
+use smol::Timer;
+use smol::net::TcpListener;
+use smol::stream::StreamExt;
+
+use crate::daemon;
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::directory;
+use crate::daemon::front;
+use crate::daemon::journal;
+use crate::daemon::journal::Event;
+use crate::daemon::link::Executor;
+use crate::daemon::node;
+use crate::daemon::peer;
+use crate::daemon::placer;
+use crate::daemon::settings::Settings;
+use crate::daemon::store;
+use crate::edge::dialect::Dialect;
+use crate::error;
+use crate::error::Error;
+
+/// How often a stop looks whether all is answered.
+const LOOK: Duration = Duration::from_millis(50);
+/// So much before the end of the time to stop, what is still open is let go.
+const SPARE: Duration = Duration::from_millis(300);
+/// Callers keep an answer of the directory for up to so many times its life.
+const KEPT: u32 = 3;
+
+/// Runs until SIGTERM and a whole drain.
+pub fn run(settings: Settings, dialect: Box<dyn Dialect>) -> ExitCode {
+    error::exit(daemon::block_on(async |ex| work(ex, settings, dialect).await))
+}
+
+async fn listen(addr: std::net::SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|err| Error::Listen(addr, err))
+}
+
+async fn work(ex: Executor, settings: Settings, dialect: Box<dyn Dialect>) -> Result<(), Error> {
+    // Taken before anything is served, so that an early SIGTERM drains too.
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let front = listen(settings.front).await?;
+    let ready = listen(settings.ready).await?;
+    let directory = listen(settings.directory).await?;
+    let peers = peer::Sender::bind(settings.peer)
+        .await
+        .map_err(|err| Error::Listen(settings.peer, err))?;
+    let metrics = match settings.metrics {
+        Some(addr) => Some(listen(addr).await?),
+        None => None,
+    };
+    let daemon = Daemon::new(settings, dialect, ex.clone(), peers);
+    daemon.note(&Event::Start { name: daemon.settings.name.clone(), born: daemon.born });
+    let accepting = ex.spawn(front::serve(daemon.clone(), front));
+    for listener in [Some(ready), Some(directory), metrics].into_iter().flatten() {
+        ex.spawn(directory::serve(daemon.clone(), listener)).detach();
+    }
+    ex.spawn(store::config(daemon.clone())).detach();
+    ex.spawn(store::instances(daemon.clone())).detach();
+    ex.spawn(node::register(daemon.clone())).detach();
+    ex.spawn(node::follow(daemon.clone())).detach();
+    ex.spawn(peer::rounds(daemon.clone())).detach();
+    ex.spawn(peer::hear(daemon.clone())).detach();
+    ex.spawn(placer::lease(daemon.clone())).detach();
+    ex.spawn(placer::steps(daemon.clone())).detach();
+    ex.spawn(journal::flush(daemon.clone())).detach();
+    ex.spawn(daemon::ticks(daemon.clone())).detach();
+    while let Some(signal) = signals.next().await {
+        match signal? {
+            Signal::Hup => daemon.note(&Event::Reload { changed: false }),
+            _ => break,
+        }
+    }
+    drain(&daemon).await;
+    drop(accepting);
+    finish(&daemon).await;
+    Ok(())
+}
+
+/// Serves on while callers still come: they keep answers of the directory for a while.
+async fn drain(daemon: &Rc<Daemon>) {
+    daemon.leaving.set(true);
+    daemon.note(&Event::Stop { reason: "signal", open: daemon.open.get() });
+    let began = clock::now();
+    peer::say_here(daemon);
+    let tell = async {
+        // Both only spare others a wait: without them the lease runs out, and heartbeats stop.
+        placer::resign(daemon).await;
+        let _ = node::write(daemon, u64::MAX).await;
+    };
+    let late = async {
+        Timer::after(Duration::from_secs(2)).await;
+    };
+    smol::future::or(tell, late).await;
+    let linger = (directory::KEEP * KEPT).min(daemon.settings.grace * 5 / 8);
+    let spent = clock::now().saturating_sub(began);
+    Timer::after(linger.saturating_sub(spent)).await;
+    // From here on nobody should come any more; idle connections are closed.
+    daemon.closing.notify(usize::MAX);
+    let until = began + daemon.settings.grace.saturating_sub(SPARE);
+    while daemon.open.get() > 0 && clock::now() < until {
+        Timer::after(LOOK).await;
+    }
+}
+
+async fn finish(daemon: &Rc<Daemon>) {
+    daemon.note(&Event::Stop { reason: "drained", open: daemon.open.get() });
+    journal::write_out(daemon).await;
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! One file per program, all of one shape: its arguments, its settings, then `run`.
 
+pub mod daemon;
 pub mod dump;
 pub mod entry;
 pub mod placer;
--- /dev/null
+++ b/src/daemon/clock.rs
@@ -0,0 +1,15 @@
+//! The clock that leases, deadlines and ages are judged by.
+//!
+//! A machine that is suspended and wakes must find its lease run out and its deadlines passed. The
+//! steady clock stands still meanwhile, and the time of day jumps; the boot clock does neither.
+
+use std::time::Duration;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// Time since the machine started, suspension included.
+pub fn now() -> Duration {
+    let at = clock_gettime(ClockId::Boottime);
+    Duration::new(at.tv_sec.max(0) as u64, at.tv_nsec.clamp(0, 999_999_999) as u32)
+}
--- /dev/null
+++ b/src/daemon/gauge.rs
@@ -0,0 +1,131 @@
+//! Counters and histograms, in the text format that scrapers read.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::decide::line::Group;
+use crate::table::routing::Kind;
+
+/// Upper bounds of the latency buckets, in milliseconds.
+const BUCKETS: [u64; 12] = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
+/// Over how long the rate at which requests end is smoothed.
+const SMOOTH: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Default, Clone)]
+struct Histogram {
+    counts: [u64; BUCKETS.len()],
+    all: u64,
+    sum: u64,
+}
+
+/// A decaying count of events.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    count: f64,
+    at: Duration,
+}
+
+/// What is counted beside the log's events.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    firsts: RefCell<HashMap<Kind, Histogram>>,
+    ends: RefCell<HashMap<Group, Rate>>,
+    connections: Cell<u64>,
+}
+
+impl Gauges {
+    /// The first byte of an answer came after this time.
+    pub fn answered(&self, kind: Kind, took: Duration) {
+        let mut firsts = self.firsts.borrow_mut();
+        let row = firsts.entry(kind).or_default();
+        let ms = took.as_millis() as u64;
+        row.all += 1;
+        row.sum += ms;
+        for (bound, count) in BUCKETS.iter().zip(&mut row.counts) {
+            *count += u64::from(ms <= *bound);
+        }
+    }
+
+    /// A connection to an endpoint was opened.
+    pub fn connected(&self) {
+        self.connections.set(self.connections.get() + 1);
+    }
+
+    /// A request of a group has ended.
+    pub fn ended(&self, now: Duration, group: Group) {
+        let mut ends = self.ends.borrow_mut();
+        let row = ends.entry(group).or_insert(Rate { count: 0.0, at: now });
+        row.count = row.faded(now) + 1.0;
+        row.at = now;
+    }
+
+    /// Requests of a group that end a second.
+    pub fn rate(&self, now: Duration, group: Group) -> f64 {
+        let ends = self.ends.borrow();
+        ends.get(&group).map_or(0.0, |row| row.faded(now) / SMOOTH.as_secs_f64())
+    }
+
+    /// All of it, as text.
+    pub fn text(&self, daemon: &Daemon) -> String {
+        let mut out = String::new();
+        // Writing to a String cannot fail.
+        let _ = self.render(daemon, &mut out);
+        out
+    }
+
+    fn render(&self, daemon: &Daemon, out: &mut String) -> std::fmt::Result {
+        let now = clock::now();
+        writeln!(out, "# TYPE poplarmux_events_total counter")?;
+        for (kind, count) in daemon.journal.borrow().counts() {
+            writeln!(out, "poplarmux_events_total{{event=\"{kind}\"}} {count}")?;
+        }
+        let version = daemon.config.borrow().as_ref().map_or(0, |config| config.version);
+        let fleet = daemon.fleet.borrow();
+        let figures = [
+            ("poplarmux_open_requests", daemon.open.get() as u64),
+            ("poplarmux_waiting_requests", daemon.line.borrow().len() as u64),
+            ("poplarmux_config_version", version),
+            ("poplarmux_store_up", u64::from(daemon.store.up())),
+            ("poplarmux_store_calls_total", daemon.store.calls()),
+            ("poplarmux_endpoint_connections_total", self.connections.get()),
+            ("poplarmux_idle_connections", daemon.pool.borrow().len() as u64),
+            ("poplarmux_nodes", daemon.nodes.borrow().count(now) as u64),
+            ("poplarmux_leads", u64::from(daemon.placer.borrow().leads(now))),
+        ];
+        for (name, value) in figures {
+            writeln!(out, "{name} {value}")?;
+        }
+        for row in fleet.rows() {
+            let (id, service) = (&row.instance.key.id, &row.instance.service);
+            let labels = format!("endpoint=\"{id}\",service=\"{service}\"");
+            writeln!(out, "poplarmux_endpoint_running{{{labels}}} {}", row.running)?;
+            writeln!(out, "poplarmux_endpoint_load{{{labels}}} {}", row.load(now))?;
+            writeln!(out, "poplarmux_endpoint_usable{{{labels}}} {}", u8::from(row.usable(now)))?;
+        }
+        for (kind, row) in self.firsts.borrow().iter() {
+            let kind: &'static str = kind.into();
+            for (bound, count) in BUCKETS.iter().zip(&row.counts) {
+                writeln!(
+                    out,
+                    "poplarmux_first_byte_ms_bucket{{kind=\"{kind}\",le=\"{bound}\"}} {count}"
+                )?;
+            }
+            writeln!(out, "poplarmux_first_byte_ms_bucket{{kind=\"{kind}\",le=\"+Inf\"}} {}", row.all)?;
+            writeln!(out, "poplarmux_first_byte_ms_sum{{kind=\"{kind}\"}} {}", row.sum)?;
+            writeln!(out, "poplarmux_first_byte_ms_count{{kind=\"{kind}\"}} {}", row.all)?;
+        }
+        Ok(())
+    }
+}
+
+impl Rate {
+    fn faded(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.count * (-age / SMOOTH.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/src/daemon/journal.rs
@@ -0,0 +1,180 @@
+//! The daemon's log: one JSON line for each decision that touches a request or changes a belief.
+//!
+//! Lines are gathered in memory and written out a few times a second from a thread of their own,
+//! so that a reader that stands still holds up no request. Of each kind only `RATE` lines a second
+//! are kept, and at most `ROOM` bytes wait; what is left out is counted and told.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use serde::Serialize;
+use smol::Timer;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+
+/// Lines of one kind a second: several times what a daemon decides at its busiest.
+const RATE: u32 = 120;
+/// Bytes that wait to be written: several seconds of lines.
+const ROOM: usize = 512 << 10;
+/// Time between two writes: what a kill may lose.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// What is logged. Times are in milliseconds.
+#[derive(Debug, Clone, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[expect(missing_docs, reason = "fields are explained in the table of docs/OPERATIONS.md")]
+pub enum Event {
+    Start { name: String, born: u64 },
+    Stop { reason: &'static str, open: usize },
+    Reload { changed: bool },
+    Store { kind: &'static str, up: bool, error: String },
+    Config { version: u64, routes: usize, services: usize, revision: u64 },
+    Skipped { what: &'static str, name: String, problem: String, revision: u64 },
+    Seen { endpoint: String, born: u64, service: String, state: &'static str, seq: u64, models: usize, revision: u64 },
+    Gone { endpoint: String, revision: u64, held: bool },
+    Lease { held: bool, token: u64, holder: String },
+    Order { endpoint: String, action: &'static str, model: String, adapter: Option<String>, expect: u64, token: u64, outcome: String, took: u64, why: &'static str },
+    Absent { request: String, route: String, status: u16, version: u64 },
+    Sent { request: String, route: String, endpoint: String, attempt: u32, waited: u64, left: u64, load: u32, version: u64 },
+    Answered { request: String, endpoint: String, status: u16, took: u64, outcome: &'static str },
+    Failed { request: String, endpoint: String, error: &'static str, took: u64, running: u32, repeat: bool, why: &'static str },
+    Waits { request: String, cause: String, until: u64, ahead: usize },
+    Refused { request: String, route: String, status: u16, retry_after: u64, reason: String, waited: u64, version: u64 },
+    Resumed { request: String, endpoint: String, after: String },
+    Cut { request: String, endpoint: String, reason: &'static str, took: u64 },
+    Left { request: String, took: u64 },
+    Peer { name: String, ready: bool, born: u64 },
+    Quarantined { request: String, fingerprint: u64 },
+    Omitted { kind: &'static str, lines: u64 },
+}
+
+impl Event {
+    /// Its kind, as counters name it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Event::Start { .. } => "start",
+            Event::Stop { .. } => "stop",
+            Event::Reload { .. } => "reload",
+            Event::Store { .. } => "store",
+            Event::Config { .. } => "config",
+            Event::Skipped { .. } => "skipped",
+            Event::Seen { .. } => "seen",
+            Event::Gone { .. } => "gone",
+            Event::Lease { .. } => "lease",
+            Event::Order { .. } => "order",
+            Event::Absent { .. } => "absent",
+            Event::Sent { .. } => "sent",
+            Event::Answered { .. } => "answered",
+            Event::Failed { .. } => "failed",
+            Event::Waits { .. } => "waits",
+            Event::Refused { .. } => "refused",
+            Event::Resumed { .. } => "resumed",
+            Event::Cut { .. } => "cut",
+            Event::Left { .. } => "left",
+            Event::Peer { .. } => "peer",
+            Event::Quarantined { .. } => "quarantined",
+            Event::Omitted { .. } => "omitted",
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    /// Unix time in milliseconds.
+    at: u64,
+    /// The boot clock, in milliseconds: unlike the time of day it never jumps.
+    boot: u64,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Count {
+    all: u64,
+    second: u64,
+    lines: u32,
+    omitted: u64,
+}
+
+/// Lines that wait to be written, and how often each kind came.
+#[derive(Debug, Default)]
+pub struct Journal {
+    waiting: Vec<u8>,
+    counts: BTreeMap<&'static str, Count>,
+}
+
+impl Journal {
+    /// Notes an event.
+    pub fn note(&mut self, event: &Event) {
+        let now = clock::now();
+        let count = self.counts.entry(event.kind()).or_default();
+        count.all += 1;
+        if count.second != now.as_secs() {
+            (count.second, count.lines) = (now.as_secs(), 0);
+        }
+        if count.lines >= RATE || self.waiting.len() >= ROOM {
+            count.omitted += 1;
+            return;
+        }
+        count.lines += 1;
+        self.write(now, event);
+    }
+
+    fn write(&mut self, now: Duration, event: &Event) {
+        let at = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
+        let line = Line { at, boot: now.as_millis() as u64, event };
+        // Writing to memory fails only for types that JSON cannot hold; none of these is one.
+        if serde_json::to_writer(&mut self.waiting, &line).is_ok() {
+            self.waiting.push(b'\n');
+        }
+    }
+
+    /// How often each kind came.
+    pub fn counts(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        self.counts.iter().map(|(kind, count)| (*kind, count.all))
+    }
+
+    /// What waits, with a line for each kind of which some were left out.
+    pub fn take(&mut self) -> Vec<u8> {
+        let now = clock::now();
+        let omitted = |count: &Count| count.omitted > 0 && self.waiting.len() < ROOM;
+        let told: Vec<(&'static str, u64)> = self
+            .counts
+            .iter()
+            .filter(|(_, count)| omitted(count))
+            .map(|(kind, count)| (*kind, count.omitted))
+            .collect();
+        for (kind, lines) in told {
+            self.write(now, &Event::Omitted { kind, lines });
+            if let Some(count) = self.counts.get_mut(kind) {
+                count.omitted = 0;
+            }
+        }
+        std::mem::take(&mut self.waiting)
+    }
+}
+
+/// Writes lines out for as long as the daemon runs.
+pub async fn flush(daemon: std::rc::Rc<Daemon>) {
+    loop {
+        Timer::after(FLUSH).await;
+        write_out(&daemon).await;
+    }
+}
+
+/// Writes out what waits.
+pub async fn write_out(daemon: &Daemon) {
+    let lines = daemon.journal.borrow_mut().take();
+    if lines.is_empty() {
+        return;
+    }
+    // Nobody reads what cannot be written: there is no other place to tell it.
+    let _ = smol::unblock(move || {
+        let mut out = std::io::stdout().lock();
+        out.write_all(&lines).and_then(|()| out.flush())
+    })
+    .await;
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,185 @@
+//! The daemon: the whole system on one machine.
+//!
+//! It takes callers' requests to endpoints (`front`), tells callers where to connect
+//! (`directory`), follows the store (`store`), hears other daemons (`peer`), and places models
+//! while it holds the lease (`placer`). One thread runs all of it, so state lies in cells: nothing
+//! is borrowed across an await.
+
+pub mod clock;
+pub mod directory;
+pub mod front;
+pub mod gauge;
+pub mod journal;
+pub mod link;
+pub mod node;
+pub mod peer;
+pub mod placer;
+pub mod seat;
+pub mod send;
+pub mod settings;
+pub mod store;
+pub mod stream;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use event_listener::Event as Bell;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol::LocalExecutor;
+use smol::Timer;
+
+use crate::daemon::gauge::Gauges;
+use crate::daemon::journal::Event;
+use crate::daemon::journal::Journal;
+use crate::daemon::link::Executor;
+use crate::daemon::link::Pool;
+use crate::daemon::settings::Settings;
+use crate::decide::allowance::Allowance;
+use crate::decide::fleet::Fleet;
+use crate::decide::line::Line;
+use crate::decide::quarantine::Quarantine;
+use crate::edge::dialect::Dialect;
+use crate::table::routing::Config;
+
+/// Time between two looks at what is due: a request waits this much longer at most for what no
+/// event announces.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// The state of one daemon.
+pub struct Daemon {
+    /// How the platform speaks.
+    pub dialect: Box<dyn Dialect>,
+    /// What it was told at its start.
+    pub settings: Settings,
+    /// Its start, in milliseconds since the Unix epoch.
+    pub born: u64,
+    /// Runs all tasks.
+    pub ex: Executor,
+    /// In force; none before the first was read.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// The endpoints.
+    pub fleet: RefCell<Fleet>,
+    /// Requests that wait for an endpoint.
+    pub line: RefCell<Line<seat::Waiter>>,
+    /// What may be sent again.
+    pub allowance: RefCell<Allowance>,
+    /// Requests that crash endpoints.
+    pub quarantine: RefCell<Quarantine>,
+    /// Other daemons.
+    pub nodes: RefCell<node::Table>,
+    /// What callers ask for, for the placer.
+    pub demand: RefCell<peer::Demand>,
+    /// Placement, active while the lease is held.
+    pub placer: RefCell<placer::Placer>,
+    /// Connections to endpoints.
+    pub pool: RefCell<Pool>,
+    /// The store.
+    pub store: store::Client,
+    /// Sends to other daemons.
+    pub peers: peer::Sender,
+    /// The log.
+    pub journal: RefCell<Journal>,
+    /// Counters and histograms.
+    pub gauges: Gauges,
+    /// Randomness.
+    pub rng: RefCell<SmallRng>,
+    /// Whether it was told to stop.
+    pub leaving: Cell<bool>,
+    /// Whether the list of endpoints was read once.
+    pub listed: Cell<bool>,
+    /// Requests that have no final answer yet.
+    pub open: Cell<usize>,
+    /// Rung when idle connections of callers are to close.
+    pub closing: Bell,
+    next: Cell<u64>,
+}
+
+impl Daemon {
+    /// A daemon that knows nothing but its settings.
+    pub fn new(
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+        ex: Executor,
+        peers: peer::Sender,
+    ) -> Rc<Self> {
+        let born = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
+        let seed = born ^ xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let fleet = Fleet::new(
+            settings.region.clone(),
+            settings.data_center.clone(),
+            settings.data_centers.clone(),
+        );
+        Rc::new(Daemon {
+            born,
+            config: RefCell::default(),
+            fleet: RefCell::new(fleet),
+            line: RefCell::default(),
+            allowance: RefCell::new(Allowance::new(settings.retries)),
+            quarantine: RefCell::default(),
+            nodes: RefCell::default(),
+            demand: RefCell::default(),
+            placer: RefCell::new(placer::Placer::new(&settings, born)),
+            pool: RefCell::default(),
+            store: store::Client::new(ex.clone(), settings.store),
+            peers,
+            journal: RefCell::default(),
+            gauges: Gauges::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            leaving: Cell::new(false),
+            listed: Cell::new(false),
+            open: Cell::new(0),
+            closing: Bell::new(),
+            next: Cell::new(1),
+            ex,
+            dialect,
+            settings,
+        })
+    }
+
+    /// Logs and counts an event.
+    pub fn note(&self, event: &Event) {
+        self.journal.borrow_mut().note(event);
+    }
+
+    /// Whether it takes new callers.
+    pub fn ready(&self) -> bool {
+        !self.leaving.get() && self.listed.get() && self.config.borrow().is_some()
+    }
+
+    /// A number that no other request of this daemon has.
+    pub fn number(&self) -> u64 {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        number
+    }
+}
+
+/// Does what time makes due.
+pub async fn ticks(daemon: Rc<Daemon>) {
+    let mut swept = clock::now();
+    loop {
+        Timer::after(TICK).await;
+        let now = clock::now();
+        let gone = daemon.fleet.borrow_mut().tick(now);
+        if gone || !daemon.line.borrow().is_empty() {
+            seat::pump(&daemon);
+        }
+        if now >= swept + SWEEP {
+            swept = now;
+            daemon.pool.borrow_mut().sweep();
+            daemon.quarantine.borrow_mut().tick(now);
+        }
+    }
+}
+
+/// Runs a future to its end on an executor of its own.
+pub fn block_on<T>(work: impl AsyncFnOnce(Executor) -> T) -> T {
+    let ex: Executor = Rc::new(LocalExecutor::new());
+    smol::block_on(ex.run(work(ex.clone())))
+}
--- /dev/null
+++ b/src/daemon/node.rs
@@ -0,0 +1,232 @@
+//! The daemons that there are: each registers itself in the store and hears the others directly.
+//!
+//! Callers are told of daemons that are ready and alive. One that is heard directly is judged by
+//! that; one that never was, by whether its heartbeat in the store still rises. While the store is
+//! away nothing is learnt from it, and nobody is dropped over its silence.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::journal::Event;
+use crate::daemon::store;
+use crate::edge::dialect::Kind;
+use crate::edge::dialect::Object;
+use crate::edge::dialect::Read;
+use crate::edge::dialect::Written;
+use crate::table::RegionId;
+use crate::table::instance::Node;
+
+/// Time between two heartbeats in the store: each is a priced write, and daemons hear each other
+/// directly as well.
+const BEAT: Duration = Duration::from_secs(3);
+/// Time between two reads of the list, which cost a tenth of a read each.
+const READ: Duration = Duration::from_millis(1_500);
+/// Reads in a row that find no heartbeat before a daemon counts as dead: two heartbeats and a
+/// stale read.
+const READS: u32 = 6;
+/// A daemon that was heard directly and is not any more counts as dead after this: several rounds
+/// of news.
+const SILENT: Duration = Duration::from_millis(2_500);
+/// A registration that has not changed for this long is removed by the placer.
+const FORGET: u32 = 60;
+
+/// A daemon as this one sees it.
+#[derive(Debug, Clone)]
+struct Row {
+    node: Node,
+    revision: u64,
+    /// Reads since its heartbeat last rose.
+    quiet: u32,
+    heard: Option<Duration>,
+}
+
+/// All daemons but this one.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: HashMap<String, Row>,
+}
+
+impl Table {
+    /// Takes a whole list.
+    pub fn list(&mut self, me: &str, list: Vec<(u64, Node)>) {
+        let names: Vec<String> = list.iter().map(|(_, node)| node.name.clone()).collect();
+        self.rows.retain(|name, _| names.contains(name));
+        for (revision, node) in list.into_iter().filter(|(_, node)| node.name != me) {
+            match self.rows.get_mut(&node.name) {
+                // Reads may be older than what is known.
+                Some(row) if revision < row.revision => row.quiet += 1,
+                Some(row) if revision == row.revision => row.quiet += 1,
+                Some(row) => {
+                    if row.node.born != node.born {
+                        row.heard = None;
+                    }
+                    (row.node, row.revision, row.quiet) = (node, revision, 0);
+                }
+                None => {
+                    let name = node.name.clone();
+                    self.rows.insert(name, Row { node, revision, quiet: 0, heard: None });
+                }
+            }
+        }
+    }
+
+    /// A daemon was heard; returns false when it is not known yet.
+    pub fn heard(&mut self, now: Duration, name: &str, born: u64, ready: bool) -> bool {
+        match self.rows.get_mut(name) {
+            Some(row) if row.node.born == born => {
+                row.heard = Some(now);
+                row.node.ready = ready;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Daemons that live, as far as is known.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &Node> {
+        self.rows.values().filter(move |row| row.alive(now)).map(|row| &row.node)
+    }
+
+    /// Where all registered daemons hear each other.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.rows.values().map(|row| row.node.peer).collect()
+    }
+
+    /// A daemon by its name.
+    pub fn get(&self, name: &str) -> Option<&Node> {
+        self.rows.get(name).map(|row| &row.node)
+    }
+
+    /// How many there are, this one included.
+    pub fn count(&self, now: Duration) -> usize {
+        1 + self.live(now).count()
+    }
+
+    fn forgotten(&self) -> Vec<(String, u64)> {
+        let dead = self.rows.values().filter(|row| row.quiet >= FORGET && row.heard.is_none());
+        dead.map(|row| (row.node.name.clone(), row.revision)).collect()
+    }
+}
+
+impl Row {
+    fn alive(&self, now: Duration) -> bool {
+        match self.heard {
+            Some(at) => now < at + SILENT,
+            None => self.quiet < READS,
+        }
+    }
+}
+
+/// The addresses for a caller there: ready daemons of its data center and region, or all where
+/// there are none.
+pub fn addresses(daemon: &Daemon, region: Option<&RegionId>) -> Vec<SocketAddr> {
+    let now = clock::now();
+    let nodes = daemon.nodes.borrow();
+    let mut all: Vec<(RegionId, SocketAddr)> = nodes
+        .live(now)
+        .filter(|node| node.ready)
+        .map(|node| (node.region.clone(), node.front))
+        .collect();
+    if daemon.ready() {
+        all.push((daemon.settings.region.clone(), daemon.settings.front));
+    }
+    let near: Vec<SocketAddr> = all
+        .iter()
+        .filter(|(other, _)| region.is_some_and(|region| region == other))
+        .map(|(_, front)| *front)
+        .collect();
+    let mut out =
+        if near.is_empty() { all.into_iter().map(|(_, front)| front).collect() } else { near };
+    out.sort();
+    out.truncate(64);
+    out
+}
+
+/// Registers this daemon, and keeps its heartbeat rising.
+pub async fn register(daemon: Rc<Daemon>) {
+    let mut beat = 0;
+    loop {
+        beat += 1;
+        if write(&daemon, beat).await.is_err() {
+            store::pause(&daemon).await;
+            continue;
+        }
+        let wait = if daemon.ready() || daemon.leaving.get() { BEAT } else { BEAT / 6 };
+        Timer::after(wait).await;
+    }
+}
+
+/// Writes this daemon's registration.
+pub async fn write(daemon: &Daemon, beat: u64) -> Result<(), store::Error> {
+    let settings = &daemon.settings;
+    let node = Node {
+        name: settings.name.clone(),
+        front: settings.front,
+        peer: settings.peer,
+        region: settings.region.clone(),
+        data_center: settings.data_center.clone(),
+        born: daemon.born,
+        beat,
+        ready: daemon.ready(),
+    };
+    let spec = serde_json::json!(node);
+    let req = daemon.dialect.replace(Kind::Nodes, &node.name, None, &spec)?;
+    let res = store::ask(daemon, Kind::Nodes, req).await?;
+    if daemon.dialect.written(&res)? == Written::Missing {
+        let req = daemon.dialect.create(Kind::Nodes, &node.name, &spec)?;
+        daemon.dialect.written(&store::ask(daemon, Kind::Nodes, req).await?)?;
+    }
+    Ok(())
+}
+
+/// Reads the list of daemons again and again.
+pub async fn follow(daemon: Rc<Daemon>) {
+    loop {
+        match store::list(&daemon, Kind::Nodes, Read::Stale).await {
+            Ok((objects, _)) => {
+                take(&daemon, &objects);
+                forget(&daemon).await;
+            }
+            Err(_) => store::pause(&daemon).await,
+        }
+        Timer::after(READ).await;
+    }
+}
+
+fn take(daemon: &Daemon, objects: &[Object]) {
+    let mut list = Vec::new();
+    for object in objects {
+        match serde_json::from_value::<Node>(object.spec.clone()) {
+            Ok(node) => list.push((object.revision, node)),
+            Err(err) => daemon.note(&Event::Skipped {
+                what: "node",
+                name: object.name.clone(),
+                problem: err.to_string(),
+                revision: object.revision,
+            }),
+        }
+    }
+    daemon.nodes.borrow_mut().list(&daemon.settings.name, list);
+    let count = daemon.nodes.borrow().count(clock::now());
+    daemon.allowance.borrow_mut().share(count);
+}
+
+/// The placer removes registrations of daemons that are long gone.
+async fn forget(daemon: &Daemon) {
+    if !daemon.placer.borrow().leads(clock::now()) {
+        return;
+    }
+    let gone = daemon.nodes.borrow().forgotten();
+    for (name, revision) in gone {
+        if let Ok(req) = daemon.dialect.remove(Kind::Nodes, &name, revision) {
+            // One that is not removed now is tried with the next list.
+            let _ = store::ask(daemon, Kind::Nodes, req).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/peer.rs
@@ -0,0 +1,239 @@
+//! What daemons tell each other: small datagrams, any of which may be lost.
+//!
+//! Each round a daemon tells its load on the endpoints to others, and what its callers ask for to
+//! the placer. Requests for an adapter go to the placer at once and again until it is there. No
+//! connection is held: one that went silent would need time-outs of its own, and a message that is
+//! late is worth nothing.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use smol::Timer;
+use smol::net::UdpSocket;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::front::Job;
+use crate::daemon::journal::Event;
+use crate::daemon::placer;
+use crate::daemon::seat;
+use crate::table::AdapterId;
+use crate::table::ModelId;
+use crate::table::instance::Key;
+use crate::table::instance::Resident;
+
+/// Time between two rounds of news.
+const ROUND: Duration = Duration::from_millis(250);
+/// Daemons told in a round: with more, each hears the others every few rounds, so that what a
+/// daemon sends does not grow with their number.
+const TOLD: usize = 24;
+/// An adapter is asked for again after this long: the way to the placer and back, the order and
+/// the load.
+const AGAIN: Duration = Duration::from_millis(180);
+/// The largest datagram: below what one packet holds.
+const LARGEST: usize = 1_400;
+
+/// A message between daemons.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A daemon lives.
+    Here {
+        /// Its name.
+        name: String,
+        /// Its start.
+        born: u64,
+        /// Whether it takes new callers.
+        ready: bool,
+    },
+    /// What callers of a daemon asked for since its last message.
+    Demand {
+        /// Requests for each model.
+        models: Vec<(ModelId, u32)>,
+        /// Requests for each adapter.
+        adapters: Vec<(ModelId, AdapterId, u32)>,
+    },
+    /// An adapter is wanted at an engine.
+    Want {
+        /// The engine.
+        key: Key,
+        /// The model.
+        model: ModelId,
+        /// The adapter.
+        adapter: AdapterId,
+    },
+    /// What an engine holds, by the placer's knowledge.
+    Holding {
+        /// The engine.
+        key: Key,
+        /// Orders that it had accepted.
+        seq: u64,
+        /// What it holds.
+        resident: Vec<Resident>,
+    },
+}
+
+/// What callers of this daemon asked for since the last round.
+#[derive(Debug, Default)]
+pub struct Demand {
+    models: HashMap<ModelId, u32>,
+    adapters: HashMap<(ModelId, AdapterId), u32>,
+    wanted: HashMap<(Key, AdapterId), Duration>,
+}
+
+impl Demand {
+    /// A request named a model.
+    pub fn asked(&mut self, model: &str, adapter: Option<&str>) {
+        *self.models.entry(model.to_string()).or_default() += 1;
+        if let Some(adapter) = adapter {
+            *self.adapters.entry((model.to_string(), adapter.to_string())).or_default() += 1;
+        }
+    }
+
+    fn take(&mut self) -> Option<Message> {
+        if self.models.is_empty() {
+            return None;
+        }
+        let models = self.models.drain().collect();
+        let adapters = self.adapters.drain();
+        let adapters = adapters.map(|((model, adapter), count)| (model, adapter, count)).collect();
+        Some(Message::Demand { models, adapters })
+    }
+}
+
+/// Sends to other daemons.
+#[derive(Debug, Clone)]
+pub struct Sender {
+    socket: UdpSocket,
+}
+
+impl Sender {
+    /// Listens on `addr` and sends from there.
+    pub async fn bind(addr: SocketAddr) -> io::Result<Self> {
+        Ok(Sender { socket: UdpSocket::bind(addr).await? })
+    }
+
+    async fn send(&self, to: SocketAddr, message: &Message) {
+        // All messages are repeated in some form; one that is lost or too long is not missed.
+        if let Ok(bytes) = postcard::to_stdvec(message)
+            && bytes.len() <= LARGEST
+        {
+            let _ = self.socket.send_to(&bytes, to).await;
+        }
+    }
+}
+
+/// Sends one message to some daemons.
+pub fn tell(daemon: &Rc<Daemon>, to: Vec<SocketAddr>, message: Message) {
+    let shared = daemon.clone();
+    let send = async move {
+        for addr in to {
+            shared.peers.send(addr, &message).await;
+        }
+    };
+    daemon.ex.spawn(send).detach();
+}
+
+/// Asks the placer for a job's adapter at an engine, unless it was asked just now.
+pub fn want(daemon: &Rc<Daemon>, key: &Key, job: &Job) {
+    let (Some(model), Some(adapter)) = (&job.caller.model, &job.caller.adapter) else {
+        return;
+    };
+    let now = clock::now();
+    let slot = (key.clone(), adapter.clone());
+    {
+        let mut demand = daemon.demand.borrow_mut();
+        if demand.wanted.get(&slot).is_some_and(|at| now < *at + AGAIN) {
+            return;
+        }
+        demand.wanted.retain(|_, at| now < *at + AGAIN);
+        demand.wanted.insert(slot, now);
+    }
+    let message =
+        Message::Want { key: key.clone(), model: model.clone(), adapter: adapter.clone() };
+    to_placer(daemon, message);
+}
+
+/// Sends a message to the placer, which may be this daemon.
+fn to_placer(daemon: &Rc<Daemon>, message: Message) {
+    let now = clock::now();
+    if daemon.placer.borrow().leads(now) {
+        take(daemon, message);
+        return;
+    }
+    let leader = daemon.placer.borrow().leader();
+    let addr = leader.and_then(|addr| addr.parse().ok());
+    if let Some(addr) = addr {
+        tell(daemon, vec![addr], message);
+    }
+}
+
+/// Tells the news, round by round.
+pub async fn rounds(daemon: Rc<Daemon>) {
+    loop {
+        Timer::after(ROUND).await;
+        say_here(&daemon);
+        let demand = daemon.demand.borrow_mut().take();
+        if let Some(message) = demand {
+            to_placer(&daemon, message);
+        }
+    }
+}
+
+/// Tells others whether this daemon takes new callers.
+pub fn say_here(daemon: &Rc<Daemon>) {
+    let peers = daemon.nodes.borrow().peers();
+    let told = peers.into_iter().choose_multiple(&mut *daemon.rng.borrow_mut(), TOLD);
+    let message = Message::Here {
+        name: daemon.settings.name.clone(),
+        born: daemon.born,
+        ready: daemon.ready(),
+    };
+    tell(daemon, told, message);
+}
+
+/// Hears other daemons.
+pub async fn hear(daemon: Rc<Daemon>) {
+    let mut buf = vec![0_u8; 2 * LARGEST];
+    loop {
+        match daemon.peers.socket.recv_from(&mut buf).await {
+            Ok((len, _)) => match postcard::from_bytes(&buf[..len]) {
+                Ok(message) => take(&daemon, message),
+                // Another version of the program, or not one of ours.
+                Err(err) => daemon.note(&Event::Skipped {
+                    what: "datagram",
+                    name: String::new(),
+                    problem: err.to_string(),
+                    revision: 0,
+                }),
+            },
+            Err(_) => {
+                Timer::after(ROUND).await;
+            }
+        }
+    }
+}
+
+fn take(daemon: &Rc<Daemon>, message: Message) {
+    let now = clock::now();
+    match message {
+        Message::Here { name, born, ready } => {
+            daemon.nodes.borrow_mut().heard(now, &name, born, ready);
+        }
+        Message::Demand { models, adapters } => {
+            daemon.placer.borrow_mut().demand(now, models, adapters);
+        }
+        Message::Want { key, model, adapter } => {
+            placer::want(daemon, &key, &model, &adapter);
+        }
+        Message::Holding { key, seq, resident } => {
+            daemon.fleet.borrow_mut().hold(&key, seq, resident);
+            seat::pump(daemon);
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/seat.rs
@@ -0,0 +1,246 @@
+//! Finds an endpoint for a request, and lets it wait for one.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::front::Job;
+use crate::daemon::journal::Event;
+use crate::daemon::peer;
+use crate::decide::fleet::Ask;
+use crate::decide::fleet::Choice;
+use crate::decide::patience;
+use crate::decide::patience::Cause;
+use crate::decide::patience::Held;
+use crate::decide::patience::Verdict;
+use crate::table::instance::Key;
+
+/// What an order for a model takes beside the load itself: until the placer sees the demand, and
+/// its way to the engine.
+const ORDER: Duration = Duration::from_millis(600);
+
+/// A request that waits.
+pub struct Waiter {
+    job: Rc<Job>,
+    tried: Vec<Key>,
+    give: Sender<Key>,
+}
+
+/// A request's place at an endpoint; freed when dropped.
+pub struct Place {
+    daemon: Rc<Daemon>,
+    /// The endpoint.
+    pub key: Key,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.daemon.fleet.borrow_mut().end(&self.key);
+        if !self.daemon.line.borrow().is_empty() {
+            pump(&self.daemon);
+        }
+    }
+}
+
+/// Why no endpoint was found.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refusal {
+    /// Why, in a word.
+    pub reason: &'static str,
+    /// When coming back makes sense.
+    pub after: Duration,
+}
+
+/// A waiting row; what it was given meanwhile is freed when dropped.
+struct Row {
+    daemon: Rc<Daemon>,
+    job: Rc<Job>,
+    given: Receiver<Key>,
+}
+
+impl Drop for Row {
+    fn drop(&mut self) {
+        let job = &self.job;
+        self.daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
+        if let Ok(key) = self.given.try_recv() {
+            drop(Place { daemon: self.daemon.clone(), key });
+        }
+    }
+}
+
+impl Job {
+    fn ask<'a>(&'a self, tried: &'a [Key]) -> Ask<'a> {
+        Ask {
+            service: &self.service,
+            model: self.caller.model.as_deref(),
+            adapter: self.caller.adapter.as_deref(),
+            prompt: self.caller.prompt,
+            parts: &self.parts,
+            tried,
+        }
+    }
+}
+
+fn choose(daemon: &Daemon, now: Duration, job: &Job, tried: &[Key]) -> Choice {
+    let fleet = daemon.fleet.borrow();
+    let ask = job.ask(tried);
+    let choice = fleet.choose(now, &ask, job.engines, &mut daemon.rng.borrow_mut());
+    // Everything was tried: again is better than not at all, where it may run again.
+    if choice == Choice::Full && !tried.is_empty() {
+        return fleet.choose(now, &job.ask(&[]), job.engines, &mut daemon.rng.borrow_mut());
+    }
+    choice
+}
+
+/// Takes a place for a request.
+fn take(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: Key) -> Place {
+    daemon.fleet.borrow_mut().start(now, &key, &job.parts);
+    Place { daemon: daemon.clone(), key }
+}
+
+/// Finds an endpoint, waiting while that can help.
+pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Place, Refusal> {
+    let now = clock::now();
+    let ahead = daemon.line.borrow().ahead(job.route.priority, job.came, job.group);
+    if ahead == 0 {
+        match choose(daemon, now, job, tried) {
+            Choice::Go(key) => return Ok(take(daemon, now, job, key)),
+            other => wait(daemon, job, tried, other, ahead).await,
+        }
+    } else {
+        wait(daemon, job, tried, Choice::Full, ahead).await
+    }
+}
+
+async fn wait(
+    daemon: &Rc<Daemon>,
+    job: &Rc<Job>,
+    tried: &[Key],
+    choice: Choice,
+    ahead: usize,
+) -> Result<Place, Refusal> {
+    let now = clock::now();
+    let cause = cause(daemon, now, job, &choice, ahead);
+    let held = Held { came: job.came, aim: job.route.aim, deadline: job.deadline };
+    let verdict = patience::judge(now, &held, cause, &mut daemon.rng.borrow_mut());
+    let until = match verdict {
+        Verdict::Refuse(after) => return Err(Refusal { reason: reason(&choice), after }),
+        Verdict::Wait(until) => until.min(job.deadline),
+    };
+    daemon.note(&Event::Waits {
+        request: job.caller.id.clone(),
+        cause: format!("{cause:?}"),
+        until: until.saturating_sub(now).as_millis() as u64,
+        ahead,
+    });
+    let (give, given) = smol::channel::bounded(1);
+    let waiter = Waiter { job: job.clone(), tried: tried.to_vec(), give };
+    daemon.line.borrow_mut().push(job.number, job.route.priority, job.came, job.group, waiter);
+    let row = Row { daemon: daemon.clone(), job: job.clone(), given };
+    if let Choice::Fetch(key) = &choice {
+        peer::want(daemon, key, job);
+    }
+    let come = async { row.given.recv().await.ok() };
+    let over = async {
+        Timer::after(until.saturating_sub(now)).await;
+        None
+    };
+    match come.or(over).await {
+        Some(key) => Ok(Place { daemon: daemon.clone(), key }),
+        None => {
+            let left = job.deadline.saturating_sub(clock::now());
+            let after = Duration::from_millis(500);
+            let verdict = patience::back(left, after, &mut daemon.rng.borrow_mut());
+            let Verdict::Refuse(after) = verdict else {
+                return Err(Refusal { reason: "waited", after });
+            };
+            Err(Refusal { reason: "waited", after })
+        }
+    }
+}
+
+fn reason(choice: &Choice) -> &'static str {
+    match choice {
+        Choice::Go(_) | Choice::Full => "full",
+        Choice::Fetch(_) => "adapter_absent",
+        Choice::Absent => "model_absent",
+        Choice::Empty => "no_endpoint",
+    }
+}
+
+fn cause(daemon: &Daemon, now: Duration, job: &Job, choice: &Choice, ahead: usize) -> Cause {
+    match choice {
+        Choice::Go(_) | Choice::Full => {
+            Cause::Full { ahead, rate: daemon.gauges.rate(now, job.group) }
+        }
+        Choice::Fetch(_) => Cause::Loading(ORDER / 4),
+        Choice::Absent => match load_time(daemon, job) {
+            Some(time) => Cause::Loading(time + ORDER),
+            None => Cause::Nothing,
+        },
+        Choice::Empty => Cause::Nothing,
+    }
+}
+
+/// How long the model's quickest load would take; none when it is not published.
+fn load_time(daemon: &Daemon, job: &Job) -> Option<Duration> {
+    let config = daemon.config.borrow().clone()?;
+    let name = job.caller.model.as_deref()?;
+    let model = config.services.get(&job.service)?.engines.as_ref()?.model(name)?.clone();
+    let fleet = daemon.fleet.borrow();
+    let rows = fleet.rows().filter(|row| row.instance.service == job.service);
+    let has = |list: &[String]| list.iter().any(|other| other == name);
+    let times = rows.map(|row| {
+        let copies = &row.instance.copies;
+        if has(&copies.memory) {
+            model.warm
+        } else if has(&copies.disk) {
+            model.disk
+        } else {
+            model.cold
+        }
+    });
+    times.min()
+}
+
+/// Gives places to requests that wait, in order.
+pub fn pump(daemon: &Rc<Daemon>) {
+    let now = clock::now();
+    let mut stuck = HashSet::new();
+    let mut gone = Vec::new();
+    let line = daemon.line.borrow();
+    for (id, group, waiter) in line.rows() {
+        if stuck.contains(&group) {
+            continue;
+        }
+        match choose(daemon, now, &waiter.job, &waiter.tried) {
+            Choice::Go(key) => {
+                daemon.fleet.borrow_mut().start(now, &key, &waiter.job.parts);
+                if waiter.give.try_send(key.clone()).is_err() {
+                    daemon.fleet.borrow_mut().end(&key);
+                }
+                gone.push((id, waiter.job.route.priority, waiter.job.came));
+            }
+            Choice::Fetch(key) => {
+                peer::want(daemon, &key, &waiter.job);
+                stuck.insert(group);
+            }
+            Choice::Full | Choice::Absent | Choice::Empty => {
+                stuck.insert(group);
+            }
+        }
+    }
+    drop(line);
+    let mut line = daemon.line.borrow_mut();
+    for (id, priority, came) in gone {
+        // The row is woken by its channel.
+        drop(line.remove(id, priority, came));
+    }
+}
--- /dev/null
+++ b/src/daemon/send.rs
@@ -0,0 +1,362 @@
+//! Sends a request to one endpoint and judges what comes back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use smol::Timer;
+use smol::future::FutureExt;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::front::Job;
+use crate::daemon::journal::Event;
+use crate::daemon::link;
+use crate::daemon::link::Link;
+use crate::daemon::seat::Place;
+use crate::edge::dialect::Answer;
+use crate::edge::dialect::Attempt;
+use crate::table::instance::Key;
+use crate::table::routing::Kind;
+
+/// How long a connection may take to open: a packet that is lost costs a second, and another
+/// endpoint is nearer than that. Ten times the way there and back between regions.
+const CONNECT: Duration = Duration::from_millis(600);
+/// Of the time that is on time, so much may pass before an idempotent request is tried elsewhere.
+const TRY: f64 = 0.8;
+/// No attempt is given up before this: twice the way there and back between regions.
+const TRY_MIN: Duration = Duration::from_millis(150);
+/// The longest answer of a plain service that is taken whole before any of it is passed on.
+const WHOLE_MAX: usize = 8 << 20;
+
+/// An answer whose body is still to come.
+pub struct Head {
+    /// Its head.
+    pub parts: Parts,
+    /// What it says.
+    pub answer: Answer,
+    /// Its body.
+    pub body: Incoming,
+    /// Its connection.
+    pub link: Link,
+}
+
+/// What became of one attempt.
+pub enum Outcome {
+    /// A whole answer of the endpoint: a success, or a failure of its own.
+    Whole(Response<Bytes>),
+    /// A stream has begun.
+    Stream(Box<Head>),
+    /// The endpoint had a failure of its own; it may be tried elsewhere or passed on.
+    Failure(Response<Bytes>),
+    /// The request did not run there.
+    NotRun(&'static str),
+    /// Nothing of it reached the endpoint.
+    Unsent(&'static str),
+    /// It may have run.
+    Lost(&'static str),
+}
+
+/// Sends a job to the endpoint of a place.
+pub async fn attempt(
+    daemon: &Rc<Daemon>,
+    job: &Rc<Job>,
+    place: &Place,
+    number: u32,
+    last_event: Option<&str>,
+    again: bool,
+) -> Outcome {
+    let began = clock::now();
+    let outcome = exchange(daemon, job, place, number, last_event, again).await;
+    let took = clock::now().saturating_sub(began);
+    learn(daemon, job, &place.key, &outcome, took);
+    outcome
+}
+
+async fn exchange(
+    daemon: &Rc<Daemon>,
+    job: &Rc<Job>,
+    place: &Place,
+    number: u32,
+    last_event: Option<&str>,
+    again: bool,
+) -> Outcome {
+    let Some(addr) = daemon.fleet.borrow().get(&place.key).map(|row| row.instance.address) else {
+        return Outcome::Unsent("endpoint_gone");
+    };
+    // A kept connection may turn out closed; then one more is opened.
+    let mut fresh = false;
+    loop {
+        let kept = if fresh { None } else { daemon.pool.borrow_mut().take(addr) };
+        let reused = kept.is_some();
+        let mut link = match kept {
+            Some(link) => link,
+            None => match open(daemon, job, &place.key, addr).await {
+                Ok(link) => link,
+                Err(_) => return Outcome::Unsent("connect"),
+            },
+        };
+        // Checked last of all: connecting or a suspension may have used up the time.
+        let now = clock::now();
+        let left = job.deadline.saturating_sub(now);
+        if left.is_zero() {
+            return Outcome::Unsent("deadline");
+        }
+        let req = match request(daemon, job, &place.key, left, last_event) {
+            Ok(req) => req,
+            Err(_) => return Outcome::Unsent("unencodable"),
+        };
+        note_sent(daemon, job, &place.key, number, now, left);
+        let limit = if again { try_limit(job).min(left) } else { left };
+        let head = link.send(req).or(link::expire(limit, link::Error::Timeout)).await;
+        match head {
+            Ok(res) => return judge(daemon, job, place, link, res, limit).await,
+            Err(link::Error::Unsent) if reused => fresh = true,
+            Err(err) if err.unsent() => return Outcome::Unsent(err.into()),
+            Err(err) => return Outcome::Lost(err.into()),
+        }
+    }
+}
+
+/// How long an idempotent request may take at one endpoint while another try is left.
+fn try_limit(job: &Job) -> Duration {
+    let limit = match job.route.kind {
+        Kind::Safe | Kind::Unsafe => job.route.aim.mul_f64(TRY),
+        // A stream's first event waits for others' prompts; a second engine would read it anew.
+        Kind::Streaming => job.route.aim.max(Duration::from_secs(1)),
+    };
+    limit.max(TRY_MIN)
+}
+
+async fn open(
+    daemon: &Rc<Daemon>,
+    job: &Job,
+    key: &Key,
+    addr: std::net::SocketAddr,
+) -> Result<Link, link::Error> {
+    let began = clock::now();
+    let limit = CONNECT.min(job.deadline.saturating_sub(began));
+    let link = link::dial(&daemon.ex, addr, limit).await;
+    let now = clock::now();
+    match &link {
+        Ok(_) => {
+            daemon.gauges.connected();
+            daemon.fleet.borrow_mut().opened(key, now.saturating_sub(began));
+        }
+        Err(_) => daemon.fleet.borrow_mut().unreachable(now, key),
+    }
+    link
+}
+
+fn request(
+    daemon: &Daemon,
+    job: &Job,
+    key: &Key,
+    left: Duration,
+    last_event: Option<&str>,
+) -> Result<Request<Bytes>, crate::edge::dialect::Error> {
+    let mut headers = job.headers.clone();
+    let attempt = Attempt {
+        endpoint: &key.id,
+        left: Some(left),
+        priority: job.engines.then_some(job.route.priority),
+        last_event,
+    };
+    daemon.dialect.attempt(&mut headers, &attempt)?;
+    let mut req = Request::new(job.body.clone());
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = job.uri.clone();
+    *req.headers_mut() = headers;
+    Ok(req)
+}
+
+fn note_sent(
+    daemon: &Daemon,
+    job: &Job,
+    key: &Key,
+    number: u32,
+    now: Duration,
+    left: Duration,
+) {
+    let load = daemon.fleet.borrow().get(key).map_or(0, |row| row.load(now));
+    daemon.note(&Event::Sent {
+        request: job.caller.id.clone(),
+        route: job.route.name.clone(),
+        endpoint: key.id.clone(),
+        attempt: number,
+        waited: now.saturating_sub(job.came).as_millis() as u64,
+        left: left.as_millis() as u64,
+        load,
+        version: job.version,
+    });
+}
+
+/// Judges the head of an answer, and takes the body of what is not a stream.
+async fn judge(
+    daemon: &Rc<Daemon>,
+    job: &Rc<Job>,
+    place: &Place,
+    link: Link,
+    res: Response<Incoming>,
+    limit: Duration,
+) -> Outcome {
+    let (parts, body) = res.into_parts();
+    let answer = daemon.dialect.answer(&parts);
+    if let Some(load) = answer.load {
+        daemon.fleet.borrow_mut().told(clock::now(), &place.key, load);
+    }
+    if answer.not_run {
+        return not_run(daemon, job, place, link, body, &parts, &answer).await;
+    }
+    // An answer to another request, that came late: what became of this one is not known.
+    if answer.id.as_deref() != Some(job.caller.id.as_str()) {
+        return Outcome::Lost("foreign_answer");
+    }
+    if !answer.sealed {
+        return Outcome::Lost("no_seal");
+    }
+    if parts.status.is_success() && job.route.kind == Kind::Streaming {
+        return Outcome::Stream(Box::new(Head { parts, answer, body, link }));
+    }
+    let keep = answer.keep;
+    let whole = async {
+        let limited = Limited::new(body, WHOLE_MAX).collect().await;
+        limited.map(|body| body.to_bytes()).map_err(|_| link::Error::Broken)
+    };
+    match whole.or(link::expire(limit, link::Error::Timeout)).await {
+        Err(err) => Outcome::Lost(if err == link::Error::Timeout { "timeout" } else { "cut" }),
+        Ok(bytes) => {
+            put_back(daemon, &place.key, link, keep);
+            let res = Response::from_parts(parts, bytes);
+            if res.status().is_server_error() {
+                Outcome::Failure(res)
+            } else {
+                Outcome::Whole(res)
+            }
+        }
+    }
+}
+
+async fn not_run(
+    daemon: &Rc<Daemon>,
+    job: &Job,
+    place: &Place,
+    link: Link,
+    body: Incoming,
+    parts: &Parts,
+    answer: &Answer,
+) -> Outcome {
+    // Short, and worth reading: the connection can be used again.
+    let drained = async { Limited::new(body, WHOLE_MAX).collect().await.is_ok() };
+    let late = async {
+        Timer::after(TRY_MIN).await;
+        false
+    };
+    if drained.or(late).await {
+        put_back(daemon, &place.key, link, answer.keep);
+    }
+    let other = answer.endpoint.as_ref().is_some_and(|id| *id != place.key.id);
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        return Outcome::NotRun("shed");
+    }
+    let mut fleet = daemon.fleet.borrow_mut();
+    match job.caller.model.as_deref() {
+        _ if other => {
+            fleet.replaced(&place.key);
+            Outcome::NotRun("other_instance")
+        }
+        Some(model) => {
+            let adapter = job.caller.adapter.as_deref();
+            fleet.lacks(clock::now(), &place.key, model, adapter);
+            Outcome::NotRun("not_held")
+        }
+        None => {
+            fleet.replaced(&place.key);
+            Outcome::NotRun("other_instance")
+        }
+    }
+}
+
+/// Keeps a connection once its answer is over.
+pub fn put_back(daemon: &Rc<Daemon>, key: &Key, mut link: Link, keep: Option<Duration>) {
+    let Some(addr) = daemon.fleet.borrow().get(key).map(|row| row.instance.address) else {
+        return;
+    };
+    if link.ready() {
+        daemon.pool.borrow_mut().give(addr, link, keep);
+        return;
+    }
+    let shared = daemon.clone();
+    let settle = async move {
+        if link.settle().or(async { Timer::after(TRY_MIN).await; false }).await {
+            shared.pool.borrow_mut().give(addr, link, keep);
+        }
+    };
+    daemon.ex.spawn(settle).detach();
+}
+
+/// Takes what an attempt tells of its endpoint.
+fn learn(daemon: &Daemon, job: &Job, key: &Key, outcome: &Outcome, took: Duration) {
+    let now = clock::now();
+    let millis = took.as_millis() as u64;
+    let mut fleet = daemon.fleet.borrow_mut();
+    let running = fleet.get(key).map_or(0, |row| row.running);
+    let failed = |error: &'static str, why: &'static str| Event::Failed {
+        request: job.caller.id.clone(),
+        endpoint: key.id.clone(),
+        error,
+        took: millis,
+        running,
+        repeat: job.route.idempotent(),
+        why,
+    };
+    match outcome {
+        Outcome::Whole(res) => {
+            fleet.answered(now, key, took, job.caller.prompt);
+            daemon.gauges.answered(job.route.kind, took);
+            daemon.gauges.ended(now, job.group);
+            daemon.note(&Event::Answered {
+                request: job.caller.id.clone(),
+                endpoint: key.id.clone(),
+                status: res.status().as_u16(),
+                took: millis,
+                outcome: "whole",
+            });
+        }
+        Outcome::Stream(head) => {
+            fleet.answered(now, key, took, job.caller.prompt);
+            daemon.gauges.answered(job.route.kind, took);
+            daemon.note(&Event::Answered {
+                request: job.caller.id.clone(),
+                endpoint: key.id.clone(),
+                status: head.parts.status.as_u16(),
+                took: millis,
+                outcome: "stream",
+            });
+        }
+        Outcome::Failure(_) => {
+            fleet.heard(now, key);
+            fleet.failed(now, key);
+            daemon.note(&failed("endpoint_failure", "ran"));
+        }
+        Outcome::NotRun(error) => {
+            fleet.heard(now, key);
+            if *error == "shed" {
+                fleet.failed(now, key);
+            }
+            daemon.note(&failed(error, "not_run"));
+        }
+        Outcome::Unsent(error) => daemon.note(&failed(error, "unsent")),
+        Outcome::Lost(error) => {
+            fleet.failed(now, key);
+            daemon.note(&failed(error, "may_have_run"));
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/store.rs
@@ -0,0 +1,365 @@
+//! The platform's store: the one client, and what follows it.
+//!
+//! While the store is away, what is known stays in force. After its return the lists are read
+//! anew; what time says of them then is decided in `decide::fleet`.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use rand::Rng;
+use smol::Timer;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::journal::Event;
+use crate::daemon::link;
+use crate::daemon::link::Executor;
+use crate::daemon::link::Link;
+use crate::daemon::seat;
+use crate::edge::dialect;
+use crate::edge::dialect::Change;
+use crate::edge::dialect::Kind;
+use crate::edge::dialect::Object;
+use crate::edge::dialect::Read;
+use crate::edge::dialect::Watched;
+use crate::table::instance::State;
+
+/// How long one call may take: the store answers in milliseconds, and in a few hundred when slow.
+const CALL: Duration = Duration::from_millis(1_500);
+/// How long a connection to it may take to open.
+const CONNECT: Duration = Duration::from_millis(700);
+/// How long a watch waits: a connection that went silent shows after this and `CALL`, well within
+/// the time that a configuration has to be in force.
+const WAIT: Duration = Duration::from_millis(2_000);
+/// What a watch may take beyond its wait.
+const WATCH: Duration = Duration::from_millis(700);
+/// Between two tries while the store fails, with as much again at random.
+const AGAIN: Duration = Duration::from_millis(150);
+/// The most bytes of an answer.
+const ANSWER_MAX: usize = 32 << 20;
+
+/// Why a call failed.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Error {
+    /// No answer, or none that was whole.
+    Link(link::Error),
+    /// An answer that could not be read.
+    Dialect(dialect::Error),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Link(err) => write!(f, "{err}"),
+            Error::Dialect(err) => write!(f, "{err}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<link::Error> for Error {
+    fn from(err: link::Error) -> Self {
+        Error::Link(err)
+    }
+}
+
+impl From<dialect::Error> for Error {
+    fn from(err: dialect::Error) -> Self {
+        Error::Dialect(err)
+    }
+}
+
+/// The client of the store.
+pub struct Client {
+    ex: Executor,
+    addr: SocketAddr,
+    idle: RefCell<Vec<Link>>,
+    up: Cell<bool>,
+    returned: Cell<Option<Duration>>,
+    calls: Cell<u64>,
+}
+
+impl Client {
+    /// The most idle connections: one for each task that follows the store.
+    const IDLE_MAX: usize = 4;
+
+    /// A client that has not called yet.
+    pub fn new(ex: Executor, addr: SocketAddr) -> Self {
+        Client {
+            ex,
+            addr,
+            idle: RefCell::default(),
+            up: Cell::new(true),
+            returned: Cell::new(None),
+            calls: Cell::new(0),
+        }
+    }
+
+    /// Whether the last call was answered.
+    pub fn up(&self) -> bool {
+        self.up.get()
+    }
+
+    /// When it last came back after being away.
+    pub fn returned(&self) -> Option<Duration> {
+        self.returned.get()
+    }
+
+    /// Calls made so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Makes one call. A connection that lost an answer is not used again.
+    pub async fn call(
+        &self,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, link::Error> {
+        let kept = loop {
+            let link = self.idle.borrow_mut().pop();
+            match link {
+                Some(link) if !link.ready() => continue,
+                other => break other,
+            }
+        };
+        let mut link = match kept {
+            Some(link) => link,
+            None => link::dial(&self.ex, self.addr, CONNECT).await?,
+        };
+        let mut req = req;
+        let host = http::HeaderValue::from_str(&self.addr.to_string());
+        if let Ok(host) = host {
+            req.headers_mut().insert(http::header::HOST, host);
+        }
+        self.calls.set(self.calls.get() + 1);
+        let res = link.call(req, ANSWER_MAX, limit).await?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < Self::IDLE_MAX {
+            idle.push(link);
+        }
+        Ok(res)
+    }
+}
+
+/// Whether a status says that the store did not serve the call.
+fn away(status: StatusCode) -> bool {
+    status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error()
+}
+
+/// Makes a call and notes whether the store is there.
+pub async fn call(
+    daemon: &Daemon,
+    kind: Kind,
+    req: Request<Bytes>,
+    limit: Duration,
+) -> Result<Response<Bytes>, Error> {
+    let client = &daemon.store;
+    let res = client.call(req, limit).await;
+    let problem = match &res {
+        Ok(res) if away(res.status()) => Some(format!("status {}", res.status().as_u16())),
+        Ok(_) => None,
+        Err(err) => Some(err.to_string()),
+    };
+    let up = problem.is_none();
+    if up != client.up.replace(up) {
+        if up {
+            client.returned.set(Some(clock::now()));
+        }
+        daemon.note(&Event::Store {
+            kind: kind.into(),
+            up,
+            error: problem.unwrap_or_default(),
+        });
+    }
+    let res = res?;
+    if away(res.status()) {
+        return Err(dialect::Error::Status(res.status()).into());
+    }
+    Ok(res)
+}
+
+/// Makes a short call.
+pub async fn ask(
+    daemon: &Daemon,
+    kind: Kind,
+    req: Request<Bytes>,
+) -> Result<Response<Bytes>, Error> {
+    call(daemon, kind, req, CALL).await
+}
+
+/// Reads all objects of a kind, with the store's revision at the first page.
+pub async fn list(daemon: &Daemon, kind: Kind, read: Read) -> Result<(Vec<Object>, u64), Error> {
+    let mut objects = Vec::new();
+    let mut after: Option<String> = None;
+    let mut revision = None;
+    loop {
+        let req = daemon.dialect.list(kind, after.as_deref(), read)?;
+        let page = daemon.dialect.listed(&ask(daemon, kind, req).await?)?;
+        let first = *revision.get_or_insert(page.revision);
+        if page.skipped > 0 {
+            daemon.note(&Event::Skipped {
+                what: "object",
+                name: String::new(),
+                problem: format!("{} unreadable", page.skipped),
+                revision: page.revision,
+            });
+        }
+        objects.extend(page.objects);
+        if !page.more || page.last.is_none() {
+            return Ok((objects, first));
+        }
+        after = page.last;
+    }
+}
+
+/// Waits a little before the next try.
+pub async fn pause(daemon: &Daemon) {
+    let spread = daemon.rng.borrow_mut().random_range(1.0..2.0);
+    Timer::after(AGAIN.mul_f64(spread)).await;
+}
+
+/// Follows a kind for as long as the daemon runs: lists, then watches, and lists anew when the
+/// history is gone.
+async fn follow(
+    daemon: &Rc<Daemon>,
+    kind: Kind,
+    mut whole: impl FnMut(Vec<Object>),
+    mut change: impl FnMut(Change),
+) {
+    loop {
+        let mut since = match list(daemon, kind, Read::Current).await {
+            Ok((objects, revision)) => {
+                whole(objects);
+                revision
+            }
+            Err(_) => {
+                pause(daemon).await;
+                continue;
+            }
+        };
+        loop {
+            match watch(daemon, kind, since).await {
+                Ok(Watched::Changes(changes, revision)) => {
+                    changes.into_iter().for_each(&mut change);
+                    since = since.max(revision);
+                }
+                Ok(Watched::Gone) => break,
+                Err(_) => pause(daemon).await,
+            }
+        }
+    }
+}
+
+async fn watch(daemon: &Daemon, kind: Kind, since: u64) -> Result<Watched, Error> {
+    let req = daemon.dialect.watch(kind, since, WAIT)?;
+    let res = call(daemon, kind, req, WAIT + WATCH).await?;
+    Ok(daemon.dialect.watched(&res)?)
+}
+
+/// Keeps the configuration in force.
+pub async fn config(daemon: Rc<Daemon>) {
+    let whole = |objects: Vec<Object>| objects.iter().for_each(|object| adopt(&daemon, object));
+    let change = |change: Change| {
+        if !change.removed {
+            adopt(&daemon, &change.object);
+        }
+    };
+    follow(&daemon, Kind::Config, whole, change).await;
+}
+
+/// Puts a configuration in force unless a newer one is: a process never goes back.
+fn adopt(daemon: &Rc<Daemon>, object: &Object) {
+    if object.name != daemon.dialect.config_name() {
+        return;
+    }
+    let config = match daemon.dialect.config(object) {
+        Ok(config) => config,
+        Err(err) => {
+            daemon.note(&Event::Skipped {
+                what: "config",
+                name: object.name.clone(),
+                problem: err.to_string(),
+                revision: object.revision,
+            });
+            return;
+        }
+    };
+    let newer =
+        daemon.config.borrow().as_ref().is_none_or(|old| old.version < config.version);
+    if !newer {
+        return;
+    }
+    daemon.note(&Event::Config {
+        version: config.version,
+        routes: config.routes(),
+        services: config.services.len(),
+        revision: object.revision,
+    });
+    *daemon.config.borrow_mut() = Some(Rc::new(config));
+}
+
+/// Keeps the list of endpoints.
+pub async fn instances(daemon: Rc<Daemon>) {
+    let whole = |objects: Vec<Object>| {
+        for object in &objects {
+            put(&daemon, object);
+        }
+        let ids: Vec<String> = objects.iter().map(|object| object.name.clone()).collect();
+        let (now, returned) = (clock::now(), daemon.store.returned());
+        daemon.fleet.borrow_mut().retain(now, &ids, returned);
+        daemon.listed.set(true);
+        seat::pump(&daemon);
+    };
+    let change = |change: Change| {
+        if change.removed {
+            let (now, returned) = (clock::now(), daemon.store.returned());
+            daemon.fleet.borrow_mut().remove(now, &change.object.name, returned);
+            daemon.note(&Event::Gone {
+                endpoint: change.object.name.clone(),
+                revision: change.object.revision,
+                held: daemon.fleet.borrow().rows().any(|row| row.instance.key.id == change.object.name),
+            });
+        } else {
+            put(&daemon, &change.object);
+        }
+        seat::pump(&daemon);
+    };
+    follow(&daemon, Kind::Instances, whole, change).await;
+}
+
+fn put(daemon: &Daemon, object: &Object) {
+    match daemon.dialect.instance(object) {
+        Ok(instance) => {
+            let event = Event::Seen {
+                endpoint: instance.key.id.clone(),
+                born: instance.key.born,
+                service: instance.service.clone(),
+                state: match instance.state {
+                    State::Live => "live",
+                    State::Leaving => "leaving",
+                },
+                seq: instance.seq,
+                models: instance.resident.len(),
+                revision: object.revision,
+            };
+            if daemon.fleet.borrow_mut().put(clock::now(), instance) {
+                daemon.note(&event);
+            }
+        }
+        Err(err) => daemon.note(&Event::Skipped {
+            what: "instance",
+            name: object.name.clone(),
+            problem: err.to_string(),
+            revision: object.revision,
+        }),
+    }
+}
--- /dev/null
+++ b/src/decide/allowance.rs
@@ -0,0 +1,89 @@
+//! How many requests may be sent again, over all daemons.
+//!
+//! Load pattern: an engine fails part of its requests, or many refuse at once. Each daemon alone
+//! would send again what failed, and all together would add a second load to engines that have no
+//! room for the first. What all may send again in a window is a share of the requests plus a fixed
+//! number; each daemon takes its own share of the first and an even part of the second, so that no
+//! word between daemons is needed.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::daemon::settings::Retries;
+use crate::table::ServiceId;
+
+/// Of what is allowed, so much is used: callers' arrivals are counted here when they come, and at
+/// the endpoints a little later.
+const USED: f64 = 0.8;
+/// Buckets of a window.
+const BUCKETS: u32 = 10;
+
+/// Requests and repeats within one bucket.
+#[derive(Debug, Clone, Copy, Default)]
+struct Bucket {
+    index: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+/// What a daemon may send again.
+#[derive(Debug)]
+pub struct Allowance {
+    retries: Retries,
+    services: HashMap<ServiceId, VecDeque<Bucket>>,
+    /// Daemons that share the fixed number.
+    daemons: usize,
+}
+
+impl Allowance {
+    /// Nothing counted yet.
+    pub fn new(retries: Retries) -> Self {
+        Allowance { retries, services: HashMap::new(), daemons: 1 }
+    }
+
+    /// How many daemons there are.
+    pub fn share(&mut self, daemons: usize) {
+        self.daemons = daemons.max(1);
+    }
+
+    /// A request of a caller came.
+    pub fn request(&mut self, now: Duration, service: &str) {
+        self.bucket(now, service).requests += 1;
+    }
+
+    /// Pays for sending a request once more; false when there is nothing left.
+    pub fn repeat(&mut self, now: Duration, service: &str) -> bool {
+        if self.left(now, service) < 1.0 {
+            return false;
+        }
+        self.bucket(now, service).repeats += 1;
+        true
+    }
+
+    /// What is left at `now`.
+    pub fn left(&mut self, now: Duration, service: &str) -> f64 {
+        let (share, slack) = (self.retries.share, self.retries.slack / self.daemons as f64);
+        self.bucket(now, service);
+        let list = &self.services[service];
+        let requests: u32 = list.iter().map(|row| row.requests).sum();
+        let repeats: u32 = list.iter().map(|row| row.repeats).sum();
+        (f64::from(requests) * share + slack) * USED - f64::from(repeats)
+    }
+
+    fn bucket(&mut self, now: Duration, service: &str) -> &mut Bucket {
+        let span = (self.retries.window / BUCKETS).max(Duration::from_millis(1));
+        let index = (now.as_micros() / span.as_micros()) as u64;
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_string(), VecDeque::new());
+        }
+        let list = self.services.get_mut(service).expect("inserted above");
+        while list.front().is_some_and(|row| row.index + u64::from(BUCKETS) <= index) {
+            list.pop_front();
+        }
+        if list.back().is_none_or(|row| row.index != index) {
+            list.push_back(Bucket { index, ..Bucket::default() });
+        }
+        list.back_mut().expect("pushed above")
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,21 +2,25 @@
 //! reads a clock, opens a socket or logs.
 
 pub mod admit;
+pub mod allowance;
 pub mod adopt;
 mod answer;
 pub mod breaker;
 pub mod claim;
 pub mod drain;
 pub mod event;
+pub mod fleet;
 pub mod flow;
 mod hold;
 pub mod lease;
 pub mod ledger;
+pub mod line;
 pub mod load;
 pub mod member;
 pub mod offer;
 pub mod outlier;
 pub mod owner;
+pub mod patience;
 pub mod place;
 pub mod pool;
 pub mod prefix;
@@ -26,4 +30,5 @@
 pub mod route;
 pub mod share;
 mod show;
+pub mod spread;
 pub mod store;
--- /dev/null
+++ b/src/decide/patience.rs
@@ -0,0 +1,82 @@
+//! Whether a request that cannot be sent now waits here or is refused.
+//!
+//! Load pattern: a burst fills all engines that hold a model, or demand turns to a model that no
+//! engine holds. Without a bound the requests queue here until their deadlines pass: callers wait
+//! for nothing, and those who came first hold back those who could still be served on time.
+//!
+//! A request waits only while it can still be on time, or, for what takes a known time to bring
+//! about, when that leaves most of its time. Else it is refused at once and told when to come back.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// Of the time within which an answer is on time, so much may pass before it is sent.
+const SENT: f64 = 0.7;
+/// Of the time that is left, so much may be spent on bringing a model or an adapter.
+const BRING: f64 = 0.33;
+/// Callers that are told to come back heed it for at most this share of the time they have left.
+const HEEDED: f64 = 0.33;
+/// The shortest time after which a caller comes back: one round of news about loads.
+const SOON: Duration = Duration::from_millis(200);
+
+/// Why a request cannot be sent now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Cause {
+    /// All engines that hold what it needs are full, and so many are before it.
+    Full {
+        /// Requests before it.
+        ahead: usize,
+        /// Requests that end a second there.
+        rate: f64,
+    },
+    /// Something has to be loaded first, within this time.
+    Loading(Duration),
+    /// There is nothing to send it to.
+    Nothing,
+}
+
+/// What becomes of it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It waits until then at most.
+    Wait(Duration),
+    /// It is refused; coming back makes sense after this long.
+    Refuse(Duration),
+}
+
+/// A request that cannot be sent now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Held {
+    /// When it came.
+    pub came: Duration,
+    /// An answer within this time is on time.
+    pub aim: Duration,
+    /// When it must be answered.
+    pub deadline: Duration,
+}
+
+/// Decides at `now`.
+pub fn judge(now: Duration, held: &Held, cause: Cause, rng: &mut SmallRng) -> Verdict {
+    let left = held.deadline.saturating_sub(now);
+    match cause {
+        Cause::Full { ahead, rate } => {
+            let until = held.came + held.aim.min(left).mul_f64(SENT);
+            let wait = Duration::from_secs_f64(((ahead as f64 + 1.0) / rate.max(0.5)).min(60.0));
+            if now + wait <= until { Verdict::Wait(until) } else { back(left, wait, rng) }
+        }
+        Cause::Loading(eta) => {
+            let share = left.mul_f64(BRING);
+            if eta <= share { Verdict::Wait(now + share) } else { back(left, eta, rng) }
+        }
+        Cause::Nothing => back(left, Duration::from_secs(1), rng),
+    }
+}
+
+/// A refusal; the time is spread so that callers do not all come back at once.
+pub fn back(left: Duration, after: Duration, rng: &mut SmallRng) -> Verdict {
+    let spread = rng.random_range(0.9..1.2);
+    let most = left.mul_f64(HEEDED).max(SOON);
+    Verdict::Refuse(after.mul_f64(spread).clamp(SOON, most))
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! one file here.
 
 pub mod caller;
+pub mod dialect;
 pub mod endpoint;
 pub mod http;
 pub mod peer;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cmd;
 pub mod config;
+pub mod daemon;
 pub mod decide;
 pub mod edge;
 pub mod entry;
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -1,5 +1,8 @@
 //! Entities in plain tables, keyed by the ids below.
 
+pub mod instance;
+pub mod routing;
+
 use std::net::SocketAddr;
 
 /// An endpoint is named by the address on which it serves.
