Count orders by the engine's report, not by the entry's heartbeat number

Cause: the field seq of an entry counts heartbeats; the one of a report counts orders. Every order expected the first and was refused. Conclusion: what the placer told goes before the entry for as long as the entry lags.

--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -33,7 +33,7 @@
     Store { kind: &'static str, up: bool, error: String },
     Config { version: u64, routes: usize, services: usize, revision: u64 },
     Skipped { what: &'static str, name: String, problem: String, revision: u64 },
-    Seen { endpoint: String, born: u64, service: String, state: &'static str, seq: u64, models: usize, revision: u64 },
+    Seen { endpoint: String, born: u64, service: String, state: &'static str, beat: u64, models: usize, revision: u64 },
     Gone { endpoint: String, revision: u64, held: bool },
     Lease { held: bool, token: u64, holder: String },
     Order { endpoint: String, action: &'static str, model: String, adapter: Option<String>, expect: u64, token: u64, outcome: String, took: u64, why: &'static str },
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -72,7 +72,7 @@
         /// The engine.
         key: Key,
         /// Orders that it had accepted.
-        seq: u64,
+        orders: u64,
         /// What it holds.
         resident: Vec<Resident>,
     },
@@ -231,8 +231,8 @@
         Message::Want { key, model, adapter } => {
             placer::want(daemon, &key, &model, &adapter);
         }
-        Message::Holding { key, seq, resident } => {
-            daemon.fleet.borrow_mut().hold(&key, seq, resident);
+        Message::Holding { key, orders, resident } => {
+            daemon.fleet.borrow_mut().hold(now, &key, orders, resident);
             seat::pump(daemon);
         }
     }
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -76,7 +76,8 @@
 /// What the placer knows of one engine.
 #[derive(Debug, Clone)]
 struct Desk {
-    seq: u64,
+    /// Orders that it has accepted; none before its first report.
+    orders: Option<u64>,
     resident: Vec<Resident>,
     copies: Copies,
     /// A load or an unload of a model under way, and when to look.
@@ -332,22 +333,18 @@
     for row in engines {
         let instance = &row.instance;
         let desk = placer.desks.entry(instance.key.clone()).or_insert_with(|| Desk {
-            seq: instance.seq,
+            orders: None,
             resident: instance.resident.clone(),
             copies: instance.copies.clone(),
-            work: None,
+            // Nothing is ordered before its first report.
+            work: Some(Work { action: Action::Load, model: String::new(), look: now }),
             sending: false,
             wants: VecDeque::new(),
             changed: now,
         });
         let idle = desk.work.is_none() && !desk.sending;
-        let newer = instance.seq > desk.seq;
-        let settled = instance.seq == desk.seq && now > desk.changed + BELIEVE;
-        if idle && (newer || settled) {
-            desk.seq = instance.seq;
+        if idle && now > desk.changed + BELIEVE {
             desk.resident.clone_from(&instance.resident);
-        }
-        if idle || newer {
             desk.copies.clone_from(&instance.copies);
         }
     }
@@ -385,7 +382,7 @@
             }
             return;
         };
-        desk.seq = desk.seq.max(report.seq);
+        desk.orders = Some(report.orders);
         desk.copies = report.copies;
         desk.changed = now;
         if report.busy {
@@ -447,10 +444,14 @@
         let Some(desk) = placer.desks.get(key) else {
             return;
         };
-        Message::Holding { key: key.clone(), seq: desk.seq, resident: serving(desk) }
+        Message::Holding {
+            key: key.clone(),
+            orders: desk.orders.unwrap_or(0),
+            resident: serving(desk),
+        }
     };
-    if let Message::Holding { key, seq, resident } = &message {
-        daemon.fleet.borrow_mut().hold(key, *seq, resident.clone());
+    if let Message::Holding { key, orders, resident } = &message {
+        daemon.fleet.borrow_mut().hold(clock::now(), key, *orders, resident.clone());
     }
     let peers = daemon.nodes.borrow().peers();
     peer::tell(daemon, peers, message);
@@ -571,7 +572,8 @@
     {
         let mut placer = daemon.placer.borrow_mut();
         let Placer { desks, adapters, .. } = &mut *placer;
-        for (key, desk) in desks.iter_mut().filter(|(_, desk)| !desk.sending) {
+        let free = |desk: &Desk| !desk.sending && desk.orders.is_some();
+        for (key, desk) in desks.iter_mut().filter(|(_, desk)| free(desk)) {
             let Some((model, adapter)) = desk.wants.front().cloned() else {
                 continue;
             };
@@ -673,9 +675,12 @@
     takes: Duration,
 ) {
     let began = clock::now();
-    let expect = daemon.placer.borrow().desks.get(&key).map(|desk| desk.seq);
+    let expect = daemon.placer.borrow().desks.get(&key).and_then(|desk| desk.orders);
     let token = daemon.placer.borrow().watch.term(began);
     let (Some(expect), Some(token)) = (expect, token) else {
+        if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&key) {
+            desk.sending = false;
+        }
         return;
     };
     let order = Order {
@@ -751,7 +756,7 @@
     let Some(desk) = placer.desks.get_mut(key) else {
         return;
     };
-    desk.seq += 1;
+    desk.orders = desk.orders.map(|orders| orders + 1);
     desk.changed = clock::now();
     let Some(adapter) = adapter else {
         if let Some(work) = &mut desk.work {
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -347,7 +347,7 @@
                     State::Live => "live",
                     State::Leaving => "leaving",
                 },
-                seq: instance.seq,
+                beat: instance.beat,
                 models: instance.resident.len(),
                 revision: object.revision,
             };
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -57,6 +57,9 @@
 /// How long a model that an endpoint turned out not to hold is not asked of it again, unless it
 /// tells anew.
 const LACKS: Duration = Duration::from_millis(1_500);
+/// An engine's entry lags behind its orders by a heartbeat and the store's own delay: so long what
+/// the placer told goes first.
+const ENTRY: Duration = Duration::from_millis(2_500);
 /// After the store comes back, entries that lapsed meanwhile are missing for up to two seconds.
 const LAPSE: Duration = Duration::from_millis(2_200);
 /// Prompt parts remembered for each endpoint.
@@ -141,6 +144,10 @@
     lapsed: Option<Duration>,
     /// It said itself that it leaves.
     left: bool,
+    /// What its entry says that it holds, until that counts.
+    listed: Option<Vec<Resident>>,
+    /// When the placer last told what it holds, and after how many orders.
+    held: Option<(Duration, u64)>,
 }
 
 impl Endpoint {
@@ -263,16 +270,13 @@
         match self.rows.get_mut(&key) {
             Some(row) => {
                 row.lapsed = None;
-                if instance.seq >= row.instance.seq {
-                    if instance.resident != row.instance.resident {
-                        row.lacks.clear();
-                    }
-                    row.instance = instance;
-                } else {
-                    // Older than what the placer told: only the rest of the entry is news.
-                    let (resident, seq) = (row.instance.resident.clone(), row.instance.seq);
-                    row.instance = Instance { resident, seq, ..instance };
+                if row.instance.resident != instance.resident {
+                    row.lacks.clear();
                 }
+                row.listed = Some(instance.resident.clone());
+                let resident = std::mem::take(&mut row.instance.resident);
+                row.instance = Instance { resident, ..instance };
+                row.settle(now);
             }
             None => {
                 self.rows.insert(key, fresh(now, instance, distance));
@@ -281,13 +285,13 @@
         true
     }
 
-    /// What the placer knows an engine to hold.
-    pub fn hold(&mut self, key: &Key, seq: u64, resident: Vec<Resident>) {
+    /// What the placer knows an engine to hold, after so many orders.
+    pub fn hold(&mut self, now: Duration, key: &Key, orders: u64, resident: Vec<Resident>) {
         let Some(row) = self.rows.get_mut(key) else {
             return;
         };
-        if seq >= row.instance.seq {
-            row.instance.seq = seq;
+        if row.held.is_none_or(|(_, known)| orders >= known) {
+            row.held = Some((now, orders));
             row.instance.resident = resident;
             row.lacks.clear();
         }
@@ -328,6 +332,7 @@
         }
         for row in self.rows.values_mut() {
             row.lacks.retain(|_, until| *until > now);
+            row.settle(now);
         }
         !gone.is_empty()
     }
@@ -482,6 +487,15 @@
 }
 
 impl Endpoint {
+    /// Lets the entry's word on what it holds count, unless the placer's is newer.
+    fn settle(&mut self, now: Duration) {
+        if self.held.is_none_or(|(at, _)| now > at + ENTRY)
+            && let Some(resident) = self.listed.take()
+        {
+            self.instance.resident = resident;
+        }
+    }
+
     fn observe(&mut self, now: Duration, delay: f64) {
         let idle = now.saturating_sub(self.seen) > FADE;
         self.delay = if idle { delay } else { self.delay + (delay - self.delay) * WEIGHT };
@@ -525,5 +539,7 @@
         parts: HashMap::new(),
         lapsed: None,
         left: false,
+        listed: None,
+        held: None,
     }
 }
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -71,8 +71,8 @@
     pub resident: Vec<Resident>,
     /// Copies of weights at hand.
     pub copies: Copies,
-    /// Orders that it has accepted since its start.
-    pub seq: u64,
+    /// Counts its heartbeats.
+    pub beat: u64,
 }
 
 /// An engine's own report.
@@ -81,7 +81,7 @@
     /// Whether it is still busy with a load or an unload of a model.
     pub busy: bool,
     /// Orders that it has accepted since its start.
-    pub seq: u64,
+    pub orders: u64,
     /// What it holds.
     pub resident: Vec<Resident>,
     /// Copies of weights at hand.
