Keep adapters to few engines, wait for one that is in use, and let the pump run once

Adapters were fetched to near engines and pushed each other out. An adapter in use is dropped only when its last run ends; its place was counted as free at once. A stop took streams that could not end before it.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -30,7 +30,7 @@
 /// How often a stop looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(50);
 /// So much before the end of the time to stop, what is still open is let go.
-const SPARE: Duration = Duration::from_millis(300);
+const SPARE: Duration = Duration::from_millis(150);
 /// Callers keep an answer of the directory for up to so many times its life.
 const KEPT: u32 = 3;
 
@@ -89,6 +89,7 @@
     daemon.leaving.set(true);
     daemon.note(&Event::Stop { reason: "signal", open: daemon.open.get() });
     let began = clock::now();
+    daemon.ends.set(Some((began, began + daemon.settings.grace.saturating_sub(SPARE))));
     peer::say_here(daemon);
     let tell = async {
         // Both only spare others a wait: without them the lease runs out, and heartbeats stop.
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -44,6 +44,7 @@
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Flow;
 use crate::decide::line::Group;
+use crate::decide::stop;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
 use crate::table::RequestId;
@@ -65,6 +66,9 @@
 /// When a caller comes back to a daemon that knows no configuration yet.
 const STARTING: Duration = Duration::from_millis(500);
 
+/// When a caller comes back that has to ask another daemon: at once.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// The answer to a caller broke off; its connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Broken;
@@ -128,6 +132,8 @@
     pub service: ServiceId,
     /// Whether that is one of engines.
     pub engines: bool,
+    /// Adapters that one of these has places for.
+    pub places: u32,
     /// What it needs of an endpoint.
     pub group: Group,
     /// The beginnings of its prompt.
@@ -303,6 +309,13 @@
             return own(StatusCode::BAD_REQUEST, "body_broken");
         }
     };
+    if let Some((began, end)) = daemon.ends.get()
+        && !stop::takes(clock::now(), began, end, caller.output)
+    {
+        open.done = true;
+        let refusal = Refusal { reason: "stopping", after: ELSEWHERE };
+        return refused(daemon, &caller, &route.name, config.version, came, &refusal);
+    }
     let job = Rc::new(job(daemon, &config, route, caller, &head, body, came, deadline));
     daemon.allowance.borrow_mut().request(came, &job.service);
     if let Some(model) = &job.caller.model {
@@ -328,7 +341,9 @@
 ) -> Job {
     let draw = rand::Rng::random(&mut *daemon.rng.borrow_mut());
     let service = route.service(draw).clone();
-    let engines = config.services.get(&service).is_some_and(|row| row.engines.is_some());
+    let published = config.services.get(&service).and_then(|row| row.engines.as_ref());
+    let engines = published.is_some();
+    let places = published.map_or(0, |engines| engines.adapters);
     let mut hash = Xxh3::new();
     hash.update(service.as_bytes());
     for text in [&caller.model, &caller.adapter].into_iter().flatten() {
@@ -350,6 +365,7 @@
         version: config.version,
         service,
         engines,
+        places,
         group,
         route,
         caller,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -91,6 +91,8 @@
     pub rng: RefCell<SmallRng>,
     /// Whether it was told to stop.
     pub leaving: Cell<bool>,
+    /// When it was told, and when it ends.
+    pub ends: Cell<Option<(Duration, Duration)>>,
     /// Whether the list of endpoints was read once.
     pub listed: Cell<bool>,
     /// Requests that have no final answer yet.
@@ -132,6 +134,7 @@
             gauges: Gauges::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             leaving: Cell::new(false),
+            ends: Cell::new(None),
             listed: Cell::new(false),
             open: Cell::new(0),
             closing: Bell::new(),
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -52,13 +52,22 @@
 
 /// The name of the lease object.
 const LEASE: &str = "placer";
+/// Time between two notes of demand and copies in the log.
+const NOTE: Duration = Duration::from_secs(2);
+/// Between two looks at an engine that still uses an adapter that it was told to drop.
+const DROP: Duration = Duration::from_millis(100);
+/// So often at most: then another adapter is dropped instead.
+const DROPS: u32 = 8;
 /// Time between two steps of the placer.
 const STEP: Duration = Duration::from_millis(100);
 /// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
 /// price of a read.
 const LOOK: Duration = Duration::from_millis(1_000);
-/// How long an order may take to be answered.
+/// How long an order for a model, or a report, may take to be answered.
 const ORDER: Duration = Duration::from_millis(900);
+/// The same for an adapter: callers wait for it, and the number of orders that each names makes
+/// sending again safe. Several times the way there and back between regions.
+const ADAPTER_ORDER: Duration = Duration::from_millis(300);
 /// How long an adapter takes to be there once the order was accepted.
 const ADAPTER: Duration = Duration::from_millis(15);
 /// Between two looks at an engine whose load takes longer than expected.
@@ -72,6 +81,8 @@
 const CEILING: f64 = 1.0;
 /// After this long an engine's own entry is believed again where it differs.
 const BELIEVE: Duration = Duration::from_secs(3);
+/// The most bytes of a report.
+const ANSWER_MAX: usize = 1 << 20;
 
 /// What the placer knows of one engine.
 #[derive(Debug, Clone)]
@@ -125,6 +136,7 @@
     /// When loads from the weight store began.
     loads: VecDeque<Duration>,
     led: bool,
+    noted: Duration,
 }
 
 impl Placer {
@@ -139,6 +151,7 @@
             adapters: HashMap::new(),
             loads: VecDeque::new(),
             led: false,
+            noted: Duration::ZERO,
         }
     }
 
@@ -407,7 +420,7 @@
 
 async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
-    let res = exchange(daemon, key, req, || true).await.ok()?;
+    let res = exchange(daemon, key, req, ORDER, || true).await.ok()?;
     daemon.dialect.reported(&res).ok()
 }
 
@@ -416,6 +429,7 @@
     daemon: &Rc<Daemon>,
     key: &Key,
     req: Request<bytes::Bytes>,
+    limit: Duration,
     still: impl Fn() -> bool,
 ) -> Result<http::Response<bytes::Bytes>, link::Error> {
     let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
@@ -424,7 +438,7 @@
     if !still() {
         return Err(link::Error::Unsent);
     }
-    let res = link.call(req, 1 << 20, ORDER).await?;
+    let res = link.call(req, ANSWER_MAX, limit).await?;
     daemon.pool.borrow_mut().give(addr, link, None);
     Ok(res)
 }
@@ -496,6 +510,7 @@
         hosts.sort_by(|a, b| a.key.cmp(&b.key));
         (needs, hosts, cold)
     };
+    note_plan(daemon, now, &needs, &hosts);
     for step in spread::plan(&needs, &hosts, cold) {
         let (key, action, model) = match step {
             Move::Load(key, model) => (key, Action::Load, model),
@@ -505,6 +520,23 @@
     }
 }
 
+fn note_plan(daemon: &Daemon, now: Duration, needs: &[Need], hosts: &[Host]) {
+    if now < daemon.placer.borrow().noted + NOTE {
+        return;
+    }
+    daemon.placer.borrow_mut().noted = now;
+    let targets = spread::targets(needs, hosts);
+    for need in needs {
+        let copies = hosts.iter().filter(|host| host.resident.contains(&need.model)).count();
+        daemon.note(&Event::Plan {
+            model: need.model.clone(),
+            demand: (need.demand * 10.0).round() / 10.0,
+            copies,
+            target: targets[&need.model],
+        });
+    }
+}
+
 fn host(desk: &Desk, key: Key, region: String, room: f64) -> Host {
     let mut resident: Vec<ModelId> = desk.resident.iter().map(|row| row.model.clone()).collect();
     let mut outgoing = Vec::new();
@@ -696,7 +728,8 @@
         Err(_) => Err(link::Error::Malformed),
         Ok(req) => {
             let still = || daemon.placer.borrow().watch.term(clock::now()) == Some(token);
-            exchange(daemon, &key, req, still).await
+            let limit = if adapter.is_some() { ADAPTER_ORDER } else { ORDER };
+            exchange(daemon, &key, req, limit, still).await
         }
     };
     let ordered = outcome.map(|res| daemon.dialect.ordered(&res));
@@ -721,7 +754,16 @@
         why: if adapter.is_some() { "wanted" } else { "demand" },
     });
     let accepted = matches!(ordered, Ok(Ok(Ordered::Accepted)));
-    if accepted {
+    if matches!(ordered, Err(link::Error::Connect)) {
+        daemon.fleet.borrow_mut().unreachable(now, &key);
+        if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&key) {
+            desk.wants.clear();
+        }
+    }
+    if accepted && action == Action::Unload && adapter.is_some() {
+        // It is still in use there and takes its place until the last run ends.
+        dropped(daemon, &key, &model, adapter.as_ref()).await;
+    } else if accepted {
         if adapter.is_some() {
             Timer::after(takes).await;
         }
@@ -744,6 +786,22 @@
     }
 }
 
+/// Waits until an adapter is gone from an engine.
+async fn dropped(daemon: &Rc<Daemon>, key: &Key, model: &str, adapter: Option<&AdapterId>) {
+    for _ in 0..DROPS {
+        Timer::after(DROP).await;
+        refresh(daemon, key).await;
+        let placer = daemon.placer.borrow();
+        let held = placer.desks.get(key).is_some_and(|desk| {
+            let rows = desk.resident.iter().filter(|row| row.model == model);
+            rows.flat_map(|row| &row.adapters).any(|other| Some(other) == adapter)
+        });
+        if !held {
+            return;
+        }
+    }
+}
+
 fn accept(
     daemon: &Daemon,
     key: &Key,
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -27,6 +27,7 @@
 const ORDER: Duration = Duration::from_millis(600);
 
 /// A request that waits.
+#[derive(Clone)]
 pub struct Waiter {
     job: Rc<Job>,
     tried: Vec<Key>,
@@ -81,6 +82,7 @@
             service: &self.service,
             model: self.caller.model.as_deref(),
             adapter: self.caller.adapter.as_deref(),
+            places: self.places,
             prompt: self.caller.prompt,
             parts: &self.parts,
             tried,
@@ -109,13 +111,9 @@
 pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Place, Refusal> {
     let now = clock::now();
     let ahead = daemon.line.borrow().ahead(job.route.priority, job.came, job.group);
-    if ahead == 0 {
-        match choose(daemon, now, job, tried) {
-            Choice::Go(key) => return Ok(take(daemon, now, job, key)),
-            other => wait(daemon, job, tried, other, ahead).await,
-        }
-    } else {
-        wait(daemon, job, tried, Choice::Full, ahead).await
+    match choose(daemon, now, job, tried) {
+        Choice::Go(key) if ahead == 0 => Ok(take(daemon, now, job, key)),
+        other => wait(daemon, job, tried, other, ahead).await,
     }
 }
 
@@ -213,23 +211,28 @@
 /// Gives places to requests that wait, in order.
 pub fn pump(daemon: &Rc<Daemon>) {
     let now = clock::now();
+    let rows: Vec<(u64, Waiter)> = {
+        let line = daemon.line.borrow();
+        line.rows().map(|(_, group, waiter)| (group, waiter.clone())).collect()
+    };
     let mut stuck = HashSet::new();
-    let mut gone = Vec::new();
-    let line = daemon.line.borrow();
-    for (id, group, waiter) in line.rows() {
+    for (group, waiter) in rows {
         if stuck.contains(&group) {
             continue;
         }
-        match choose(daemon, now, &waiter.job, &waiter.tried) {
+        let job = &waiter.job;
+        match choose(daemon, now, job, &waiter.tried) {
             Choice::Go(key) => {
-                daemon.fleet.borrow_mut().start(now, &key, &waiter.job.parts);
-                if waiter.give.try_send(key.clone()).is_err() {
-                    daemon.fleet.borrow_mut().end(&key);
+                let waits = daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
+                if waits.is_some() {
+                    daemon.fleet.borrow_mut().start(now, &key, &job.parts);
+                    if waiter.give.try_send(key.clone()).is_err() {
+                        daemon.fleet.borrow_mut().end(&key);
+                    }
                 }
-                gone.push((id, waiter.job.route.priority, waiter.job.came));
             }
             Choice::Fetch(key) => {
-                peer::want(daemon, &key, &waiter.job);
+                peer::want(daemon, &key, job);
                 stuck.insert(group);
             }
             Choice::Full | Choice::Absent | Choice::Empty => {
@@ -237,10 +240,4 @@
             }
         }
     }
-    drop(line);
-    let mut line = daemon.line.borrow_mut();
-    for (id, priority, came) in gone {
-        // The row is woken by its channel.
-        drop(line.remove(id, priority, came));
-    }
 }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -40,7 +40,13 @@
 /// Milliseconds that stand for a failure that is sure.
 const FAILURE: f64 = 3_000.0;
 /// Milliseconds that an adapter's load is expected to take, with the order's way.
-const FETCH: f64 = 70.0;
+const FETCH: f64 = 80.0;
+/// Milliseconds for each adapter that an engine holds already: the places are few, and a copy in
+/// each region would push out what others use. A far engine that has the adapter is nearer than
+/// a near one that has others.
+const FETCH_CROWD: f64 = 20.0;
+/// Milliseconds when another adapter has to go first.
+const FETCH_FULL: f64 = 500.0;
 /// Weight of one observation in the moving averages.
 const WEIGHT: f64 = 0.15;
 /// Observations of an endpoint that is not used fade within this time, so that one that was slow
@@ -80,6 +86,8 @@
     pub model: Option<&'a str>,
     /// The adapter of that model.
     pub adapter: Option<&'a str>,
+    /// Adapters that an engine has places for.
+    pub places: u32,
     /// Tokens of the prompt.
     pub prompt: u32,
     /// Hashes of the prompt's beginnings, each with the tokens of its last part.
@@ -357,7 +365,7 @@
             if ask.tried.contains(&row.instance.key) || row.load(now) >= room(row, engines) {
                 continue;
             }
-            let fetch = if ready { 0.0 } else { FETCH + fetch_cost(row) };
+            let fetch = if ready { 0.0 } else { fetch_cost(row, ask.places) };
             let noise = 1.0 + rng.random_range(0.0..NOISE);
             let cost = (row.cost(now, ask, engines) + fetch) * noise;
             if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
@@ -509,10 +517,11 @@
     (if engines { slots } else { slots * PLAIN_QUEUE }) as u32
 }
 
-/// What speaks against bringing an adapter to an engine: others there may have to go.
-fn fetch_cost(row: &Endpoint) -> f64 {
-    let adapters: usize = row.instance.resident.iter().map(|held| held.adapters.len()).sum();
-    adapters as f64 * 5.0
+/// What speaks against bringing an adapter to an engine.
+fn fetch_cost(row: &Endpoint, places: u32) -> f64 {
+    let held: usize = row.instance.resident.iter().map(|held| held.adapters.len()).sum();
+    let full = if held >= places as usize { FETCH_FULL } else { 0.0 };
+    FETCH + FETCH_CROWD * held as f64 + full
 }
 
 fn fresh(now: Duration, instance: Instance, distance: Distance) -> Endpoint {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -31,4 +31,5 @@
 pub mod share;
 mod show;
 pub mod spread;
+pub mod stop;
 pub mod store;
