--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -36,6 +36,10 @@
 /// An adapter is asked for again after this long: the way to the placer and back, the order and
 /// the load.
 const AGAIN: Duration = Duration::from_millis(180);
+/// How long a request takes up a place, in milliseconds, before one of its model has ended.
+const SPAN: f64 = 600.0;
+/// Weight of one request in the mean of these times.
+const WEIGHT: f64 = 0.05;
 /// The largest datagram: below what one packet holds.
 const LARGEST: usize = 1_400;
 
@@ -53,7 +57,7 @@
     },
     /// What callers of a daemon asked for since its last message.
     Demand {
-        /// Requests for each model.
+        /// For each model the milliseconds that its requests will take up a place.
         models: Vec<(ModelId, u32)>,
         /// Requests for each adapter.
         adapters: Vec<(ModelId, AdapterId, u32)>,
@@ -83,18 +87,32 @@
 pub struct Demand {
     models: HashMap<ModelId, u32>,
     adapters: HashMap<(ModelId, AdapterId), u32>,
+    /// How long a request of each model takes up a place, in milliseconds.
+    spans: HashMap<ModelId, f64>,
     wanted: HashMap<(Key, AdapterId), Duration>,
 }
 
 impl Demand {
     /// A request named a model.
     pub fn asked(&mut self, model: &str, adapter: Option<&str>) {
-        *self.models.entry(model.to_string()).or_default() += 1;
+        let span = self.spans.get(model).copied().unwrap_or(SPAN);
+        *self.models.entry(model.to_string()).or_default() += span as u32;
         if let Some(adapter) = adapter {
             *self.adapters.entry((model.to_string(), adapter.to_string())).or_default() += 1;
         }
     }
 
+    /// A request of a model has taken up a place for this long.
+    pub fn took(&mut self, model: &str, span: Duration) {
+        let millis = span.as_secs_f64() * 1000.0;
+        match self.spans.get_mut(model) {
+            Some(mean) => *mean += (millis - *mean) * WEIGHT,
+            None => {
+                self.spans.insert(model.to_string(), SPAN);
+            }
+        }
+    }
+
     fn take(&mut self) -> Option<Message> {
         if self.models.is_empty() {
             return None;
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -30,8 +30,8 @@
 use crate::decide::lease::Lease;
 use crate::decide::lease::Watch;
 use crate::decide::spread;
+use crate::decide::spread::Bring;
 use crate::decide::spread::Host;
-use crate::decide::spread::Move;
 use crate::decide::spread::Need;
 use crate::edge::dialect::Action;
 use crate::edge::dialect::Kind;
@@ -52,12 +52,20 @@
 
 /// The name of the lease object.
 const LEASE: &str = "placer";
+/// An adapter that was asked for less than this often lately, counted with a decay over `SMOOTH`, is
+/// in use nowhere: its streams are over.
+const UNUSED: f64 = 0.3;
+/// One that is wanted this often takes the place of another even so.
+const BUSIER: f64 = 2.0;
 /// Time between two notes of demand and copies in the log.
 const NOTE: Duration = Duration::from_secs(2);
-/// Between two looks at an engine that still uses an adapter that it was told to drop.
-const DROP: Duration = Duration::from_millis(100);
-/// So often at most: then another adapter is dropped instead.
-const DROPS: u32 = 8;
+/// An engine that carries out another order is asked again after this long.
+const BUSY: Duration = Duration::from_millis(120);
+/// Reports are so far behind at most.
+const LAG: Duration = Duration::from_millis(230);
+/// A model that could not be brought within this time is planned anew: longer than the longest
+/// stream that an unload waits for.
+const GOAL: Duration = Duration::from_secs(9);
 /// Time between two steps of the placer.
 const STEP: Duration = Duration::from_millis(100);
 /// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
@@ -79,7 +87,8 @@
 const SMOOTH: Duration = Duration::from_secs(3);
 /// Of the loads that the weight store allows, so many are begun.
 const CEILING: f64 = 1.0;
-/// After this long an engine's own entry is believed again where it differs.
+/// A report holds this long: an order of an earlier holder may have been carried out late. The
+/// table of endpoints is no source, as it takes in what this placer told.
 const BELIEVE: Duration = Duration::from_secs(3);
 /// The most bytes of a report.
 const ANSWER_MAX: usize = 1 << 20;
@@ -90,24 +99,43 @@
     /// Orders that it has accepted; none before its first report.
     orders: Option<u64>,
     resident: Vec<Resident>,
+    /// Adapters on their way there, by its report.
+    coming: usize,
     copies: Copies,
-    /// A load or an unload of a model under way, and when to look.
-    work: Option<Work>,
+    /// What is to come there, until it is there.
+    goal: Option<Goal>,
     /// An order is on its way.
     sending: bool,
+    /// When the engine is looked at next, if something is under way there.
+    look: Option<Duration>,
+    /// No order is sent before.
+    rest: Duration,
     /// Adapters to bring.
     wants: VecDeque<(ModelId, AdapterId)>,
+    /// Adapters that were told to go while they were in use.
+    going: Vec<(ModelId, AdapterId)>,
     changed: Duration,
 }
 
+/// A model that is to come to an engine in the place of others.
 #[derive(Debug, Clone)]
-struct Work {
+struct Goal {
+    model: ModelId,
+    victims: Vec<ModelId>,
+    since: Duration,
+    /// Whether the load was accepted.
+    loading: bool,
+}
+
+/// An order to give next.
+#[derive(Debug, Clone, PartialEq)]
+struct Task {
     action: Action,
     model: ModelId,
-    look: Duration,
+    adapter: Option<AdapterId>,
 }
 
-/// A decaying count of requests.
+/// A decaying count.
 #[derive(Debug, Clone, Copy)]
 struct Rate {
     count: f64,
@@ -120,8 +148,8 @@
         self.count * (-age / SMOOTH.as_secs_f64()).exp()
     }
 
-    fn add(&mut self, now: Duration, count: u32) {
-        self.count = self.now(now) + f64::from(count);
+    fn add(&mut self, now: Duration, count: f64) {
+        self.count = self.now(now) + count;
         self.at = now;
     }
 }
@@ -174,11 +202,11 @@
         adapters: Vec<(ModelId, AdapterId, u32)>,
     ) {
         let fresh = Rate { count: 0.0, at: now };
-        for (model, count) in models {
-            self.models.entry(model).or_insert(fresh).add(now, count);
+        for (model, millis) in models {
+            self.models.entry(model).or_insert(fresh).add(now, f64::from(millis) / 1000.0);
         }
         for (model, adapter, count) in adapters {
-            self.adapters.entry((model, adapter)).or_insert(fresh).add(now, count);
+            self.adapters.entry((model, adapter)).or_insert(fresh).add(now, f64::from(count));
         }
     }
 
@@ -326,7 +354,6 @@
         looks(&daemon, now);
         for (service, engines) in config.engines() {
             moves(&daemon, now, &service.name, engines);
-            adapters(&daemon, engines);
         }
     }
 }
@@ -348,29 +375,30 @@
         let desk = placer.desks.entry(instance.key.clone()).or_insert_with(|| Desk {
             orders: None,
             resident: instance.resident.clone(),
+            coming: 0,
             copies: instance.copies.clone(),
-            // Nothing is ordered before its first report.
-            work: Some(Work { action: Action::Load, model: String::new(), look: now }),
+            goal: None,
             sending: false,
+            // Nothing is ordered before its first report.
+            look: Some(now),
+            rest: now,
             wants: VecDeque::new(),
+            going: Vec::new(),
             changed: now,
         });
-        let idle = desk.work.is_none() && !desk.sending;
+        let idle = desk.look.is_none() && !desk.sending && desk.goal.is_none();
         if idle && now > desk.changed + BELIEVE {
-            desk.resident.clone_from(&instance.resident);
-            desk.copies.clone_from(&instance.copies);
+            desk.look = Some(now);
         }
     }
 }
 
-/// Looks at engines whose loads should be over.
+/// Looks at engines where something should be over.
 fn looks(daemon: &Rc<Daemon>, now: Duration) {
     let mut due = Vec::new();
     for (key, desk) in &mut daemon.placer.borrow_mut().desks {
-        if let Some(work) = &mut desk.work
-            && work.look <= now
-        {
-            work.look = now + POLL + ORDER;
+        if desk.look.is_some_and(|at| at <= now) {
+            desk.look = Some(now + POLL + ORDER);
             due.push(key.clone());
         }
     }
@@ -390,34 +418,86 @@
             return;
         };
         let Some(report) = report else {
-            if let Some(work) = &mut desk.work {
-                work.look = now + POLL;
-            }
+            desk.look = Some(now + POLL);
             return;
         };
-        desk.orders = Some(report.orders);
-        desk.copies = report.copies;
-        desk.changed = now;
-        if report.busy {
-            match &mut desk.work {
-                Some(work) => work.look = now + POLL,
-                // An order of an earlier holder.
-                None => {
-                    desk.work = Some(Work {
-                        action: Action::Load,
-                        model: String::new(),
-                        look: now + POLL,
-                    });
-                }
-            }
-        } else {
-            desk.work = None;
+        // Reports lag behind: one from before the last order says nothing of it.
+        let old = desk.orders.is_some_and(|orders| report.orders < orders);
+        if old && now < desk.changed + BELIEVE {
+            desk.look = Some(now + POLL);
+            return;
         }
-        desk.resident = report.resident;
+        desk.take(now, report);
     }
     tell(daemon, key);
 }
 
+impl Desk {
+    fn take(&mut self, now: Duration, report: Report) {
+        self.orders = Some(report.orders);
+        self.copies = report.copies;
+        self.resident = report.resident;
+        self.changed = now;
+        self.coming = report.coming;
+        let under_way = report.busy || self.dropping();
+        self.look = under_way.then_some(now + POLL);
+        let held = |model: &ModelId| self.resident.iter().any(|row| row.model == *model);
+        if let Some(goal) = &mut self.goal
+            && !report.busy
+        {
+            if held(&goal.model) {
+                self.goal = None;
+            } else {
+                // The load came to nothing: it is ordered again.
+                goal.loading = false;
+            }
+        }
+    }
+
+    /// Whether an adapter that was told to go is still there.
+    fn dropping(&mut self) -> bool {
+        let resident = &self.resident;
+        let held = |model: &str, adapter: &str| {
+            let rows = resident.iter().filter(|row| row.model == model);
+            rows.flat_map(|row| &row.adapters).any(|other| other == adapter)
+        };
+        self.going.retain(|(model, adapter)| held(model, adapter));
+        !self.going.is_empty()
+    }
+
+    /// Whether a model is there and stays.
+    fn serves(&self, model: &str) -> bool {
+        let goes = self.goal.as_ref().is_some_and(|goal| goal.victims.iter().any(|row| row == model));
+        !goes && self.resident.iter().any(|row| row.model == model)
+    }
+
+    /// What an engine can be sent requests for.
+    fn serving(&self) -> Vec<Resident> {
+        let rows = self.resident.iter().filter(|row| self.serves(&row.model));
+        let stays = |row: &Resident, adapter: &AdapterId| {
+            !self.going.iter().any(|(model, other)| *model == row.model && other == adapter)
+        };
+        let kept = rows.map(|row| Resident {
+            model: row.model.clone(),
+            adapters: row.adapters.iter().filter(|name| stays(row, name)).cloned().collect(),
+        });
+        kept.collect()
+    }
+
+    /// The next order for its goal.
+    fn toward(&self) -> Option<Task> {
+        let goal = self.goal.as_ref().filter(|goal| !goal.loading)?;
+        let victim = goal.victims.iter().find(|victim| {
+            self.resident.iter().any(|row| row.model == **victim)
+        });
+        let (action, model) = match victim {
+            Some(victim) => (Action::Unload, victim),
+            None => (Action::Load, &goal.model),
+        };
+        Some(Task { action, model: model.clone(), adapter: None })
+    }
+}
+
 async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
     let res = exchange(daemon, key, req, ORDER, || true).await.ok()?;
@@ -461,7 +541,7 @@
         Message::Holding {
             key: key.clone(),
             orders: desk.orders.unwrap_or(0),
-            resident: serving(desk),
+            resident: desk.serving(),
         }
     };
     if let Message::Holding { key, orders, resident } = &message {
@@ -472,13 +552,6 @@
     seat::pump(daemon);
 }
 
-/// What an engine can be sent requests for.
-fn serving(desk: &Desk) -> Vec<Resident> {
-    let dropped = desk.work.as_ref().filter(|work| work.action == Action::Unload);
-    let rows = desk.resident.iter();
-    rows.filter(|row| dropped.is_none_or(|work| work.model != row.model)).cloned().collect()
-}
-
 /// Plans and begins what is due for the models of a service.
 fn moves(daemon: &Rc<Daemon>, now: Duration, service: &str, engines: &Engines) {
     let (needs, hosts, cold) = {
@@ -512,11 +585,24 @@
     };
     note_plan(daemon, now, &needs, &hosts);
     for step in spread::plan(&needs, &hosts, cold) {
-        let (key, action, model) = match step {
-            Move::Load(key, model) => (key, Action::Load, model),
-            Move::Unload(key, model) => (key, Action::Unload, model),
-        };
-        begin(daemon, key, action, model, None, engines);
+        set_goal(daemon, now, step);
+    }
+    let keys: Vec<Key> = hosts.into_iter().map(|host| host.key).collect();
+    for key in keys {
+        give(daemon, now, &key, engines);
+    }
+}
+
+fn set_goal(daemon: &Rc<Daemon>, now: Duration, step: Bring) {
+    let known = {
+        let mut placer = daemon.placer.borrow_mut();
+        let desk = placer.desks.get_mut(&step.key);
+        let goal = Goal { model: step.model, victims: step.victims, since: now, loading: false };
+        desk.map(|desk| desk.goal = Some(goal)).is_some()
+    };
+    if known {
+        // Daemons stop sending what must go before the order leaves.
+        tell(daemon, &step.key);
     }
 }
 
@@ -525,14 +611,12 @@
         return;
     }
     daemon.placer.borrow_mut().noted = now;
-    let targets = spread::targets(needs, hosts);
     for need in needs {
         let copies = hosts.iter().filter(|host| host.resident.contains(&need.model)).count();
         daemon.note(&Event::Plan {
             model: need.model.clone(),
             demand: (need.demand * 10.0).round() / 10.0,
             copies,
-            target: targets[&need.model],
         });
     }
 }
@@ -540,26 +624,16 @@
 fn host(desk: &Desk, key: Key, region: String, room: f64) -> Host {
     let mut resident: Vec<ModelId> = desk.resident.iter().map(|row| row.model.clone()).collect();
     let mut outgoing = Vec::new();
-    if let Some(work) = &desk.work {
-        match work.action {
-            Action::Load if !resident.contains(&work.model) && !work.model.is_empty() => {
-                resident.push(work.model.clone());
-            }
-            Action::Load => {}
-            Action::Unload => outgoing.push(work.model.clone()),
+    if let Some(goal) = &desk.goal {
+        if !resident.contains(&goal.model) {
+            resident.push(goal.model.clone());
         }
+        outgoing.clone_from(&goal.victims);
     }
     let mut at_hand = desk.copies.memory.clone();
     at_hand.extend(desk.copies.disk.iter().cloned());
-    Host {
-        key,
-        region,
-        room,
-        resident,
-        outgoing,
-        busy: desk.work.is_some() || desk.sending,
-        at_hand,
-    }
+    let busy = desk.goal.is_some() || desk.orders.is_none() || desk.look.is_some();
+    Host { key, region, room, resident, outgoing, busy, at_hand }
 }
 
 /// A daemon wants an adapter at an engine.
@@ -593,144 +667,236 @@
         return;
     };
     for (_, engines) in config.engines() {
-        adapters(daemon, engines);
+        give(daemon, now, key, engines);
     }
 }
 
-/// Begins the next adapter order at each engine that has one due.
-fn adapters(daemon: &Rc<Daemon>, engines: &Engines) {
-    let now = clock::now();
-    let mut due = Vec::new();
-    {
-        let mut placer = daemon.placer.borrow_mut();
-        let Placer { desks, adapters, .. } = &mut *placer;
-        let free = |desk: &Desk| !desk.sending && desk.orders.is_some();
-        for (key, desk) in desks.iter_mut().filter(|(_, desk)| free(desk)) {
-            let Some((model, adapter)) = desk.wants.front().cloned() else {
-                continue;
-            };
-            if !engines.models.iter().any(|row| row.name == model) {
-                continue;
-            }
-            let row = desk.resident.iter().find(|row| row.model == model);
-            if row.is_none_or(|row| row.adapters.contains(&adapter)) {
-                desk.wants.pop_front();
-                continue;
-            }
-            let held: usize = desk.resident.iter().map(|row| row.adapters.len()).sum();
-            if held < engines.adapters as usize {
-                desk.wants.pop_front();
-                due.push((key.clone(), Action::Load, model, adapter));
-                continue;
-            }
-            let rate = |model: &str, adapter: &str| {
-                let key = (model.to_string(), adapter.to_string());
-                adapters.get(&key).map_or(0.0, |rate| rate.now(now))
-            };
-            let all = desk.resident.iter().flat_map(|row| {
-                row.adapters.iter().map(move |adapter| (row.model.clone(), adapter.clone()))
-            });
-            let least = all.min_by(|a, b| rate(&a.0, &a.1).total_cmp(&rate(&b.0, &b.1)));
-            if let Some((model, adapter)) = least {
-                due.push((key.clone(), Action::Unload, model, adapter));
-            }
+/// The next adapter order at an engine.
+fn adapter_task(
+    desk: &mut Desk,
+    engines: &Engines,
+    rate: impl Fn(&str, &str) -> f64,
+) -> Option<Task> {
+    while let Some((model, adapter)) = desk.wants.front().cloned() {
+        if !engines.models.iter().any(|row| row.name == model) {
+            return None;
         }
+        let row = desk.resident.iter().find(|row| row.model == model);
+        if !desk.serves(&model) || row.is_none_or(|row| row.adapters.contains(&adapter)) {
+            desk.wants.pop_front();
+            continue;
+        }
+        let held: usize = desk.resident.iter().map(|row| row.adapters.len()).sum();
+        let held = held + desk.coming;
+        if held < engines.adapters as usize {
+            return Some(Task { action: Action::Load, model, adapter: Some(adapter) });
+        }
+        let all = desk.resident.iter().flat_map(|row| {
+            row.adapters.iter().map(move |adapter| (row.model.clone(), adapter.clone()))
+        });
+        let least = all.min_by(|a, b| rate(&a.0, &a.1).total_cmp(&rate(&b.0, &b.1)))?;
+        // Dropping one that is in use takes until its last run ends, and holds up all other orders
+        // there meanwhile.
+        if rate(&least.0, &least.1) < UNUSED || rate(&model, &adapter) > BUSIER {
+            return Some(Task { action: Action::Unload, model: least.0, adapter: Some(least.1) });
+        }
+        desk.wants.pop_front();
     }
-    for (key, action, model, adapter) in due {
-        begin(daemon, key, action, model, Some(adapter), engines);
-    }
+    None
 }
 
-/// Gives one order, in a task of its own.
-fn begin(
-    daemon: &Rc<Daemon>,
-    key: Key,
-    action: Action,
-    model: ModelId,
-    adapter: Option<AdapterId>,
-    engines: &Engines,
-) {
-    let now = clock::now();
-    let mut takes = ADAPTER;
-    {
+/// Gives an engine its next order, if one is due, in a task of its own.
+fn give(daemon: &Rc<Daemon>, now: Duration, key: &Key, engines: &Engines) {
+    let task = {
         let mut placer = daemon.placer.borrow_mut();
-        let Some(desk) = placer.desks.get_mut(&key) else {
+        let Placer { desks, adapters, loads, .. } = &mut *placer;
+        let rate = |model: &str, adapter: &str| {
+            let key = (model.to_string(), adapter.to_string());
+            adapters.get(&key).map_or(0.0, |rate| rate.now(now))
+        };
+        let last = lasts(desks, key);
+        let Some(desk) = desks.get_mut(key) else {
             return;
         };
-        if desk.sending {
+        // While something is under way there, any other order is refused.
+        if desk.sending || desk.orders.is_none() || now < desk.rest || desk.look.is_some() {
             return;
         }
+        let over = desk.goal.as_ref().is_some_and(|goal| {
+            now > goal.since + GOAL || goal.victims.iter().any(|victim| last.contains(victim))
+        });
+        if over && desk.goal.as_ref().is_some_and(|goal| !goal.loading) {
+            desk.goal = None;
+        }
+        let task = desk.toward().or_else(|| adapter_task(desk, engines, rate));
+        let Some(task) = task else {
+            return;
+        };
         desk.sending = true;
-        if adapter.is_none() {
-            let published = engines.model(&model);
-            let memory = desk.copies.memory.contains(&model);
-            let disk = desk.copies.disk.contains(&model);
-            takes = match (action, published) {
-                (Action::Unload, _) | (Action::Load, None) => Duration::ZERO,
-                (Action::Load, Some(row)) if memory => row.warm,
-                (Action::Load, Some(row)) if disk => row.disk,
-                (Action::Load, Some(row)) => row.cold,
-            } + LONGER;
-            desk.work = Some(Work {
-                action,
-                model: model.clone(),
-                look: now + ORDER + takes + POLL,
-            });
-            if action == Action::Load && !memory && !disk {
-                placer.loads.push_back(now);
+        let cold = !desk.copies.memory.contains(&task.model) && !desk.copies.disk.contains(&task.model);
+        if task.action == Action::Load && task.adapter.is_none() && cold {
+            loads.push_back(now);
+        }
+        task
+    };
+    let time = load_time(daemon, key, &task, engines);
+    let (shared, key) = (daemon.clone(), key.clone());
+    let work = async move {
+        carry_out(&shared, &key, &task, time).await;
+        let config = shared.config.borrow().clone();
+        for (_, engines) in config.iter().flat_map(|config| config.engines()) {
+            give(&shared, clock::now(), &key, engines);
+        }
+    };
+    daemon.ex.spawn(work).detach();
+}
+
+/// Models at an engine that no other engine serves.
+fn lasts(desks: &BTreeMap<Key, Desk>, key: &Key) -> Vec<ModelId> {
+    let Some(desk) = desks.get(key) else {
+        return Vec::new();
+    };
+    let models = desk.resident.iter().map(|row| row.model.clone());
+    let others = |model: &ModelId| {
+        desks.iter().any(|(other, desk)| other != key && desk.serves(model))
+    };
+    models.filter(|model| !others(model)).collect()
+}
+
+/// How long an order is expected to take once it was accepted.
+fn load_time(daemon: &Daemon, key: &Key, task: &Task, engines: &Engines) -> Duration {
+    if task.adapter.is_some() {
+        return ADAPTER;
+    }
+    let placer = daemon.placer.borrow();
+    let copies = placer.desks.get(key).map(|desk| &desk.copies);
+    let at = |list: fn(&Copies) -> &Vec<ModelId>| {
+        copies.is_some_and(|copies| list(copies).contains(&task.model))
+    };
+    match (task.action, engines.model(&task.model)) {
+        (Action::Unload, _) | (Action::Load, None) => Duration::ZERO,
+        (Action::Load, Some(model)) => {
+            LONGER
+                + if at(|copies| &copies.memory) {
+                    model.warm
+                } else if at(|copies| &copies.disk) {
+                    model.disk
+                } else {
+                    model.cold
+                }
+        }
+    }
+}
+
+/// Gives one order and takes in what the engine says.
+async fn carry_out(daemon: &Rc<Daemon>, key: &Key, task: &Task, time: Duration) {
+    let ordered = order(daemon, key, task).await;
+    let now = clock::now();
+    let adapter = task.adapter.is_some();
+    let mut reread = false;
+    if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(key) {
+        match (ordered, task.action) {
+            (Some(Ordered::Accepted), Action::Load) => {
+                desk.accepted(now);
+                desk.look = (!adapter).then_some(now + time).or(desk.look);
+                if let Some(goal) = desk.goal.as_mut().filter(|_| !adapter) {
+                    goal.loading = true;
+                }
+            }
+            (Some(Ordered::Accepted), Action::Unload) => {
+                desk.accepted(now);
+                // It takes its room until its last run ends, which only a report tells.
+                if let Some(adapter) = &task.adapter {
+                    desk.going.push((task.model.clone(), adapter.clone()));
+                }
+                desk.look = Some(now + LAG);
+            }
+            // Dropped at once, which counts as an order.
+            (Some(Ordered::Already), Action::Unload) => {
+                desk.accepted(now);
+                desk.drop(task);
             }
+            (Some(Ordered::Already), Action::Load) => reread = true,
+            (Some(Ordered::Conflict), _) => {
+                desk.rest = now + BUSY;
+                reread = true;
+            }
+            (Some(Ordered::Fenced | Ordered::Refused) | None, _) => {
+                desk.rest = now + BUSY;
+                desk.wants.clear();
+                if desk.goal.as_ref().is_some_and(|goal| !goal.loading) {
+                    desk.goal = None;
+                }
+                reread = true;
+            }
+        }
+    }
+    if ordered == Some(Ordered::Accepted) && adapter && task.action == Action::Load {
+        Timer::after(time).await;
+        if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(key) {
+            desk.hold(task);
+        }
+    }
+    if reread {
+        // A report that is read now may be from before.
+        Timer::after(LAG).await;
+        refresh(daemon, key).await;
+    }
+    if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(key) {
+        desk.sending = false;
+    }
+    tell(daemon, key);
+}
+
+impl Desk {
+    fn accepted(&mut self, now: Duration) {
+        self.orders = self.orders.map(|orders| orders + 1);
+        self.changed = now;
+    }
+
+    fn hold(&mut self, task: &Task) {
+        let rows = self.resident.iter_mut().filter(|row| row.model == task.model);
+        for row in rows {
+            row.adapters.extend(task.adapter.clone());
         }
     }
-    if action == Action::Unload {
-        if let Some(adapter) = &adapter {
-            let mut placer = daemon.placer.borrow_mut();
-            if let Some(desk) = placer.desks.get_mut(&key) {
-                for row in desk.resident.iter_mut().filter(|row| row.model == model) {
+
+    fn drop(&mut self, task: &Task) {
+        match &task.adapter {
+            None => self.resident.retain(|row| row.model != task.model),
+            Some(adapter) => {
+                for row in self.resident.iter_mut().filter(|row| row.model == task.model) {
                     row.adapters.retain(|other| other != adapter);
                 }
             }
         }
-        // Daemons stop sending before the order leaves.
-        tell(daemon, &key);
     }
-    let shared = daemon.clone();
-    let work = async move { carry_out(&shared, key, action, model, adapter, takes).await };
-    daemon.ex.spawn(work).detach();
 }
 
-async fn carry_out(
-    daemon: &Rc<Daemon>,
-    key: Key,
-    action: Action,
-    model: ModelId,
-    adapter: Option<AdapterId>,
-    takes: Duration,
-) {
+/// Sends one order; none when no answer came.
+async fn order(daemon: &Rc<Daemon>, key: &Key, task: &Task) -> Option<Ordered> {
     let began = clock::now();
-    let expect = daemon.placer.borrow().desks.get(&key).and_then(|desk| desk.orders);
-    let token = daemon.placer.borrow().watch.term(began);
-    let (Some(expect), Some(token)) = (expect, token) else {
-        if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&key) {
-            desk.sending = false;
-        }
-        return;
+    let (expect, holds) = {
+        let placer = daemon.placer.borrow();
+        let desk = placer.desks.get(key)?;
+        let holds = desk.resident.iter().map(|row| row.model.clone()).collect();
+        (desk.orders?, holds)
     };
+    let token = daemon.placer.borrow().watch.term(began)?;
     let order = Order {
-        action,
-        model: model.clone(),
-        adapter: adapter.clone(),
+        action: task.action,
+        model: task.model.clone(),
+        adapter: task.adapter.clone(),
         expect,
         holder: daemon.settings.name.clone(),
         token,
         endpoint: key.id.clone(),
     };
+    let limit = if task.adapter.is_some() { ADAPTER_ORDER } else { ORDER };
+    let still = || daemon.placer.borrow().watch.term(clock::now()) == Some(token);
     let outcome = match daemon.dialect.order(&order) {
         Err(_) => Err(link::Error::Malformed),
-        Ok(req) => {
-            let still = || daemon.placer.borrow().watch.term(clock::now()) == Some(token);
-            let limit = if adapter.is_some() { ADAPTER_ORDER } else { ORDER };
-            exchange(daemon, &key, req, limit, still).await
-        }
+        Ok(req) => exchange(daemon, key, req, limit, still).await,
     };
     let ordered = outcome.map(|res| daemon.dialect.ordered(&res));
     let now = clock::now();
@@ -744,88 +910,18 @@
     };
     daemon.note(&Event::Order {
         endpoint: key.id.clone(),
-        action: action.into(),
-        model: model.clone(),
-        adapter: adapter.clone(),
+        action: task.action.into(),
+        model: task.model.clone(),
+        adapter: task.adapter.clone(),
         expect,
         token,
+        holds,
         outcome: text,
         took: now.saturating_sub(began).as_millis() as u64,
-        why: if adapter.is_some() { "wanted" } else { "demand" },
+        why: if task.adapter.is_some() { "wanted" } else { "demand" },
     });
-    let accepted = matches!(ordered, Ok(Ok(Ordered::Accepted)));
     if matches!(ordered, Err(link::Error::Connect)) {
-        daemon.fleet.borrow_mut().unreachable(now, &key);
-        if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&key) {
-            desk.wants.clear();
-        }
-    }
-    if accepted && action == Action::Unload && adapter.is_some() {
-        // It is still in use there and takes its place until the last run ends.
-        dropped(daemon, &key, &model, adapter.as_ref()).await;
-    } else if accepted {
-        if adapter.is_some() {
-            Timer::after(takes).await;
-        }
-        accept(daemon, &key, action, &model, adapter.as_ref(), clock::now() + takes);
-    } else {
-        // What the engine did or may yet do is read from its own report.
-        refresh(daemon, &key).await;
-    }
-    if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&key) {
-        desk.sending = false;
-    }
-    if accepted {
-        tell(daemon, &key);
-    }
-    if adapter.is_some() {
-        let config = daemon.config.borrow().clone();
-        for (_, engines) in config.iter().flat_map(|config| config.engines()) {
-            adapters(daemon, engines);
-        }
-    }
-}
-
-/// Waits until an adapter is gone from an engine.
-async fn dropped(daemon: &Rc<Daemon>, key: &Key, model: &str, adapter: Option<&AdapterId>) {
-    for _ in 0..DROPS {
-        Timer::after(DROP).await;
-        refresh(daemon, key).await;
-        let placer = daemon.placer.borrow();
-        let held = placer.desks.get(key).is_some_and(|desk| {
-            let rows = desk.resident.iter().filter(|row| row.model == model);
-            rows.flat_map(|row| &row.adapters).any(|other| Some(other) == adapter)
-        });
-        if !held {
-            return;
-        }
-    }
-}
-
-fn accept(
-    daemon: &Daemon,
-    key: &Key,
-    action: Action,
-    model: &str,
-    adapter: Option<&AdapterId>,
-    over: Duration,
-) {
-    let mut placer = daemon.placer.borrow_mut();
-    let Some(desk) = placer.desks.get_mut(key) else {
-        return;
-    };
-    desk.orders = desk.orders.map(|orders| orders + 1);
-    desk.changed = clock::now();
-    let Some(adapter) = adapter else {
-        if let Some(work) = &mut desk.work {
-            work.look = over;
-        }
-        return;
-    };
-    if let Some(row) = desk.resident.iter_mut().find(|row| row.model == model) {
-        match action {
-            Action::Load => row.adapters.push(adapter.clone()),
-            Action::Unload => row.adapters.retain(|other| other != adapter),
-        }
+        daemon.fleet.borrow_mut().unreachable(now, key);
     }
+    ordered.ok()?.ok()
 }
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -44,6 +44,8 @@
     tried: Vec<Key>,
     attempts: u32,
     deadline: Timer,
+    /// When its first event came.
+    began: Duration,
     open: Open,
 }
 
@@ -64,8 +66,10 @@
         attempts: u32,
         open: Open,
     ) -> Self {
-        let left = job.deadline.saturating_sub(clock::now());
+        let began = clock::now();
+        let left = job.deadline.saturating_sub(began);
         Flow {
+            began,
             daemon: daemon.clone(),
             job: job.clone(),
             place,
@@ -202,6 +206,10 @@
         let now = clock::now();
         self.open.done = true;
         self.daemon.gauges.ended(now, self.job.group);
+        if let Some(model) = &self.job.caller.model {
+            let span = now.saturating_sub(self.began);
+            self.daemon.demand.borrow_mut().took(model, span);
+        }
         if let Some(head) = self.head.take() {
             send::put_back(&self.daemon, &self.place.key, head.link, head.answer.keep);
             self.daemon.note(&Event::Answered {
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -2,28 +2,38 @@
 //!
 //! Load pattern: a few models get most requests and which ones changes within seconds, while every
 //! model must stay reachable and the store allows few loads. Following each reading would spend
-//! the store on swings; holding still would leave hot models on one engine.
+//! the store on swings; holding still would leave hot models on one engine and others idle.
 //!
-//! Every model gets one copy. What room is left goes copy by copy to the model with the most
-//! demand for each copy. A copy that is missing goes where room is; else a copy goes that is not
-//! the last of its model and whose model has clearly less demand for each copy that stays. An
-//! engine does one step at a time.
+//! A model's demand is taken to divide evenly among its copies; what an engine carries is the sum
+//! over the models it holds. The plan looks for the step that lowers the sum of the squares of
+//! these loads the most: that takes load from the fullest engines first, and sees an engine that
+//! is idle as well as a model that is short. A step is a copy more, in free room or in the place of
+//! one or two models that have other copies. It must lower the sum by a part of what it is now,
+//! more for slower loads. The last copy of a model never goes; a model without a copy comes first.
+//! Where only last copies are in the way, one of them is first brought to another engine, after
+//! which it may go. An engine does one step at a time.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use crate::table::ModelId;
 use crate::table::RegionId;
 use crate::table::instance::Key;
 
-/// A model may take the place of another when its demand for each copy is so many times the
-/// other's: below that the next swing would undo the move.
-const GAIN: f64 = 1.6;
-/// Requests a second for each copy below which one copy more serves nobody better: an engine
-/// serves several times as many.
-const ENOUGH: f64 = 3.0;
-/// Part of the room that is planned with: models do not fill engines to the brim.
-const FILL: f64 = 0.97;
+/// A step must lower the sum of squares by this part of the share that one engine of an even fleet
+/// has: below that, noise in the demand would move models to and fro.
+const GAIN: f64 = 0.25;
+/// The same for a load from the weight store: it takes seconds, in which demand may turn again, and
+/// the store allows few.
+const GAIN_COLD: f64 = 0.45;
+/// Demand of each engine below which all is well: no step is worth its load.
+const IDLE: f64 = 1.0;
+/// Models that may gain a copy that are looked at in one plan, those with the most demand for each
+/// copy: bounds the work on large fleets.
+const NEEDY: usize = 16;
+/// Steps of one plan.
+const STEPS: usize = 8;
+/// What a copy in a region without one is worth, as a part of the gain: requests cross no region.
+const REGION: f64 = 0.2;
 
 /// A model and how much it is asked for.
 #[derive(Debug, Clone, PartialEq)]
@@ -32,7 +42,7 @@
     pub model: ModelId,
     /// Its size, in MB.
     pub weights: f64,
-    /// Requests a second.
+    /// Requests at once that it is asked for.
     pub demand: f64,
 }
 
@@ -55,161 +65,266 @@
     pub at_hand: Vec<ModelId>,
 }
 
-/// One step.
+/// One step: a model comes to an engine in the place of others.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Move {
-    /// Bring a model.
-    Load(Key, ModelId),
-    /// Drop a model to make room.
-    Unload(Key, ModelId),
+pub struct Bring {
+    /// Where.
+    pub key: Key,
+    /// What.
+    pub model: ModelId,
+    /// What has to go first.
+    pub victims: Vec<ModelId>,
 }
 
-/// The copies that each model should have.
-pub fn targets(needs: &[Need], hosts: &[Host]) -> BTreeMap<ModelId, usize> {
-    let room: f64 = hosts.iter().map(|host| host.room).sum::<f64>() * FILL;
-    let mut used: f64 = needs.iter().map(|need| need.weights).sum();
-    let mut out: BTreeMap<ModelId, usize> =
-        needs.iter().map(|need| (need.model.clone(), 1)).collect();
-    loop {
-        let open = needs.iter().filter(|need| {
-            let copies = out[&need.model];
-            copies < hosts.len()
-                && need.demand / copies as f64 > ENOUGH
-                && used + need.weights <= room
-        });
-        let share = |need: &&Need| need.demand / out[&need.model] as f64;
-        let Some(next) = open.max_by(|a, b| share(a).total_cmp(&share(b))) else {
-            return out;
-        };
-        used += next.weights;
-        *out.get_mut(&next.model).expect("every model has a target") += 1;
+/// A model within one plan.
+#[derive(Debug, Clone)]
+struct Row<'a> {
+    need: &'a Need,
+    /// Hosts that serve it, or soon will.
+    hosts: Vec<usize>,
+}
+
+impl Row<'_> {
+    fn copies(&self) -> f64 {
+        self.hosts.len() as f64
+    }
+
+    /// Demand for each copy.
+    fn share(&self) -> f64 {
+        self.need.demand / self.copies().max(1.0)
     }
 }
 
 struct Draft<'a> {
-    needs: HashMap<&'a str, &'a Need>,
+    rows: Vec<Row<'a>>,
+    index: HashMap<&'a str, usize>,
     hosts: Vec<Host>,
-    targets: BTreeMap<ModelId, usize>,
-    copies: HashMap<ModelId, usize>,
+    loads: Vec<f64>,
+}
+
+/// A candidate step: bring `model` to `host` in the place of `victims`.
+#[derive(Debug, Clone)]
+struct Step {
+    model: usize,
+    host: usize,
+    victims: Vec<usize>,
+    gain: f64,
+    cold: bool,
+    /// The last copy of this model is among what must go: it is brought to another engine first.
+    blocked: Option<usize>,
 }
 
 /// The steps that are due; at most one for each engine that is not busy. `cold` loads from the
 /// weight store may begin.
-pub fn plan(needs: &[Need], hosts: &[Host], mut cold: u32) -> Vec<Move> {
-    let mut draft = Draft {
-        needs: needs.iter().map(|need| (need.model.as_str(), need)).collect(),
-        hosts: hosts.to_vec(),
-        targets: targets(needs, hosts),
-        copies: HashMap::new(),
-    };
-    for host in hosts {
-        for model in host.resident.iter().filter(|model| !host.outgoing.contains(model)) {
-            *draft.copies.entry(model.clone()).or_default() += 1;
+pub fn plan(needs: &[Need], hosts: &[Host], mut cold: u32) -> Vec<Bring> {
+    let mut draft = Draft::new(needs, hosts);
+    let mut out = Vec::new();
+    for _ in 0..STEPS {
+        let step = draft.best(cold > 0);
+        let step = step.and_then(|step| match step.blocked {
+            None => Some(step),
+            Some(last) => draft.elsewhere(last, step.host, cold > 0),
+        });
+        let Some(step) = step else {
+            return out;
+        };
+        cold -= u32::from(step.cold);
+        let name = |row: &usize| draft.rows[*row].need.model.clone();
+        out.push(Bring {
+            key: draft.hosts[step.host].key.clone(),
+            model: name(&step.model),
+            victims: step.victims.iter().map(name).collect(),
+        });
+        draft.take(&step);
+    }
+    out
+}
+
+impl<'a> Draft<'a> {
+    fn new(needs: &'a [Need], hosts: &[Host]) -> Self {
+        let rows: Vec<Row<'a>> =
+            needs.iter().map(|need| Row { need, hosts: Vec::new() }).collect();
+        let index = needs.iter().enumerate().map(|(at, need)| (need.model.as_str(), at)).collect();
+        let mut draft =
+            Draft { rows, index, hosts: hosts.to_vec(), loads: vec![0.0; hosts.len()] };
+        for (at, host) in hosts.iter().enumerate() {
+            for model in host.resident.iter().filter(|model| !host.outgoing.contains(model)) {
+                if let Some(row) = draft.index.get(model.as_str()) {
+                    draft.rows[*row].hosts.push(at);
+                }
+            }
+        }
+        for row in &draft.rows {
+            for host in &row.hosts {
+                draft.loads[*host] += row.share();
+            }
         }
+        draft
     }
-    let mut short: Vec<&Need> =
-        needs.iter().filter(|need| draft.count(&need.model) < draft.targets[&need.model]).collect();
-    short.sort_by(|a, b| {
-        let urgent = |need: &Need| (draft.count(&need.model) == 0, draft.share(need));
-        let (a, b) = (urgent(a), urgent(b));
-        b.0.cmp(&a.0).then(b.1.total_cmp(&a.1))
-    });
-    let mut moves = Vec::new();
-    for need in short {
-        for _ in draft.count(&need.model)..draft.targets[&need.model] {
-            match draft.step(need, cold) {
-                Some((step, taken)) => {
-                    cold -= taken;
-                    moves.push(step);
+
+    /// The step that gains the most, if any gains enough.
+    fn best(&self, cold: bool) -> Option<Step> {
+        let total: f64 = self.rows.iter().map(|row| row.need.demand).sum();
+        let even = total / self.hosts.len().max(1) as f64;
+        let mut needy: Vec<usize> = (0..self.rows.len()).collect();
+        needy.sort_by(|a, b| {
+            let key = |at: usize| (self.rows[at].hosts.is_empty(), self.rows[at].share());
+            let (a, b) = (key(*a), key(*b));
+            b.0.cmp(&a.0).then(b.1.total_cmp(&a.1))
+        });
+        let mut best: Option<Step> = None;
+        for model in needy.into_iter().take(NEEDY) {
+            let missing = self.rows[model].hosts.is_empty();
+            if !missing && even < IDLE {
+                break;
+            }
+            for host in 0..self.hosts.len() {
+                let Some(step) = self.step(model, host, missing) else {
+                    continue;
+                };
+                let slow = step.cold || step.blocked.is_some();
+                let enough = if slow { GAIN_COLD } else { GAIN };
+                let enough = missing || step.gain > enough * even * even;
+                let allowed = cold || !step.cold;
+                let possible =
+                    step.blocked.is_none_or(|last| self.elsewhere(last, host, cold).is_some());
+                let better = best.as_ref().is_none_or(|best| step.gain > best.gain);
+                if enough && allowed && better && possible {
+                    best = Some(step);
                 }
-                None => break,
+            }
+            if missing && best.is_some() {
+                return best;
             }
         }
+        best
+    }
+
+    /// The best way to bring a model to a host.
+    fn step(&self, model: usize, host: usize, missing: bool) -> Option<Step> {
+        let (row, at) = (&self.rows[model], &self.hosts[host]);
+        if at.busy || at.resident.contains(&row.need.model) {
+            return None;
+        }
+        let mut victims = Vec::new();
+        let mut blocked = None;
+        let mut free = self.free(host);
+        while free < row.need.weights {
+            let short = row.need.weights - free;
+            let mut victim = self.victim(host, &victims, short, 2);
+            if victim.is_none() && blocked.is_none() {
+                victim = self.victim(host, &victims, short, 1);
+                blocked = victim;
+            }
+            let victim = victim?;
+            free += self.rows[victim].need.weights;
+            victims.push(victim);
+            if victims.len() > 2 {
+                return None;
+            }
+        }
+        let cold = !at.at_hand.contains(&row.need.model);
+        let mut gain = self.gain(model, host, &victims);
+        let region = |other: &usize| self.hosts[*other].region == at.region;
+        if !row.hosts.iter().any(region) {
+            gain += REGION * row.share() * row.share();
+        }
+        if missing {
+            // Any place will do; the least loaded, and the quickest to load.
+            gain = 1.0 / (1.0 + self.loads[host]) - victims.len() as f64;
+            gain += if cold { 0.0 } else { 1.0 };
+        }
+        Some(Step { model, host, victims, gain, cold, blocked })
     }
-    moves
-}
 
-impl Draft<'_> {
-    fn count(&self, model: &str) -> usize {
-        self.copies.get(model).copied().unwrap_or(0)
+    /// The best way to bring a second copy of a model to any other host, so that its first may go.
+    fn elsewhere(&self, model: usize, not: usize, cold: bool) -> Option<Step> {
+        let hosts = (0..self.hosts.len()).filter(|host| *host != not);
+        let steps = hosts.filter_map(|host| self.step(model, host, false));
+        let steps = steps.filter(|step| step.blocked.is_none());
+        let steps = steps.filter(|step| cold || !step.cold);
+        let price = |step: &Step| {
+            let lost: f64 = step.victims.iter().map(|row| self.rows[*row].share()).sum();
+            self.loads[step.host] + lost + if step.cold { IDLE } else { 0.0 }
+        };
+        steps.min_by(|a, b| price(a).total_cmp(&price(b)))
     }
 
-    /// Demand for each copy that is there.
-    fn share(&self, need: &Need) -> f64 {
-        need.demand / self.count(&need.model).max(1) as f64
+
+    fn free(&self, host: usize) -> f64 {
+        let at = &self.hosts[host];
+        let used: f64 = at.resident.iter().filter_map(|model| self.weights(model)).sum();
+        at.room - used
     }
 
-    fn free(&self, host: &Host) -> f64 {
-        let weights = |model: &ModelId| self.needs.get(model.as_str()).map_or(0.0, |need| need.weights);
-        host.room - host.resident.iter().map(weights).sum::<f64>()
+    fn weights(&self, model: &str) -> Option<f64> {
+        self.index.get(model).map(|at| self.rows[*at].need.weights)
     }
 
-    /// One step towards one copy more, and the loads from the store that it takes.
-    fn step(&mut self, need: &Need, cold: u32) -> Option<(Move, u32)> {
-        let copies = self.count(&need.model);
-        let fits = |host: &&Host| {
-            !host.busy
-                && !host.resident.contains(&need.model)
-                && (cold > 0 || host.at_hand.contains(&need.model))
+    /// The model whose place costs the least at a host: it has so many copies, and little demand for
+    /// each. One that makes room enough alone is preferred.
+    fn victim(&self, host: usize, taken: &[usize], short: f64, copies: usize) -> Option<usize> {
+        let at = &self.hosts[host];
+        let may = at.resident.iter().filter(|model| !at.outgoing.contains(model));
+        let may = may.filter_map(|model| self.index.get(model.as_str()).copied());
+        let may = may.filter(|row| !taken.contains(row) && self.rows[*row].hosts.len() >= copies);
+        let price = |row: &usize| {
+            let row = &self.rows[*row];
+            let alone = if row.need.weights >= short { 0.0 } else { 1.0 };
+            alone + row.need.demand / (row.copies() - 1.0).max(1.0)
         };
-        let order = |host: &Host| self.order(host, need);
-        let open = self.hosts.iter().filter(fits).filter(|host| self.free(host) >= need.weights);
-        if let Some(host) = open.min_by(|a, b| order(a).total_cmp(&order(b))) {
-            let (key, warm) = (host.key.clone(), host.at_hand.contains(&need.model));
-            self.change(&key, |host| host.resident.push(need.model.clone()));
-            *self.copies.entry(need.model.clone()).or_default() += 1;
-            return Some((Move::Load(key, need.model.clone()), u32::from(!warm)));
-        }
-        let (host, victim) = self
-            .hosts
-            .iter()
-            .filter(fits)
-            .filter_map(|host| Some((host, self.victim(host, need, copies == 0)?)))
-            .min_by(|(a, _), (b, _)| order(a).total_cmp(&order(b)))?;
-        let (key, victim) = (host.key.clone(), victim.clone());
-        self.change(&key, |host| host.outgoing.push(victim.clone()));
-        if let Some(count) = self.copies.get_mut(&victim) {
-            *count -= 1;
-        }
-        // The copy itself follows when the room is there.
-        *self.copies.entry(need.model.clone()).or_default() += 1;
-        Some((Move::Unload(key, victim), 0))
+        may.min_by(|a, b| price(a).total_cmp(&price(b)))
     }
 
-    fn change(&mut self, key: &Key, what: impl FnOnce(&mut Host)) {
-        if let Some(host) = self.hosts.iter_mut().find(|host| host.key == *key) {
-            what(host);
-            host.busy = true;
+    /// By how much the sum of squares falls when a model comes to a host in the place of others.
+    fn gain(&self, model: usize, host: usize, victims: &[usize]) -> f64 {
+        let mut change: HashMap<usize, f64> = HashMap::new();
+        let row = &self.rows[model];
+        let (demand, copies) = (row.need.demand, row.copies());
+        if copies > 0.0 {
+            for other in &row.hosts {
+                *change.entry(*other).or_default() -= demand / (copies * (copies + 1.0));
+            }
+        }
+        *change.entry(host).or_default() += demand / (copies + 1.0);
+        for victim in victims {
+            let row = &self.rows[*victim];
+            let (demand, copies) = (row.need.demand, row.copies());
+            *change.entry(host).or_default() -= demand / copies;
+            if row.hosts.len() < 2 {
+                // Its load goes where it is brought first, to an engine that has little.
+                continue;
+            }
+            for other in row.hosts.iter().filter(|other| **other != host) {
+                *change.entry(*other).or_default() += demand / (copies * (copies - 1.0));
+            }
         }
+        let fall = |(at, by): (&usize, &f64)| {
+            let load = self.loads[*at];
+            load * load - (load + by) * (load + by)
+        };
+        change.iter().map(fall).sum()
     }
 
-    /// What speaks against an engine: copies in its region, what it serves already, a slow load.
-    fn order(&self, host: &Host, need: &Need) -> f64 {
-        let same = self.hosts.iter().filter(|other| other.region == host.region);
-        let copies = same.filter(|other| other.resident.contains(&need.model)).count();
-        let demand = |model: &ModelId| self.needs.get(model.as_str()).map_or(0.0, |need| self.share(need));
-        let serves: f64 = host.resident.iter().map(demand).sum();
-        let slow = if host.at_hand.contains(&need.model) { 0.0 } else { 12.0 };
-        copies as f64 * 10.0 + serves + slow
+    /// Carries a step out in the draft.
+    fn take(&mut self, step: &Step) {
+        for victim in &step.victims {
+            self.spread(*victim, -1.0);
+            self.rows[*victim].hosts.retain(|other| *other != step.host);
+            self.spread(*victim, 1.0);
+        }
+        self.spread(step.model, -1.0);
+        self.rows[step.model].hosts.push(step.host);
+        self.spread(step.model, 1.0);
+        let host = &mut self.hosts[step.host];
+        host.busy = true;
+        host.resident.push(self.rows[step.model].need.model.clone());
     }
 
-    /// The model whose place a copy may take at an engine: the one with the least demand.
-    fn victim<'b>(&self, host: &'b Host, need: &Need, last: bool) -> Option<&'b ModelId> {
-        let left = |model: &ModelId| {
-            let copies = self.count(model).saturating_sub(1).max(1);
-            self.needs.get(model.as_str()).map_or(0.0, |need| need.demand) / copies as f64
-        };
-        let own = self.share(need);
-        let may = |model: &&ModelId| {
-            !host.outgoing.contains(model)
-                && (self.count(model) >= 2 || !self.needs.contains_key(model.as_str()))
-                && (last || own > left(model) * GAIN)
-        };
-        let room = |model: &&ModelId| {
-            let weights = self.needs.get(model.as_str()).map_or(0.0, |need| need.weights);
-            self.free(host) + weights >= need.weights
-        };
-        let models = host.resident.iter().filter(may).filter(room);
-        models.min_by(|a, b| left(a).total_cmp(&left(b)))
+    fn spread(&mut self, row: usize, sign: f64) {
+        let row = &self.rows[row];
+        for host in &row.hosts {
+            self.loads[*host] += sign * row.share();
+        }
     }
 }
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -84,6 +84,8 @@
     pub orders: u64,
     /// What it holds.
     pub resident: Vec<Resident>,
+    /// Adapters on their way there, which take up places already.
+    pub coming: usize,
     /// Copies of weights at hand.
     pub copies: Copies,
 }
