Note model, prompt and pauses; weigh plan steps by what has to happen first

Cause looked for: why urgent drafts are late though their first token comes in 87 ms (p50). Conclusion: requests must leave an engine whose events come slowly, and such an engine must take fewer.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -1,5 +1,6 @@
 //! Callers' requests: from the socket to their final answer.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
@@ -138,6 +139,8 @@
     pub group: Group,
     /// The beginnings of its prompt.
     pub parts: Vec<Part>,
+    /// Tokens of the prompt that its endpoint has to read, as far as is known.
+    pub unread: Cell<u32>,
     /// The version of the configuration that decided.
     pub version: u64,
     /// When it came.
@@ -175,7 +178,7 @@
 
 /// Accepts callers for as long as the daemon runs.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    let open = Rc::new(std::cell::Cell::new(0_usize));
+    let open = Rc::new(Cell::new(0_usize));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -363,6 +366,7 @@
         method: head.method.clone(),
         uri: head.uri.clone(),
         version: config.version,
+        unread: Cell::new(caller.prompt),
         service,
         engines,
         places,
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -57,6 +57,8 @@
 const UNUSED: f64 = 0.3;
 /// One that is wanted this often takes the place of another even so.
 const BUSIER: f64 = 2.0;
+/// Requests at once that are expected of each copy that engines hold before any request came.
+const PRIOR: f64 = 6.0;
 /// Time between two notes of demand and copies in the log.
 const NOTE: Duration = Duration::from_secs(2);
 /// An engine that carries out another order is asked again after this long.
@@ -86,7 +88,7 @@
 const LONGER: Duration = Duration::from_millis(60);
 /// Over how long demand is smoothed: short enough to follow a shift within seconds, long enough
 /// that a pause of one caller moves nothing.
-const SMOOTH: Duration = Duration::from_secs(3);
+const SMOOTH: Duration = Duration::from_millis(1_500);
 /// Of the loads that the weight store allows, so many are begun.
 const CEILING: f64 = 1.0;
 /// A report holds this long: an order of an earlier holder may have been carried out late. The
@@ -218,6 +220,18 @@
         self.models.get(model).map_or(0.0, |rate| rate.now(now) / SMOOTH.as_secs_f64())
     }
 
+    /// Before any request came: models that many engines hold are the busy ones.
+    fn prior(&self, model: &str) -> f64 {
+        if !self.models.is_empty() {
+            return 0.0;
+        }
+        let holds = |desk: &&Desk| desk.resident.iter().any(|row| row.model == model);
+        match self.desks.values().filter(holds).count() {
+            0 | 1 => 0.0,
+            copies => PRIOR * copies as f64,
+        }
+    }
+
     /// Loads from the weight store that may begin now.
     fn cold(&mut self, now: Duration, loads: f64, window: Duration) -> u32 {
         while self.loads.front().is_some_and(|at| now > *at + window) {
@@ -417,6 +431,7 @@
 async fn refresh(daemon: &Rc<Daemon>, key: &Key) {
     let report = report(daemon, key).await;
     let now = clock::now();
+    let goal = daemon.placer.borrow().desks.get(key).and_then(|desk| desk.goal.clone());
     {
         let mut placer = daemon.placer.borrow_mut();
         let Some(desk) = placer.desks.get_mut(key) else {
@@ -434,6 +449,10 @@
         }
         desk.take(now, report);
     }
+    let open = daemon.placer.borrow().desks.get(key).is_some_and(|desk| desk.goal.is_some());
+    if let Some(goal) = goal.filter(|_| !open) {
+        note_goal(daemon, key, &goal, "reached");
+    }
     tell(daemon, key);
 }
 
@@ -584,7 +603,7 @@
             .map(|model| Need {
                 model: model.name.clone(),
                 weights: model.weights,
-                demand: placer.rate(now, &model.name),
+                demand: placer.rate(now, &model.name).max(placer.prior(&model.name)),
             })
             .collect();
         let largest = engines.models.iter().map(|model| model.adapter).fold(0.0, f64::max);
@@ -614,12 +633,27 @@
 }
 
 fn set_goal(daemon: &Rc<Daemon>, now: Duration, step: Bring) {
+    let goal = Goal { model: step.model, victims: step.victims, since: now, loading: false };
+    note_goal(daemon, &step.key, &goal, "begun");
     if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&step.key) {
-        let goal = Goal { model: step.model, victims: step.victims, since: now, loading: false };
         desk.goal = Some(goal);
     }
 }
 
+fn note_goal(daemon: &Daemon, key: &Key, goal: &Goal, outcome: &'static str) {
+    let holds = daemon.placer.borrow().desks.get(key).map(|desk| {
+        desk.resident.iter().map(|row| row.model.clone()).collect()
+    });
+    daemon.note(&Event::Goal {
+        endpoint: key.id.clone(),
+        model: goal.model.clone(),
+        victims: goal.victims.clone(),
+        holds: holds.unwrap_or_default(),
+        outcome,
+        took: clock::now().saturating_sub(goal.since).as_millis() as u64,
+    });
+}
+
 fn note_plan(daemon: &Daemon, now: Duration, needs: &[Need], hosts: &[Host]) {
     if now < daemon.placer.borrow().noted + NOTE {
         return;
@@ -732,8 +766,10 @@
         let Some(desk) = desks.get_mut(key) else {
             return;
         };
-        // While something is under way there, any other order is refused.
-        if desk.sending || desk.orders.is_none() || now < desk.rest || desk.look.is_some() {
+        // While a model is on its way there, only adapters may be ordered.
+        let loading = desk.goal.as_ref().is_some_and(|goal| goal.loading);
+        let under_way = desk.look.is_some() && !loading;
+        if desk.sending || desk.orders.is_none() || now < desk.rest || under_way {
             return;
         }
         if desk.goal.as_ref().is_some_and(|goal| now > goal.since + GOAL && !goal.loading) {
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -101,9 +101,15 @@
     choice
 }
 
+fn start(daemon: &Daemon, now: Duration, job: &Job, key: &Key) {
+    let mut fleet = daemon.fleet.borrow_mut();
+    job.unread.set(fleet.unread(key, &job.ask(&[])));
+    fleet.start(now, key, &job.parts);
+}
+
 /// Takes a place for a request.
 fn take(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: Key) -> Place {
-    daemon.fleet.borrow_mut().start(now, &key, &job.parts);
+    start(daemon, now, job, &key);
     Place { daemon: daemon.clone(), key }
 }
 
@@ -225,7 +231,7 @@
             Choice::Go(key) => {
                 let waits = daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
                 if waits.is_some() {
-                    daemon.fleet.borrow_mut().start(now, &key, &job.parts);
+                    start(daemon, now, job, &key);
                     if waiter.give.try_send(key.clone()).is_err() {
                         daemon.fleet.borrow_mut().end(&key);
                     }
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -46,6 +46,12 @@
     deadline: Timer,
     /// When its first event came.
     began: Duration,
+    /// Pieces that came.
+    pieces: u64,
+    /// When the last came.
+    last: Duration,
+    /// The longest pause between two, and when on the boot clock it ended.
+    pause: (Duration, Duration),
     open: Open,
 }
 
@@ -70,6 +76,9 @@
         let left = job.deadline.saturating_sub(began);
         Flow {
             began,
+            pieces: 0,
+            last: began,
+            pause: (Duration::ZERO, Duration::ZERO),
             daemon: daemon.clone(),
             job: job.clone(),
             place,
@@ -139,7 +148,14 @@
         } else {
             frame.or(deadline).await
         };
-        self.daemon.fleet.borrow_mut().heard(clock::now(), &self.place.key);
+        let now = clock::now();
+        self.daemon.fleet.borrow_mut().heard(now, &self.place.key);
+        if matches!(next, Next::Data(_)) {
+            self.pieces += 1;
+            let pause = now.saturating_sub(self.last);
+            self.pause = self.pause.max((pause, now));
+            self.last = now;
+        }
         next
     }
 
@@ -212,12 +228,15 @@
         }
         if let Some(head) = self.head.take() {
             send::put_back(&self.daemon, &self.place.key, head.link, head.answer.keep);
-            self.daemon.note(&Event::Answered {
+            let load = self.daemon.fleet.borrow().get(&self.place.key).map_or(0, |row| row.load(now));
+            self.daemon.note(&Event::Ended {
                 request: self.job.caller.id.clone(),
                 endpoint: self.place.key.id.clone(),
-                status: head.parts.status.as_u16(),
                 took: now.saturating_sub(self.job.came).as_millis() as u64,
-                outcome: "stream_end",
+                events: self.pieces,
+                pause: self.pause.0.as_millis() as u64,
+                pause_at: self.pause.1.as_millis() as u64,
+                load,
             });
         }
     }
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -27,6 +27,9 @@
 const GAIN_COLD: f64 = 0.45;
 /// Demand of each engine below which all is well: no step is worth its load.
 const IDLE: f64 = 1.0;
+/// What is left of a gain that takes a load from the store, an unload or a move of another model
+/// first: each takes up to half of the time for which demand stays where it is.
+const SLOW: f64 = 0.6;
 /// Models that may gain a copy that are looked at in one plan, those with the most demand for each
 /// copy: bounds the work on large fleets.
 const NEEDY: usize = 16;
@@ -114,6 +117,19 @@
     blocked: Option<usize>,
 }
 
+impl Step {
+    /// Its gain, less for what has to happen first: until then the load stays where it is.
+    fn worth(&self) -> f64 {
+        let mut worth = self.gain;
+        for slow in [self.cold, !self.victims.is_empty(), self.blocked.is_some()] {
+            if slow && worth > 0.0 {
+                worth *= SLOW;
+            }
+        }
+        worth
+    }
+}
+
 /// The steps that are due; at most one for each engine that is not busy. `cold` loads from the
 /// weight store may begin.
 pub fn plan(needs: &[Need], hosts: &[Host], mut cold: u32) -> Vec<Bring> {
@@ -182,7 +198,7 @@
                 let slow = step.cold || step.blocked.is_some();
                 let enough = if slow { GAIN_COLD } else { GAIN };
                 let enough = missing || step.gain > enough * even * even;
-                if enough && best.as_ref().is_none_or(|best| step.gain > best.gain) {
+                if enough && best.as_ref().is_none_or(|best| step.worth() > best.worth()) {
                     best = Some(step);
                 }
             }
@@ -223,9 +239,8 @@
             gain += REGION * row.share() * row.share();
         }
         if missing {
-            // Any place will do; the least loaded, and the quickest to load.
-            gain = 1.0 / (1.0 + self.loads[host]) - victims.len() as f64;
-            gain += if cold { 0.0 } else { 1.0 };
+            // Any place will do where it takes the least from others.
+            gain -= self.loads[host] + victims.len() as f64;
         }
         Some(Step { model, host, victims, gain, cold, blocked })
     }
