--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -57,8 +57,11 @@
 const UNUSED: f64 = 0.3;
 /// One that is wanted this often takes the place of another even so.
 const BUSIER: f64 = 2.0;
-/// Requests at once that are expected of each copy that engines hold before any request came.
-const PRIOR: f64 = 6.0;
+/// Requests at once that are expected of each copy that engines held before any request came.
+const PRIOR: f64 = 10.0;
+/// So long the number of engines must stand before models are placed: at a start they register one
+/// after the other, and a model that seems to be nowhere is on the next one.
+const SETTLE: Duration = Duration::from_millis(700);
 /// Time between two notes of demand and copies in the log.
 const NOTE: Duration = Duration::from_secs(2);
 /// An engine that carries out another order is asked again after this long.
@@ -171,6 +174,10 @@
     loads: VecDeque<Duration>,
     led: bool,
     noted: Duration,
+    /// How many engines held each model when this daemon took over.
+    first: HashMap<ModelId, usize>,
+    /// Engines with a report, and since when there are so many.
+    known: (usize, Duration),
 }
 
 impl Placer {
@@ -186,6 +193,8 @@
             loads: VecDeque::new(),
             led: false,
             noted: Duration::ZERO,
+            first: HashMap::new(),
+            known: (0, Duration::ZERO),
         }
     }
 
@@ -220,16 +229,30 @@
         self.models.get(model).map_or(0.0, |rate| rate.now(now) / SMOOTH.as_secs_f64())
     }
 
-    /// Before any request came: models that many engines hold are the busy ones.
+    /// Before any request came: models that many engines held at first are the busy ones, and the
+    /// others stand where they leave room for those, one on each engine.
     fn prior(&self, model: &str) -> f64 {
         if !self.models.is_empty() {
             return 0.0;
         }
-        let holds = |desk: &&Desk| desk.resident.iter().any(|row| row.model == model);
-        match self.desks.values().filter(holds).count() {
-            0 | 1 => 0.0,
-            copies => PRIOR * copies as f64,
+        PRIOR * self.first.get(model).copied().unwrap_or(0).max(1) as f64
+    }
+
+    /// Whether the engines have been the same for a while; remembers what they held at first.
+    fn settled(&mut self, now: Duration) -> bool {
+        let known = self.desks.values().filter(|desk| desk.orders.is_some()).count();
+        if self.known.0 != known {
+            self.known = (known, now);
         }
+        if now < self.known.1 + SETTLE && self.models.is_empty() {
+            return false;
+        }
+        if self.first.is_empty() {
+            for row in self.desks.values().flat_map(|desk| &desk.resident) {
+                *self.first.entry(row.model.clone()).or_default() += 1;
+            }
+        }
+        true
     }
 
     /// Loads from the weight store that may begin now.
@@ -330,6 +353,8 @@
     let holder = lease.and_then(|lease| lease.holder.as_ref());
     let holder = holder.map(|holder| holder.address.clone()).unwrap_or_default();
     placer.desks.clear();
+    placer.first.clear();
+    placer.known = (0, now);
     if leads {
         // The loads that the holder before began are not known: as if it had begun all it could
         // just before its lease ran out.
@@ -370,6 +395,9 @@
         };
         sync(&daemon, now, &config);
         looks(&daemon, now);
+        if !daemon.placer.borrow_mut().settled(now) {
+            continue;
+        }
         for (service, engines) in config.engines() {
             moves(&daemon, now, &service.name, engines);
         }
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -83,6 +83,7 @@
             model: self.caller.model.as_deref(),
             adapter: self.caller.adapter.as_deref(),
             places: self.places,
+            gap: self.route.gap,
             prompt: self.caller.prompt,
             parts: &self.parts,
             tried,
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -154,6 +154,11 @@
             self.pieces += 1;
             let pause = now.saturating_sub(self.last);
             self.pause = self.pause.max((pause, now));
+            if let Some(gap) = self.job.route.gap
+                && self.pieces > 1
+            {
+                self.daemon.fleet.borrow_mut().paced(now, &self.place.key, pause, gap);
+            }
             self.last = now;
         }
         next
