Plan for where demand goes; see a load as done while adapters come and go

Cause: reports older than the last adapter order were thrown away, so a cold load of 5.8 s was seen after 10 to 12 s; demand smoothed over 3 s found a shift when it was over.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -473,6 +473,8 @@
     daemon.note(&Event::Refused {
         request: job.caller.id.clone(),
         route: job.route.name.clone(),
+        model: job.caller.model.clone(),
+        adapter: job.caller.adapter.clone(),
         status: status.as_u16(),
         retry_after: 0,
         reason: reason.to_string(),
@@ -493,6 +495,8 @@
     daemon.note(&Event::Refused {
         request: caller.id.clone(),
         route: route.to_string(),
+        model: caller.model.clone(),
+        adapter: caller.adapter.clone(),
         status: 503,
         retry_after: refusal.after.as_millis() as u64,
         reason: refusal.reason.to_string(),
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -45,7 +45,7 @@
     Ended { request: String, endpoint: String, took: u64, events: u64, pause: u64, pause_at: u64, load: u32 },
     Failed { request: String, endpoint: String, error: &'static str, took: u64, running: u32, repeat: bool, why: &'static str },
     Waits { request: String, cause: String, until: u64, ahead: usize },
-    Refused { request: String, route: String, status: u16, retry_after: u64, reason: String, waited: u64, version: u64 },
+    Refused { request: String, route: String, model: Option<String>, adapter: Option<String>, status: u16, retry_after: u64, reason: String, waited: u64, version: u64 },
     Resumed { request: String, endpoint: String, after: String },
     Cut { request: String, endpoint: String, reason: &'static str, took: u64 },
     Left { request: String, took: u64 },
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -89,8 +89,15 @@
 const POLL: Duration = Duration::from_millis(250);
 /// What a load takes longer than published, before the first look.
 const LONGER: Duration = Duration::from_millis(60);
-/// Over how long demand is smoothed: short enough to follow a shift within seconds, long enough
-/// that a pause of one caller moves nothing.
+/// Over how long demand is smoothed: the difference of the two shows where it goes. Short enough to
+/// see a shift in its first seconds, long enough that a pause of one caller moves nothing.
+const SHORT: Duration = Duration::from_millis(1_200);
+const LONG: Duration = Duration::from_millis(3_600);
+/// How far ahead the plan looks: about what a load takes, with what has to go first.
+const AHEAD: Duration = Duration::from_millis(3_500);
+/// The most that demand is taken to grow meanwhile.
+const AHEAD_MOST: f64 = 3.0;
+/// Over how long the use of adapters is smoothed.
 const SMOOTH: Duration = Duration::from_millis(1_500);
 /// Of the loads that the weight store allows, so many are begun.
 const CEILING: f64 = 1.0;
@@ -134,6 +141,8 @@
     since: Duration,
     /// Whether the load was accepted.
     loading: bool,
+    /// Orders that the engine had accepted with it.
+    orders: u64,
 }
 
 /// An order to give next.
@@ -149,12 +158,22 @@
 struct Rate {
     count: f64,
     at: Duration,
+    span: Duration,
 }
 
 impl Rate {
+    fn new(at: Duration, span: Duration) -> Self {
+        Rate { count: 0.0, at, span }
+    }
+
     fn now(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.count * (-age / SMOOTH.as_secs_f64()).exp()
+        self.count * (-age / self.span.as_secs_f64()).exp()
+    }
+
+    /// By the second.
+    fn rate(&self, now: Duration) -> f64 {
+        self.now(now) / self.span.as_secs_f64()
     }
 
     fn add(&mut self, now: Duration, count: f64) {
@@ -163,12 +182,38 @@
     }
 }
 
+/// What a model is asked for, over a short and a long time.
+#[derive(Debug, Clone, Copy)]
+struct Trend {
+    short: Rate,
+    long: Rate,
+}
+
+impl Trend {
+    fn new(at: Duration) -> Self {
+        Trend { short: Rate::new(at, SHORT), long: Rate::new(at, LONG) }
+    }
+
+    fn add(&mut self, now: Duration, count: f64) {
+        self.short.add(now, count);
+        self.long.add(now, count);
+    }
+
+    /// What will be asked for when a load that begins now is over, if demand goes on as it does.
+    fn ahead(&self, now: Duration) -> f64 {
+        let (short, long) = (self.short.rate(now), self.long.rate(now));
+        let slope = (short - long) / (LONG - SHORT).as_secs_f64();
+        let ahead = short + slope * AHEAD.as_secs_f64();
+        ahead.clamp(0.0, short * AHEAD_MOST + 1.0)
+    }
+}
+
 /// Placement as one daemon knows it.
 pub struct Placer {
     watch: Watch,
     revision: u64,
     desks: BTreeMap<Key, Desk>,
-    models: HashMap<ModelId, Rate>,
+    models: HashMap<ModelId, Trend>,
     adapters: HashMap<(ModelId, AdapterId), Rate>,
     /// When loads from the weight store began.
     loads: VecDeque<Duration>,
@@ -216,17 +261,17 @@
         models: Vec<(ModelId, u32)>,
         adapters: Vec<(ModelId, AdapterId, u32)>,
     ) {
-        let fresh = Rate { count: 0.0, at: now };
         for (model, millis) in models {
-            self.models.entry(model).or_insert(fresh).add(now, f64::from(millis) / 1000.0);
+            self.models.entry(model).or_insert(Trend::new(now)).add(now, f64::from(millis) / 1000.0);
         }
         for (model, adapter, count) in adapters {
+            let fresh = Rate::new(now, SMOOTH);
             self.adapters.entry((model, adapter)).or_insert(fresh).add(now, f64::from(count));
         }
     }
 
     fn rate(&self, now: Duration, model: &str) -> f64 {
-        self.models.get(model).map_or(0.0, |rate| rate.now(now) / SMOOTH.as_secs_f64())
+        self.models.get(model).map_or(0.0, |trend| trend.ahead(now))
     }
 
     /// Before any request came: models that many engines held at first are the busy ones, and the
@@ -473,9 +518,12 @@
         let old = desk.orders.is_some_and(|orders| report.orders < orders);
         if old && now < desk.changed + BELIEVE {
             desk.look = Some(now + POLL);
-            return;
+            if !desk.take_models(&report) {
+                return;
+            }
+        } else {
+            desk.take(now, report);
         }
-        desk.take(now, report);
     }
     let open = daemon.placer.borrow().desks.get(key).is_some_and(|desk| desk.goal.is_some());
     if let Some(goal) = goal.filter(|_| !open) {
@@ -485,6 +533,24 @@
 }
 
 impl Desk {
+    /// Takes the models alone of a report that is older than the last order, if it is newer than
+    /// the order for the goal: adapters come and go all the time while a model loads.
+    fn take_models(&mut self, report: &Report) -> bool {
+        let Some(goal) = &self.goal else {
+            return false;
+        };
+        let held = report.resident.iter().find(|row| row.model == goal.model);
+        let Some(held) = held.filter(|_| !report.busy && report.orders >= goal.orders) else {
+            return false;
+        };
+        if !self.resident.iter().any(|row| row.model == held.model) {
+            self.resident.push(held.clone());
+        }
+        self.goal = None;
+        self.look = None;
+        true
+    }
+
     fn take(&mut self, now: Duration, report: Report) {
         self.orders = Some(report.orders);
         self.copies = report.copies;
@@ -661,7 +727,7 @@
 }
 
 fn set_goal(daemon: &Rc<Daemon>, now: Duration, step: Bring) {
-    let goal = Goal { model: step.model, victims: step.victims, since: now, loading: false };
+    let goal = Goal { model: step.model, victims: step.victims, since: now, loading: false, orders: 0 };
     note_goal(daemon, &step.key, &goal, "begun");
     if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&step.key) {
         desk.goal = Some(goal);
@@ -884,8 +950,9 @@
             (Some(Ordered::Accepted), Action::Load) => {
                 desk.accepted(now);
                 desk.look = (!adapter).then_some(now + time).or(desk.look);
+                let orders = desk.orders.unwrap_or(0);
                 if let Some(goal) = desk.goal.as_mut().filter(|_| !adapter) {
-                    goal.loading = true;
+                    (goal.loading, goal.orders) = (true, orders);
                 }
             }
             (Some(Ordered::Accepted), Action::Unload) => {
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -30,6 +30,9 @@
 /// What is left of a gain that takes a load from the store, an unload or a move of another model
 /// first: each takes up to half of the time for which demand stays where it is.
 const SLOW: f64 = 0.6;
+/// Of the load of one engine of an even fleet, so much may be pushed out by a model that only makes
+/// way.
+const SPARE: f64 = 0.1;
 /// Models that may gain a copy that are looked at in one plan, those with the most demand for each
 /// copy: bounds the work on large fleets.
 const NEEDY: usize = 16;
@@ -270,6 +273,12 @@
         let steps = hosts.filter_map(|host| self.step(model, host, false));
         let steps = steps.filter(|step| step.blocked.is_none());
         let steps = steps.filter(|step| cold > 0 || !step.cold);
+        let total: f64 = self.rows.iter().map(|row| row.need.demand).sum();
+        let spare = total / self.hosts.len().max(1) as f64 * SPARE;
+        // What is asked for is not pushed out to make way for what is not.
+        let steps = steps.filter(|step| {
+            step.victims.iter().map(|row| self.rows[*row].share()).sum::<f64>() <= spare
+        });
         let price = |step: &Step| {
             let lost: f64 = step.victims.iter().map(|row| self.rows[*row].share()).sum();
             self.loads[step.host] + lost + if step.cold { IDLE } else { 0.0 }
