--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -172,6 +172,7 @@
         demand.wanted.retain(|_, at| now < *at + AGAIN);
         demand.wanted.insert(slot, now);
     }
+    daemon.fleet.borrow_mut().want(now, key, adapter);
     let message =
         Message::Want { key: key.clone(), model: model.clone(), adapter: adapter.clone() };
     to_placer(daemon, message);
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -860,10 +860,7 @@
         let Some(desk) = desks.get_mut(key) else {
             return;
         };
-        // While a model is on its way there, only adapters may be ordered.
-        let loading = desk.goal.as_ref().is_some_and(|goal| goal.loading);
-        let under_way = desk.look.is_some() && !loading;
-        if desk.sending || desk.orders.is_none() || now < desk.rest || under_way {
+        if desk.sending || desk.orders.is_none() || now < desk.rest {
             return;
         }
         if desk.goal.as_ref().is_some_and(|goal| now > goal.since + GOAL && !goal.loading) {
@@ -879,7 +876,16 @@
             tell(daemon, key);
             return;
         }
-        let task = desk.toward(&last).or_else(|| adapter_task(desk, engines, rate));
+        // While a model comes there adapters may come too; while one goes, all else is refused.
+        let loading = desk.goal.as_ref().is_some_and(|goal| goal.loading);
+        let task = match (desk.look, loading) {
+            (None, _) => desk.toward(&last).or_else(|| adapter_task(desk, engines, rate)),
+            (Some(_), true) => {
+                let task = adapter_task(desk, engines, rate);
+                task.filter(|task| task.action == Action::Load)
+            }
+            (Some(_), false) => None,
+        };
         let Some(task) = task else {
             return;
         };
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -68,6 +68,11 @@
 /// each region would push out what others use. A far engine that has the adapter is nearer than
 /// a near one that has others.
 const FETCH_CROWD: f64 = 20.0;
+/// An adapter that did not come to an engine within this time is asked for elsewhere: the engine may
+/// be busy dropping a model for seconds.
+const STUCK: Duration = Duration::from_millis(350);
+/// So long that is remembered.
+const WANTED: Duration = Duration::from_secs(2);
 /// Milliseconds when another adapter has to go first.
 const FETCH_FULL: f64 = 500.0;
 /// Weight of one observation in the moving averages.
@@ -179,6 +184,8 @@
     /// Models and adapters that it refused as not held.
     lacks: HashMap<(String, Option<String>), Duration>,
     parts: HashMap<u64, Duration>,
+    /// Adapters that were asked for there, and since when.
+    wanted: HashMap<String, Duration>,
     /// Missing from the store since then.
     lapsed: Option<Duration>,
     /// It said itself that it leaves.
@@ -419,7 +426,7 @@
             if ask.tried.contains(&row.instance.key) || row.load(now) >= room(row, engines) {
                 continue;
             }
-            let fetch = if ready { 0.0 } else { fetch_cost(row, ask.places) };
+            let fetch = if ready { 0.0 } else { fetch_cost(now, row, ask) };
             let noise = 1.0 + rng.random_range(0.0..NOISE);
             let cost = (row.cost(now, ask, engines) + fetch) * noise;
             if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
@@ -455,6 +462,14 @@
         }
     }
 
+    /// An adapter is asked for there.
+    pub fn want(&mut self, now: Duration, key: &Key, adapter: &str) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.wanted.retain(|_, at| now < *at + WANTED);
+            row.wanted.entry(adapter.to_string()).or_insert(now);
+        }
+    }
+
     /// A request there has ended.
     pub fn end(&mut self, key: &Key) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -582,10 +597,12 @@
 }
 
 /// What speaks against bringing an adapter to an engine.
-fn fetch_cost(row: &Endpoint, places: u32) -> f64 {
+fn fetch_cost(now: Duration, row: &Endpoint, ask: &Ask<'_>) -> f64 {
     let held: usize = row.instance.resident.iter().map(|held| held.adapters.len()).sum();
-    let full = if held >= places as usize { FETCH_FULL } else { 0.0 };
-    FETCH + FETCH_CROWD * held as f64 + full
+    let full = if held >= ask.places as usize { FETCH_FULL } else { 0.0 };
+    let since = ask.adapter.and_then(|adapter| row.wanted.get(adapter));
+    let stuck = if since.is_some_and(|at| now > *at + STUCK) { FETCH_FULL } else { 0.0 };
+    FETCH + FETCH_CROWD * held as f64 + full + stuck
 }
 
 fn fresh(now: Duration, instance: Instance, distance: Distance) -> Endpoint {
@@ -615,6 +632,7 @@
         downs: 0,
         lacks: HashMap::new(),
         parts: HashMap::new(),
+        wanted: HashMap::new(),
         lapsed: None,
         left: false,
         listed: None,
