--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -49,9 +49,8 @@
     let front = listen(settings.front).await?;
     let ready = listen(settings.ready).await?;
     let directory = listen(settings.directory).await?;
-    let peers = peer::Sender::bind(settings.peer)
-        .await
-        .map_err(|err| Error::Listen(settings.peer, err))?;
+    let peers =
+        peer::Sender::bind(settings.peer).await.map_err(|err| Error::Listen(settings.peer, err))?;
     let metrics = match settings.metrics {
         Some(addr) => Some(listen(addr).await?),
         None => None,
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -102,9 +102,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             Answer::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Answer::Whole(bytes) => {
-                Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes)))))
-            }
+            Answer::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Answer::Frames(frames) => frames.as_mut().poll_next(cx),
         }
     }
@@ -234,7 +232,10 @@
     }
 }
 
-async fn answer(daemon: Rc<Daemon>, req: Request<Incoming>) -> Result<Response<Answer>, Infallible> {
+async fn answer(
+    daemon: Rc<Daemon>,
+    req: Request<Incoming>,
+) -> Result<Response<Answer>, Infallible> {
     let mut res = take(&daemon, req).await;
     if daemon.leaving.get() {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -271,8 +272,7 @@
         Err(_) => return own(StatusCode::BAD_REQUEST, "malformed_request"),
     };
     daemon.open.set(daemon.open.get() + 1);
-    let mut open =
-        Open { daemon: daemon.clone(), request: caller.id.clone(), came, done: false };
+    let mut open = Open { daemon: daemon.clone(), request: caller.id.clone(), came, done: false };
     let Some(config) = daemon.config.borrow().clone() else {
         open.done = true;
         return refused(daemon, &caller, "", 0, came, &starting());
@@ -291,7 +291,8 @@
     let deadline = came + patience;
     let whole = async {
         let read = Limited::new(body, config.limits.body).collect().await;
-        read.map(|body| Some(body.to_bytes())).map_err(|err| err.is::<http_body_util::LengthLimitError>())
+        read.map(|body| Some(body.to_bytes()))
+            .map_err(|err| err.is::<http_body_util::LengthLimitError>())
     };
     let late = async {
         Timer::after(patience).await;
@@ -408,7 +409,14 @@
             }
         };
         if trail.sends > 0 && !daemon.allowance.borrow_mut().repeat(clock::now(), &job.service) {
-            return give_up(daemon, job, &mut open, trail, "no_allowance", Duration::from_millis(500));
+            return give_up(
+                daemon,
+                job,
+                &mut open,
+                trail,
+                "no_allowance",
+                Duration::from_millis(500),
+            );
         }
         trail.asked += 1;
         let again = job.route.idempotent() && trail.ran + 1 < job.route.attempts;
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -115,7 +115,11 @@
                     "poplarmux_first_byte_ms_bucket{{kind=\"{kind}\",le=\"{bound}\"}} {count}"
                 )?;
             }
-            writeln!(out, "poplarmux_first_byte_ms_bucket{{kind=\"{kind}\",le=\"+Inf\"}} {}", row.all)?;
+            writeln!(
+                out,
+                "poplarmux_first_byte_ms_bucket{{kind=\"{kind}\",le=\"+Inf\"}} {}",
+                row.all
+            )?;
             writeln!(out, "poplarmux_first_byte_ms_sum{{kind=\"{kind}\"}} {}", row.sum)?;
             writeln!(out, "poplarmux_first_byte_ms_count{{kind=\"{kind}\"}} {}", row.all)?;
         }
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -262,7 +262,10 @@
         adapters: Vec<(ModelId, AdapterId, u32)>,
     ) {
         for (model, millis) in models {
-            self.models.entry(model).or_insert(Trend::new(now)).add(now, f64::from(millis) / 1000.0);
+            self.models
+                .entry(model)
+                .or_insert(Trend::new(now))
+                .add(now, f64::from(millis) / 1000.0);
         }
         for (model, adapter, count) in adapters {
             let fresh = Rate::new(now, SMOOTH);
@@ -620,9 +623,10 @@
         if goal.victims.iter().any(|victim| last.contains(victim) && held(victim)) {
             return None;
         }
-        let victim = goal.victims.iter().find(|victim| {
-            self.resident.iter().any(|row| row.model == **victim)
-        });
+        let victim = goal
+            .victims
+            .iter()
+            .find(|victim| self.resident.iter().any(|row| row.model == **victim));
         let (action, model) = match victim {
             Some(victim) => (Action::Unload, victim),
             None => (Action::Load, &goal.model),
@@ -703,14 +707,17 @@
         let largest = engines.models.iter().map(|model| model.adapter).fold(0.0, f64::max);
         let room = engines.weights - largest * f64::from(engines.adapters);
         let rows = fleet.rows().filter(|row| {
-            row.instance.service == service
-                && row.instance.state == State::Live
-                && row.usable(now)
+            row.instance.service == service && row.instance.state == State::Live && row.usable(now)
         });
         let mut hosts: Vec<Host> = rows
             .filter_map(|row| {
                 let desk = placer.desks.get(&row.instance.key)?;
-                Some(host(desk, row.instance.key.clone(), fleet.region_of(&row.instance.data_center), room))
+                Some(host(
+                    desk,
+                    row.instance.key.clone(),
+                    fleet.region_of(&row.instance.data_center),
+                    room,
+                ))
             })
             .collect();
         hosts.sort_by(|a, b| a.key.cmp(&b.key));
@@ -727,7 +734,8 @@
 }
 
 fn set_goal(daemon: &Rc<Daemon>, now: Duration, step: Bring) {
-    let goal = Goal { model: step.model, victims: step.victims, since: now, loading: false, orders: 0 };
+    let goal =
+        Goal { model: step.model, victims: step.victims, since: now, loading: false, orders: 0 };
     note_goal(daemon, &step.key, &goal, "begun");
     if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(&step.key) {
         desk.goal = Some(goal);
@@ -735,9 +743,12 @@
 }
 
 fn note_goal(daemon: &Daemon, key: &Key, goal: &Goal, outcome: &'static str) {
-    let holds = daemon.placer.borrow().desks.get(key).map(|desk| {
-        desk.resident.iter().map(|row| row.model.clone()).collect()
-    });
+    let holds = daemon
+        .placer
+        .borrow()
+        .desks
+        .get(key)
+        .map(|desk| desk.resident.iter().map(|row| row.model.clone()).collect());
     daemon.note(&Event::Goal {
         endpoint: key.id.clone(),
         model: goal.model.clone(),
@@ -890,7 +901,8 @@
             return;
         };
         desk.sending = true;
-        let cold = !desk.copies.memory.contains(&task.model) && !desk.copies.disk.contains(&task.model);
+        let cold =
+            !desk.copies.memory.contains(&task.model) && !desk.copies.disk.contains(&task.model);
         if task.action == Action::Load && task.adapter.is_none() && cold {
             loads.push_back(now);
         }
@@ -914,9 +926,8 @@
         return Vec::new();
     };
     let models = desk.resident.iter().map(|row| row.model.clone());
-    let others = |model: &ModelId| {
-        desks.iter().any(|(other, desk)| other != key && desk.keeps(model))
-    };
+    let others =
+        |model: &ModelId| desks.iter().any(|(other, desk)| other != key && desk.keeps(model));
     models.filter(|model| !others(model)).collect()
 }
 
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -83,7 +83,6 @@
             model: self.caller.model.as_deref(),
             adapter: self.caller.adapter.as_deref(),
             places: self.places,
-            gap: self.route.gap,
             prompt: self.caller.prompt,
             parts: &self.parts,
             tried,
@@ -230,7 +229,8 @@
         let job = &waiter.job;
         match choose(daemon, now, job, &waiter.tried) {
             Choice::Go(key) => {
-                let waits = daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
+                let waits =
+                    daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
                 if waits.is_some() {
                     start(daemon, now, job, &key);
                     if waiter.give.try_send(key.clone()).is_err() {
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -177,14 +177,7 @@
     Ok(req)
 }
 
-fn note_sent(
-    daemon: &Daemon,
-    job: &Job,
-    key: &Key,
-    number: u32,
-    now: Duration,
-    left: Duration,
-) {
+fn note_sent(daemon: &Daemon, job: &Job, key: &Key, number: u32, now: Duration, left: Duration) {
     let load = daemon.fleet.borrow().get(key).map_or(0, |row| row.load(now));
     daemon.note(&Event::Sent {
         request: job.caller.id.clone(),
@@ -239,11 +232,7 @@
         Ok(bytes) => {
             put_back(daemon, &place.key, link, keep);
             let res = Response::from_parts(parts, bytes);
-            if res.status().is_server_error() {
-                Outcome::Failure(res)
-            } else {
-                Outcome::Whole(res)
-            }
+            if res.status().is_server_error() { Outcome::Failure(res) } else { Outcome::Whole(res) }
         }
     }
 }
@@ -299,7 +288,14 @@
     }
     let shared = daemon.clone();
     let settle = async move {
-        if link.settle().or(async { Timer::after(TRY_MIN).await; false }).await {
+        if link
+            .settle()
+            .or(async {
+                Timer::after(TRY_MIN).await;
+                false
+            })
+            .await
+        {
             shared.pool.borrow_mut().give(addr, link, keep);
         }
     };
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -174,11 +174,7 @@
         if up {
             client.returned.set(Some(clock::now()));
         }
-        daemon.note(&Event::Store {
-            kind: kind.into(),
-            up,
-            error: problem.unwrap_or_default(),
-        });
+        daemon.note(&Event::Store { kind: kind.into(), up, error: problem.unwrap_or_default() });
     }
     let res = res?;
     if away(res.status()) {
@@ -293,8 +289,7 @@
             return;
         }
     };
-    let newer =
-        daemon.config.borrow().as_ref().is_none_or(|old| old.version < config.version);
+    let newer = daemon.config.borrow().as_ref().is_none_or(|old| old.version < config.version);
     if !newer {
         return;
     }
@@ -326,7 +321,11 @@
             daemon.note(&Event::Gone {
                 endpoint: change.object.name.clone(),
                 revision: change.object.revision,
-                held: daemon.fleet.borrow().rows().any(|row| row.instance.key.id == change.object.name),
+                held: daemon
+                    .fleet
+                    .borrow()
+                    .rows()
+                    .any(|row| row.instance.key.id == change.object.name),
             });
         } else {
             put(&daemon, &change.object);
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -154,12 +154,6 @@
             self.pieces += 1;
             let pause = now.saturating_sub(self.last);
             self.pause = self.pause.max((pause, now));
-            if let Some(gap) = self.job.route.gap
-                && self.pieces > 1
-            {
-                self.daemon.fleet.borrow_mut().paced(now, &self.place.key, pause, gap);
-            }
-            self.last = now;
         }
         next
     }
@@ -169,8 +163,8 @@
         let end = self.rest.windows(2).rposition(|pair| pair == b"\n\n")? + 2;
         let events = self.rest.split_to(end).freeze();
         let text = String::from_utf8_lossy(&events);
-        let ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
-        if let Some(id) = ids.last() {
+        let mut ids = text.lines().rev().filter_map(|line| line.strip_prefix("id:"));
+        if let Some(id) = ids.next() {
             self.last_event = Some(id.trim().to_string());
         }
         Some(events)
@@ -233,7 +227,8 @@
         }
         if let Some(head) = self.head.take() {
             send::put_back(&self.daemon, &self.place.key, head.link, head.answer.keep);
-            let load = self.daemon.fleet.borrow().get(&self.place.key).map_or(0, |row| row.load(now));
+            let load =
+                self.daemon.fleet.borrow().get(&self.place.key).map_or(0, |row| row.load(now));
             self.daemon.note(&Event::Ended {
                 request: self.job.caller.id.clone(),
                 endpoint: self.place.key.id.clone(),
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -8,10 +8,8 @@
 //! took to open, the endpoint's own recent delay, the part of the prompt that it has not read yet,
 //! and its load by its own word plus what was sent since. Crossing to another region costs `FAR`
 //! besides, as that link is billed: a near endpoint is left only when it is that much slower.
-//! A stream is late as well when its events come too far apart, which prompts of others cause: an
-//! engine that reads many is left before its streams falter. How far apart events come is measured;
-//! beyond `STRAIN_FROM` of what is on time it costs, and beyond `STRAIN_MOST` the engine is given
-//! fewer requests at once, though never under half of its slots.
+//! A stream is late as well when its events come too far apart, which prompts of others cause: the
+//! cost of load grows with its cube, so that an engine is left before its streams falter.
 //!
 //! Failures count as `FAILURE` times their share, since a failed request is lost, not late.
 
@@ -44,22 +42,6 @@
 const CROWD: f64 = 30.0;
 /// Milliseconds for each request that waits at the endpoint.
 const QUEUED: f64 = 12.0;
-/// Events this far apart, as a part of the longest pause that is on time, begin to cost: the longest
-/// pause of a stream is two to three times its mean one.
-const STRAIN_FROM: f64 = 0.27;
-/// Milliseconds for each millisecond beyond.
-const STRAIN: f64 = 14.0;
-/// Events this far apart make the limit fall, and below `STRAIN_LEAST` rise.
-const STRAIN_MOST: f64 = 0.36;
-const STRAIN_LEAST: f64 = 0.31;
-/// By how much a limit falls, each `ADAPT`; it rises by one.
-const FALL: f64 = 0.93;
-/// Time between two changes of a limit.
-const ADAPT: Duration = Duration::from_millis(200);
-/// Part of the slots that a limit never falls below.
-const LEAST: f64 = 0.5;
-/// Weight of one event in the mean distance: about half a second of an engine's events.
-const EVENT: f64 = 0.02;
 /// Milliseconds that stand for a failure that is sure.
 const FAILURE: f64 = 3_000.0;
 /// Milliseconds that an adapter's load is expected to take, with the order's way.
@@ -116,8 +98,6 @@
     pub adapter: Option<&'a str>,
     /// Adapters that an engine has places for.
     pub places: u32,
-    /// The longest pause between events that is on time.
-    pub gap: Option<Duration>,
     /// Tokens of the prompt.
     pub prompt: u32,
     /// Hashes of the prompt's beginnings, each with the tokens of its last part.
@@ -170,12 +150,6 @@
     delay: f64,
     /// Share of requests that failed.
     failing: f64,
-    /// How far apart events come, in milliseconds, and when the last was seen.
-    apart: f64,
-    paced: Duration,
-    /// Requests that it is given at once.
-    limit: f64,
-    adapted: Duration,
     seen: Duration,
     /// When any byte came from it, or when it got work while idle.
     heard: Duration,
@@ -240,27 +214,6 @@
         ask.prompt.saturating_sub(read)
     }
 
-    /// How far apart events come, less the longer none was seen.
-    fn apart(&self, now: Duration) -> f64 {
-        let idle = now.saturating_sub(self.paced).as_secs_f64() / FADE.as_secs_f64();
-        self.apart * (1.0 - idle).max(0.0)
-    }
-
-    fn adapt(&mut self, now: Duration, gap: f64) {
-        if now < self.adapted + ADAPT {
-            return;
-        }
-        self.adapted = now;
-        let slots = f64::from(self.instance.slots);
-        let load = f64::from(self.load(now));
-        let apart = self.apart(now);
-        if apart > gap * STRAIN_MOST * 1e9 {
-            self.limit = (self.limit.min(load) * FALL).max(slots * LEAST);
-        } else if apart < gap * STRAIN_LEAST {
-            self.limit = (self.limit + 1.0).min(slots);
-        }
-    }
-
     /// Milliseconds until the first byte, with what else speaks against it.
     fn cost(&self, now: Duration, ask: &Ask<'_>, engines: bool) -> f64 {
         let idle = now.saturating_sub(self.seen).as_secs_f64() / FADE.as_secs_f64();
@@ -280,9 +233,13 @@
         let read = f64::from(self.unread(ask)) / READS;
         let cold = self.instance.cold.as_secs_f64() * 20.0;
         let silent = if self.silent(now) { FAILURE / 2.0 } else { 0.0 };
-        let gap = ask.gap.map_or(f64::INFINITY, |gap| gap.as_secs_f64() * 1000.0);
-        let strain = 0.0 * gap.min(1.0);
-        self.open + self.delay * fade + distance + busy + read + cold + silent + strain
+        self.open
+            + self.delay * fade
+            + distance
+            + busy
+            + read
+            + cold
+            + silent
             + self.failing * fade * FAILURE
     }
 }
@@ -407,7 +364,13 @@
     }
 
     /// Where a request goes at `now`.
-    pub fn choose(&self, now: Duration, ask: &Ask<'_>, engines: bool, rng: &mut SmallRng) -> Choice {
+    pub fn choose(
+        &self,
+        now: Duration,
+        ask: &Ask<'_>,
+        engines: bool,
+        rng: &mut SmallRng,
+    ) -> Choice {
         let mut any = false;
         let mut held = false;
         let mut best: Option<(f64, &Endpoint, bool)> = None;
@@ -502,16 +465,6 @@
         }
     }
 
-    /// An event of a stream came this long after the one before.
-    pub fn paced(&mut self, now: Duration, key: &Key, apart: Duration, gap: Duration) {
-        if let Some(row) = self.rows.get_mut(key) {
-            row.apart = row.apart(now);
-            row.apart += (apart.as_secs_f64() * 1000.0 - row.apart) * EVENT;
-            row.paced = now;
-            row.adapt(now, gap.as_secs_f64() * 1000.0);
-        }
-    }
-
     /// The first byte of an answer came after this time; `prompt` tokens had to be read.
     pub fn answered(&mut self, now: Duration, key: &Key, took: Duration, prompt: u32) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -593,7 +546,7 @@
 /// Requests that an endpoint is given at most.
 fn room(row: &Endpoint, engines: bool) -> u32 {
     let slots = f64::from(row.instance.slots);
-    (if engines { row.limit } else { slots * PLAIN_QUEUE }) as u32
+    (if engines { slots } else { slots * PLAIN_QUEUE }) as u32
 }
 
 /// What speaks against bringing an adapter to an engine.
@@ -612,14 +565,9 @@
         Distance::Near => 2.0,
         Distance::Far => 60.0,
     };
-    let limit = f64::from(instance.slots);
     Endpoint {
         instance,
         distance,
-        apart: 0.0,
-        paced: now,
-        limit,
-        adapted: now,
         running: 0,
         others: 0,
         told: None,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,8 +2,8 @@
 //! reads a clock, opens a socket or logs.
 
 pub mod admit;
-pub mod allowance;
 pub mod adopt;
+pub mod allowance;
 mod answer;
 pub mod breaker;
 pub mod claim;
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -155,11 +155,9 @@
 
 impl<'a> Draft<'a> {
     fn new(needs: &'a [Need], hosts: &[Host]) -> Self {
-        let rows: Vec<Row<'a>> =
-            needs.iter().map(|need| Row { need, hosts: Vec::new() }).collect();
+        let rows: Vec<Row<'a>> = needs.iter().map(|need| Row { need, hosts: Vec::new() }).collect();
         let index = needs.iter().enumerate().map(|(at, need)| (need.model.as_str(), at)).collect();
-        let mut draft =
-            Draft { rows, index, hosts: hosts.to_vec(), loads: vec![0.0; hosts.len()] };
+        let mut draft = Draft { rows, index, hosts: hosts.to_vec(), loads: vec![0.0; hosts.len()] };
         for (at, host) in hosts.iter().enumerate() {
             for model in host.resident.iter().filter(|model| !host.outgoing.contains(model)) {
                 if let Some(row) = draft.index.get(model.as_str()) {
@@ -286,7 +284,6 @@
         steps.min_by(|a, b| price(a).total_cmp(&price(b)))
     }
 
-
     fn free(&self, host: usize) -> f64 {
         let at = &self.hosts[host];
         let used: f64 = at.resident.iter().filter_map(|model| self.weights(model)).sum();
--- a/tests/decide_spread.rs
+++ b/tests/decide_spread.rs
@@ -43,8 +43,17 @@
 
 /// Model zero on six engines, each other model on one: as a fleet starts.
 fn fleet() -> Vec<Host> {
-    let rows: [&[usize]; 9] =
-        [&[0, 1, 3], &[0, 2, 5], &[0, 4, 6], &[0, 7, 8], &[0, 10, 9], &[0, 11, 12], &[1, 3], &[2], &[4]];
+    let rows: [&[usize]; 9] = [
+        &[0, 1, 3],
+        &[0, 2, 5],
+        &[0, 4, 6],
+        &[0, 7, 8],
+        &[0, 10, 9],
+        &[0, 11, 12],
+        &[1, 3],
+        &[2],
+        &[4],
+    ];
     rows.iter().enumerate().map(|(at, models)| host(at, models)).collect()
 }
 
