--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -704,8 +704,7 @@
                 demand: placer.rate(now, &model.name).max(placer.prior(&model.name)),
             })
             .collect();
-        let largest = engines.models.iter().map(|model| model.adapter).fold(0.0, f64::max);
-        let room = engines.weights - largest * f64::from(engines.adapters);
+        let room = room(engines);
         let rows = fleet.rows().filter(|row| {
             row.instance.service == service && row.instance.state == State::Live && row.usable(now)
         });
@@ -874,7 +873,14 @@
         if desk.sending || desk.orders.is_none() || now < desk.rest {
             return;
         }
-        if desk.goal.as_ref().is_some_and(|goal| now > goal.since + GOAL && !goal.loading) {
+        // An order that was given up on may have been carried out since the goal was set: what it
+        // brought takes the room that the goal was planned with, and the engine would crash.
+        let stands = desk.goal.as_ref().is_none_or(|goal| {
+            let kept = desk.resident.iter().map(|row| &row.model);
+            let kept = kept.filter(|model| !goal.victims.contains(model));
+            goal.loading || (now <= goal.since + GOAL && fits(engines, kept, &goal.model))
+        });
+        if !stands {
             desk.goal = None;
         }
         let parting = desk.toward(&last).is_some_and(|task| task.action == Action::Unload);
@@ -920,6 +926,19 @@
     daemon.ex.spawn(work).detach();
 }
 
+/// Room for weights at an engine with all its adapters, in MB.
+fn room(engines: &Engines) -> f64 {
+    let largest = engines.models.iter().map(|model| model.adapter).fold(0.0, f64::max);
+    engines.weights - largest * f64::from(engines.adapters)
+}
+
+/// Whether a model fits beside others. One whose size is not published leaves no room.
+fn fits<'a>(engines: &Engines, kept: impl Iterator<Item = &'a ModelId>, model: &ModelId) -> bool {
+    let weights = |model: &ModelId| engines.model(model).map_or(f64::INFINITY, |row| row.weights);
+    let kept: f64 = kept.filter(|other| *other != model).map(weights).sum();
+    kept + weights(model) <= room(engines)
+}
+
 /// Models at an engine that no other engine keeps.
 fn lasts(desks: &BTreeMap<Key, Desk>, key: &Key) -> Vec<ModelId> {
     let Some(desk) = desks.get(key) else {
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -252,6 +252,10 @@
             return (!step.cold || cold > 0).then_some(step);
         };
         let first = self.elsewhere(last, step.host, cold)?;
+        // Each alone may drop a model that has two copies; both together would drop the last.
+        if first.victims.iter().any(|victim| step.victims.contains(victim)) {
+            return None;
+        }
         let loads = u32::from(first.cold) + u32::from(step.cold);
         (loads <= cold).then(|| Step { gain: step.gain + first.gain.min(0.0), ..step })
     }
