--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -6,6 +6,7 @@
 
 use async_signal::Signal;
 use async_signal::Signals;
+use smol::Task;
 use smol::Timer;
 use smol::net::TcpListener;
 use smol::stream::StreamExt;
@@ -46,6 +47,25 @@
 async fn work(ex: Executor, settings: Settings, dialect: Box<dyn Dialect>) -> Result<(), Error> {
     // Taken before anything is served, so that an early SIGTERM drains too.
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let (daemon, accepting) = start(&ex, settings, dialect).await?;
+    while let Some(signal) = signals.next().await {
+        match signal? {
+            Signal::Hup => daemon.note(&Event::Reload { changed: false }),
+            _ => break,
+        }
+    }
+    drain(&daemon).await;
+    drop(accepting);
+    finish(&daemon).await;
+    Ok(())
+}
+
+/// Starts a daemon; its callers' listener closes when the task is dropped.
+pub async fn start(
+    ex: &Executor,
+    settings: Settings,
+    dialect: Box<dyn Dialect>,
+) -> Result<(Rc<Daemon>, Task<()>), Error> {
     let front = listen(settings.front).await?;
     let ready = listen(settings.ready).await?;
     let directory = listen(settings.directory).await?;
@@ -71,16 +91,7 @@
     ex.spawn(placer::steps(daemon.clone())).detach();
     ex.spawn(journal::flush(daemon.clone())).detach();
     ex.spawn(daemon::ticks(daemon.clone())).detach();
-    while let Some(signal) = signals.next().await {
-        match signal? {
-            Signal::Hup => daemon.note(&Event::Reload { changed: false }),
-            _ => break,
-        }
-    }
-    drain(&daemon).await;
-    drop(accepting);
-    finish(&daemon).await;
-    Ok(())
+    Ok((daemon, accepting))
 }
 
 /// Serves on while callers still come: they keep answers of the directory for a while.
