--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 pub mod placer;
 pub mod publish;
+pub mod trace;
 
 use std::time::SystemTime;
 
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -57,6 +57,9 @@
 const UNUSED: f64 = 0.3;
 /// One that is wanted this often takes the place of another even so.
 const BUSIER: f64 = 2.0;
+/// An adapter that is wanted for this long and is nowhere takes the place of one that is in use: its
+/// callers would otherwise be refused for as long as the others are busier.
+const STARVED: Duration = Duration::from_millis(600);
 /// Requests at once that are expected of each copy that engines held before any request came.
 const PRIOR: f64 = 10.0;
 /// So long the number of engines must stand before models are placed: at a start they register one
@@ -215,6 +218,8 @@
     desks: BTreeMap<Key, Desk>,
     models: HashMap<ModelId, Trend>,
     adapters: HashMap<(ModelId, AdapterId), Rate>,
+    /// Adapters that were wanted and are at no engine, and since when.
+    unmet: HashMap<(ModelId, AdapterId), Duration>,
     /// When loads from the weight store began.
     loads: VecDeque<Duration>,
     led: bool,
@@ -235,6 +240,7 @@
             desks: BTreeMap::new(),
             models: HashMap::new(),
             adapters: HashMap::new(),
+            unmet: HashMap::new(),
             loads: VecDeque::new(),
             led: false,
             noted: Duration::ZERO,
@@ -402,6 +408,7 @@
     let holder = holder.map(|holder| holder.address.clone()).unwrap_or_default();
     placer.desks.clear();
     placer.first.clear();
+    placer.unmet.clear();
     placer.known = (0, now);
     if leads {
         // The loads that the holder before began are not known: as if it had begun all it could
@@ -806,7 +813,14 @@
         let held = row.adapters.iter().any(|other| other == adapter);
         let want = (model.to_string(), adapter.to_string());
         if !held && !desk.wants.contains(&want) {
-            desk.wants.push_back(want);
+            desk.wants.push_back(want.clone());
+        }
+        let mut rows = placer.desks.values().flat_map(|desk| &desk.resident);
+        let anywhere = rows.any(|row| row.model == model && row.adapters.contains(&want.1));
+        if anywhere {
+            placer.unmet.remove(&want);
+        } else {
+            placer.unmet.entry(want).or_insert(now);
         }
         held
     };
@@ -828,6 +842,7 @@
     desk: &mut Desk,
     engines: &Engines,
     rate: impl Fn(&str, &str) -> f64,
+    starved: impl Fn(&str, &str) -> bool,
 ) -> Option<Task> {
     while let Some((model, adapter)) = desk.wants.front().cloned() {
         if !engines.models.iter().any(|row| row.name == model) {
@@ -849,7 +864,8 @@
         let least = all.min_by(|a, b| rate(&a.0, &a.1).total_cmp(&rate(&b.0, &b.1)))?;
         // Dropping one that is in use takes until its last run ends, and holds up all other orders
         // there meanwhile.
-        if rate(&least.0, &least.1) < UNUSED || rate(&model, &adapter) > BUSIER {
+        let due = rate(&model, &adapter) > BUSIER || starved(&model, &adapter);
+        if due || rate(&least.0, &least.1) < UNUSED {
             return Some(Task { action: Action::Unload, model: least.0, adapter: Some(least.1) });
         }
         desk.wants.pop_front();
@@ -861,7 +877,11 @@
 fn give(daemon: &Rc<Daemon>, now: Duration, key: &Key, engines: &Engines) {
     let task = {
         let mut placer = daemon.placer.borrow_mut();
-        let Placer { desks, adapters, loads, .. } = &mut *placer;
+        let Placer { desks, adapters, loads, unmet, .. } = &mut *placer;
+        let starved = |model: &str, adapter: &str| {
+            let since = unmet.get(&(model.to_string(), adapter.to_string()));
+            since.is_some_and(|at| now > *at + STARVED)
+        };
         let rate = |model: &str, adapter: &str| {
             let key = (model.to_string(), adapter.to_string());
             adapters.get(&key).map_or(0.0, |rate| rate.now(now))
@@ -896,9 +916,9 @@
         // While a model comes there adapters may come too; while one goes, all else is refused.
         let loading = desk.goal.as_ref().is_some_and(|goal| goal.loading);
         let task = match (desk.look, loading) {
-            (None, _) => desk.toward(&last).or_else(|| adapter_task(desk, engines, rate)),
+            (None, _) => desk.toward(&last).or_else(|| adapter_task(desk, engines, rate, starved)),
             (Some(_), true) => {
-                let task = adapter_task(desk, engines, rate);
+                let task = adapter_task(desk, engines, rate, starved);
                 task.filter(|task| task.action == Action::Load)
             }
             (Some(_), false) => None,
@@ -1021,9 +1041,13 @@
     }
     if ordered == Some(Ordered::Accepted) && adapter && task.action == Action::Load {
         Timer::after(time).await;
-        if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(key) {
+        let mut placer = daemon.placer.borrow_mut();
+        if let Some(desk) = placer.desks.get_mut(key) {
             desk.hold(task);
         }
+        if let Some(adapter) = &task.adapter {
+            placer.unmet.remove(&(task.model.clone(), adapter.clone()));
+        }
     }
     if reread {
         // A report that is read now may be from before.
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,20 @@
+//! The way of one request through logs.
+
+use poplarmux::cmd::trace::step;
+
+#[test]
+fn lines_of_the_request_are_found_whatever_stands_before_them() {
+    let line = r#"  3.1 n1 {"at":5,"event":"sent","request":"a1"}"#;
+    let found = step(line, "a1").expect("a step");
+    assert_eq!(found.source, "3.1 n1");
+    assert_eq!(found.line["event"], "sent");
+    assert_eq!(step(line, "a2"), None);
+}
+
+/// A process that is killed leaves half a line: the others must still be shown.
+#[test]
+fn broken_lines_are_passed_over() {
+    for line in ["", "{", r#"{"at":5,"request":"a1""#, "no json", r#"{"request":7}"#] {
+        assert_eq!(step(line, "a1"), None, "{line}");
+    }
+}
