--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -57,6 +57,9 @@
 const UNUSED: f64 = 0.3;
 /// One that is wanted this often takes the place of another even so.
 const BUSIER: f64 = 2.0;
+/// Requests a second for each copy of an adapter. Daemons that ask at the same moment each name the
+/// engine that is best for them; loaded at all of these, one adapter pushed out several others.
+const COPY: f64 = 3.0;
 /// An adapter that is wanted for this long and is nowhere takes the place of one that is in use: its
 /// callers would otherwise be refused for as long as the others are busier.
 const STARVED: Duration = Duration::from_millis(600);
@@ -309,6 +312,15 @@
         true
     }
 
+    /// Engines that hold an adapter, or will.
+    fn places(&self, want: &(ModelId, AdapterId)) -> Vec<Key> {
+        let holds = |desk: &Desk| {
+            let mut rows = desk.resident.iter().filter(|row| row.model == want.0);
+            rows.any(|row| row.adapters.contains(&want.1)) || desk.wants.contains(want)
+        };
+        self.desks.iter().filter(|(_, desk)| holds(desk)).map(|(key, _)| key.clone()).collect()
+    }
+
     /// Loads from the weight store that may begin now.
     fn cold(&mut self, now: Duration, loads: f64, window: Duration) -> u32 {
         while self.loads.front().is_some_and(|at| now > *at + window) {
@@ -803,7 +815,7 @@
         if !placer.leads(now) {
             return;
         }
-        let Some(desk) = placer.desks.get_mut(key) else {
+        let Some(desk) = placer.desks.get(key) else {
             return;
         };
         let row = desk.resident.iter().find(|row| row.model == model);
@@ -812,21 +824,25 @@
         };
         let held = row.adapters.iter().any(|other| other == adapter);
         let want = (model.to_string(), adapter.to_string());
-        if !held && !desk.wants.contains(&want) {
-            desk.wants.push_back(want.clone());
-        }
-        let mut rows = placer.desks.values().flat_map(|desk| &desk.resident);
-        let anywhere = rows.any(|row| row.model == model && row.adapters.contains(&want.1));
-        if anywhere {
-            placer.unmet.remove(&want);
+        let places = placer.places(&want);
+        if places.is_empty() {
+            placer.unmet.entry(want.clone()).or_insert(now);
         } else {
-            placer.unmet.entry(want).or_insert(now);
+            placer.unmet.remove(&want);
         }
-        held
+        let rate = placer.adapters.get(&want).map_or(0.0, |rate| rate.rate(now));
+        let enough = places.len() > (rate / COPY) as usize;
+        match placer.desks.get_mut(key) {
+            Some(desk) if !enough && !desk.wants.contains(&want) => desk.wants.push_back(want),
+            _ => {}
+        }
+        if held { vec![key.clone()] } else { places }
     };
-    if held {
-        // The one who asked missed the news.
+    // The one who asked missed the news of where it is.
+    for key in &held {
         tell(daemon, key);
+    }
+    if held.contains(key) {
         return;
     }
     let Some(config) = daemon.config.borrow().clone() else {
