--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -5,6 +5,7 @@
 //! are kept, and at most `ROOM` bytes wait; what is left out is counted and told.
 
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -280,6 +281,17 @@
         self.counts.iter().map(|(kind, count)| (*kind, count.all))
     }
 
+    /// Puts lines back that could not be written; none are kept beyond what may wait.
+    pub fn put_back(&mut self, mut lines: Vec<u8>) {
+        if lines.len() + self.waiting.len() > ROOM {
+            let lost = lines.iter().filter(|byte| **byte == b'\n').count() as u64;
+            self.counts.entry("unwritten").or_default().omitted += lost;
+            return;
+        }
+        lines.append(&mut self.waiting);
+        self.waiting = lines;
+    }
+
     /// What waits, with a line for each kind of which some were left out.
     pub fn take(&mut self) -> Vec<u8> {
         let now = clock::now();
@@ -308,16 +320,37 @@
     }
 }
 
-/// Writes out what waits.
+/// Writes out what waits. What could not be written waits for the next time: a reader that stands
+/// still, or an instance that was suspended in the middle of a write, must not cost lines.
 pub async fn write_out(daemon: &Daemon) {
     let lines = daemon.journal.borrow_mut().take();
     if lines.is_empty() {
         return;
     }
-    // Nobody reads what cannot be written: there is no other place to tell it.
-    let _ = smol::unblock(move || {
-        let mut out = std::io::stdout().lock();
-        out.write_all(&lines).and_then(|()| out.flush())
+    let (mut lines, done) = smol::unblock(move || {
+        let done = write(&lines);
+        (lines, done)
     })
     .await;
+    if done < lines.len() {
+        lines.drain(..done);
+        daemon.journal.borrow_mut().put_back(lines);
+    }
+}
+
+/// How many bytes standard output took.
+fn write(lines: &[u8]) -> usize {
+    let mut out = std::io::stdout().lock();
+    let mut done = 0;
+    while done < lines.len() {
+        match out.write(&lines[done..]) {
+            Ok(0) => break,
+            Ok(len) => done += len,
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
+            Err(_) => break,
+        }
+    }
+    // What is buffered is written with the next lines.
+    let _ = out.flush();
+    done
 }
--- /dev/null
+++ b/tests/journal.rs
@@ -0,0 +1,43 @@
+//! The daemon's log: bounded, and complete where that is possible.
+
+use poplarmux::daemon::journal::Event;
+use poplarmux::daemon::journal::Journal;
+
+fn left(number: u32) -> Event {
+    Event::Left { request: format!("q{number}"), took: 1 }
+}
+
+fn text(journal: &mut Journal) -> String {
+    String::from_utf8(journal.take()).expect("text")
+}
+
+/// Thousands of callers leave within a second: the log says how many lines it left out, and other
+/// kinds keep theirs.
+#[test]
+fn a_flood_of_one_kind_is_bounded_and_counted() {
+    let mut journal = Journal::default();
+    for number in 0..5_000 {
+        journal.note(&left(number));
+    }
+    journal.note(&Event::Reload { changed: false });
+    let text = text(&mut journal);
+    // A second may end in between.
+    assert!(text.lines().filter(|line| line.contains("\"left\"")).count() <= 2 * 120 + 1);
+    assert!(text.contains("\"event\":\"reload\""));
+    assert!(text.contains("\"event\":\"omitted\",\"kind\":\"left\""));
+    assert_eq!(journal.counts().find(|(kind, _)| *kind == "left"), Some(("left", 5_000)));
+}
+
+/// An instance is suspended in the middle of a write: the on-call engineer misses the line that says
+/// that it lost the lease. What was not written comes with the next lines, in order.
+#[test]
+fn lines_that_were_not_written_come_later() {
+    let mut journal = Journal::default();
+    journal.note(&left(1));
+    let first = journal.take();
+    journal.note(&left(2));
+    journal.put_back(first);
+    let text = text(&mut journal);
+    let (one, two) = (text.find("q1").expect("the first"), text.find("q2").expect("the second"));
+    assert!(one < two);
+}
