--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -18,6 +18,7 @@
 use crate::daemon::front;
 use crate::daemon::journal;
 use crate::daemon::journal::Event;
+use crate::daemon::lease;
 use crate::daemon::link::Executor;
 use crate::daemon::node;
 use crate::daemon::peer;
@@ -87,7 +88,7 @@
     ex.spawn(node::follow(daemon.clone())).detach();
     ex.spawn(peer::rounds(daemon.clone())).detach();
     ex.spawn(peer::hear(daemon.clone())).detach();
-    ex.spawn(placer::lease(daemon.clone())).detach();
+    ex.spawn(lease::follow(daemon.clone())).detach();
     ex.spawn(placer::steps(daemon.clone())).detach();
     ex.spawn(journal::flush(daemon.clone())).detach();
     ex.spawn(daemon::ticks(daemon.clone())).detach();
@@ -103,7 +104,7 @@
     peer::say_here(daemon);
     let tell = async {
         // Both only spare others a wait: without them the lease runs out, and heartbeats stop.
-        placer::resign(daemon).await;
+        lease::resign(daemon).await;
         let _ = node::write(daemon, u64::MAX).await;
     };
     let late = async {
--- /dev/null
+++ b/src/daemon/lease.rs
@@ -0,0 +1,126 @@
+//! Which daemon places models: the lease object, followed, taken and renewed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::journal::Event;
+use crate::daemon::store;
+use crate::decide::lease;
+use crate::decide::lease::Lease;
+use crate::edge::dialect::Kind;
+use crate::edge::dialect::Object;
+use crate::edge::dialect::Read;
+use crate::edge::dialect::Written;
+
+/// The name of the lease object.
+const LEASE: &str = "placer";
+/// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
+/// price of a read.
+const LOOK: Duration = Duration::from_millis(1_000);
+/// Time between two steps.
+const STEP: Duration = Duration::from_millis(200);
+
+fn object(object: &Object) -> Option<(u64, Lease)> {
+    let lease = serde_json::from_value(object.spec.clone()).ok()?;
+    Some((object.revision, lease))
+}
+
+/// Follows the lease, and takes or renews it when that is due.
+pub async fn follow(daemon: Rc<Daemon>) {
+    let mut looked = Duration::ZERO;
+    loop {
+        let now = clock::now();
+        let leads = daemon.placer.borrow().leads(now);
+        if !leads && now >= looked + LOOK {
+            look(&daemon).await;
+            looked = clock::now();
+        }
+        let may = daemon.ready() || leads;
+        let write = if may { daemon.placer.borrow_mut().watch.write(clock::now()) } else { None };
+        if let Some(write) = write {
+            apply(&daemon, &write).await;
+        }
+        note_lead(&daemon);
+        Timer::after(STEP).await;
+    }
+}
+
+async fn look(daemon: &Daemon) {
+    let now = clock::now();
+    let Ok(req) = daemon.dialect.get(Kind::Leases, LEASE, Read::Stale) else {
+        return;
+    };
+    let Ok(res) = store::ask(daemon, Kind::Leases, req).await else {
+        return;
+    };
+    let Ok(found) = daemon.dialect.got(&res) else {
+        return;
+    };
+    let found = found.as_ref().and_then(object);
+    let mut placer = daemon.placer.borrow_mut();
+    let revision = found.as_ref().map_or(0, |(revision, _)| *revision);
+    // Stale reads may be older than what is known.
+    if revision >= placer.revision {
+        placer.revision = revision;
+        placer.watch.read(now, found);
+    }
+}
+
+async fn apply(daemon: &Daemon, write: &lease::Write) {
+    let spec = serde_json::json!(write.lease);
+    let req = match write.expect {
+        None => daemon.dialect.create(Kind::Leases, LEASE, &spec),
+        Some(revision) => daemon.dialect.replace(Kind::Leases, LEASE, Some(revision), &spec),
+    };
+    let Ok(req) = req else {
+        return;
+    };
+    let Ok(res) = store::ask(daemon, Kind::Leases, req).await else {
+        return;
+    };
+    let now = clock::now();
+    let mut placer = daemon.placer.borrow_mut();
+    match daemon.dialect.written(&res) {
+        Ok(Written::Done(done)) => {
+            placer.revision = done.revision;
+            placer.watch.applied(now, done.revision, write);
+        }
+        Ok(Written::Conflict(Some(stands))) => {
+            placer.revision = stands.revision;
+            let stands = object(&stands);
+            placer.watch.refused(now, stands);
+        }
+        Ok(Written::Missing) => placer.watch.refused(now, None),
+        Ok(Written::Conflict(None) | Written::Refused) | Err(_) => {}
+    }
+}
+
+fn note_lead(daemon: &Daemon) {
+    let now = clock::now();
+    let mut placer = daemon.placer.borrow_mut();
+    let leads = placer.leads(now);
+    if leads == placer.led {
+        return;
+    }
+    placer.led = leads;
+    let lease = placer.watch.seen();
+    let token = lease.map_or(0, |lease| lease.term);
+    let holder = lease.and_then(|lease| lease.holder.as_ref());
+    let holder = holder.map(|holder| holder.address.clone()).unwrap_or_default();
+    placer.begin(now, leads.then_some(token), daemon.settings.lease);
+    drop(placer);
+    daemon.note(&Event::Lease { held: leads, token, holder });
+}
+
+/// Gives the lease back, so that another daemon takes it at once.
+pub async fn resign(daemon: &Daemon) {
+    let write = daemon.placer.borrow_mut().watch.resign(clock::now());
+    if let Some(write) = write {
+        apply(daemon, &write).await;
+        note_lead(daemon);
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod front;
 pub mod gauge;
 pub mod journal;
+pub mod lease;
 pub mod link;
 pub mod node;
 pub mod peer;
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -24,39 +24,30 @@
 use crate::daemon::peer::Message;
 use crate::daemon::seat;
 use crate::daemon::settings::Settings;
-use crate::daemon::store;
-use crate::decide::lease;
+use crate::decide::desk;
+use crate::decide::desk::Desk;
+use crate::decide::desk::Goal;
+use crate::decide::desk::Task;
 use crate::decide::lease::Holder;
-use crate::decide::lease::Lease;
 use crate::decide::lease::Watch;
 use crate::decide::spread;
 use crate::decide::spread::Bring;
 use crate::decide::spread::Host;
 use crate::decide::spread::Need;
+use crate::decide::trend::Rate;
+use crate::decide::trend::Trend;
 use crate::edge::dialect::Action;
-use crate::edge::dialect::Kind;
-use crate::edge::dialect::Object;
 use crate::edge::dialect::Order;
 use crate::edge::dialect::Ordered;
-use crate::edge::dialect::Read;
-use crate::edge::dialect::Written;
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::instance::Copies;
 use crate::table::instance::Key;
 use crate::table::instance::Report;
-use crate::table::instance::Resident;
 use crate::table::instance::State;
 use crate::table::routing::Config;
 use crate::table::routing::Engines;
 
-/// The name of the lease object.
-const LEASE: &str = "placer";
-/// An adapter that was asked for less than this often lately, counted with a decay over `SMOOTH`, is
-/// in use nowhere: its streams are over.
-const UNUSED: f64 = 0.3;
-/// One that is wanted this often takes the place of another even so.
-const BUSIER: f64 = 2.0;
 /// Requests a second for each copy of an adapter. Daemons that ask at the same moment each name the
 /// engine that is best for them; loaded at all of these, one adapter pushed out several others.
 const COPY: f64 = 3.0;
@@ -81,9 +72,6 @@
 const GOAL: Duration = Duration::from_secs(9);
 /// Time between two steps of the placer.
 const STEP: Duration = Duration::from_millis(100);
-/// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
-/// price of a read.
-const LOOK: Duration = Duration::from_millis(1_000);
 /// How long an order for a model, or a report, may take to be answered.
 const ORDER: Duration = Duration::from_millis(900);
 /// The same for an adapter: callers wait for it, and the number of orders that each names makes
@@ -91,18 +79,8 @@
 const ADAPTER_ORDER: Duration = Duration::from_millis(300);
 /// How long an adapter takes to be there once the order was accepted.
 const ADAPTER: Duration = Duration::from_millis(15);
-/// Between two looks at an engine whose load takes longer than expected.
-const POLL: Duration = Duration::from_millis(250);
 /// What a load takes longer than published, before the first look.
 const LONGER: Duration = Duration::from_millis(60);
-/// Over how long demand is smoothed: the difference of the two shows where it goes. Short enough to
-/// see a shift in its first seconds, long enough that a pause of one caller moves nothing.
-const SHORT: Duration = Duration::from_millis(1_200);
-const LONG: Duration = Duration::from_millis(3_600);
-/// How far ahead the plan looks: about what a load takes, with what has to go first.
-const AHEAD: Duration = Duration::from_millis(3_500);
-/// The most that demand is taken to grow meanwhile.
-const AHEAD_MOST: f64 = 3.0;
 /// Over how long the use of adapters is smoothed.
 const SMOOTH: Duration = Duration::from_millis(1_500);
 /// Of the loads that the weight store allows, so many are begun.
@@ -110,114 +88,21 @@
 /// A report holds this long: an order of an earlier holder may have been carried out late. The
 /// table of endpoints is no source, as it takes in what this placer told.
 const BELIEVE: Duration = Duration::from_secs(3);
+/// The token of the first holder ever.
+const FIRST: u64 = 1;
+/// Loads that a holder before is taken to have begun: more than any store allows in a window here.
+const BEGUN: usize = 8;
 /// The most bytes of a report.
 const ANSWER_MAX: usize = 1 << 20;
 
-/// What the placer knows of one engine.
-#[derive(Debug, Clone)]
-struct Desk {
-    /// Orders that it has accepted; none before its first report.
-    orders: Option<u64>,
-    resident: Vec<Resident>,
-    /// Adapters on their way there, by its report.
-    coming: usize,
-    copies: Copies,
-    /// What is to come there, until it is there.
-    goal: Option<Goal>,
-    /// What its goal drops is served elsewhere too: daemons send no more of it here.
-    parting: bool,
-    /// An order is on its way.
-    sending: bool,
-    /// When the engine is looked at next, if something is under way there.
-    look: Option<Duration>,
-    /// No order is sent before.
-    rest: Duration,
-    /// Adapters to bring.
-    wants: VecDeque<(ModelId, AdapterId)>,
-    /// Adapters that were told to go while they were in use.
-    going: Vec<(ModelId, AdapterId)>,
-    changed: Duration,
-}
-
-/// A model that is to come to an engine in the place of others.
-#[derive(Debug, Clone)]
-struct Goal {
-    model: ModelId,
-    victims: Vec<ModelId>,
-    since: Duration,
-    /// Whether the load was accepted.
-    loading: bool,
-    /// Orders that the engine had accepted with it.
-    orders: u64,
-}
-
-/// An order to give next.
-#[derive(Debug, Clone, PartialEq)]
-struct Task {
-    action: Action,
-    model: ModelId,
-    adapter: Option<AdapterId>,
-}
-
-/// A decaying count.
-#[derive(Debug, Clone, Copy)]
-struct Rate {
-    count: f64,
-    at: Duration,
-    span: Duration,
-}
-
-impl Rate {
-    fn new(at: Duration, span: Duration) -> Self {
-        Rate { count: 0.0, at, span }
-    }
-
-    fn now(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.count * (-age / self.span.as_secs_f64()).exp()
-    }
-
-    /// By the second.
-    fn rate(&self, now: Duration) -> f64 {
-        self.now(now) / self.span.as_secs_f64()
-    }
-
-    fn add(&mut self, now: Duration, count: f64) {
-        self.count = self.now(now) + count;
-        self.at = now;
-    }
-}
-
-/// What a model is asked for, over a short and a long time.
-#[derive(Debug, Clone, Copy)]
-struct Trend {
-    short: Rate,
-    long: Rate,
-}
-
-impl Trend {
-    fn new(at: Duration) -> Self {
-        Trend { short: Rate::new(at, SHORT), long: Rate::new(at, LONG) }
-    }
-
-    fn add(&mut self, now: Duration, count: f64) {
-        self.short.add(now, count);
-        self.long.add(now, count);
-    }
-
-    /// What will be asked for when a load that begins now is over, if demand goes on as it does.
-    fn ahead(&self, now: Duration) -> f64 {
-        let (short, long) = (self.short.rate(now), self.long.rate(now));
-        let slope = (short - long) / (LONG - SHORT).as_secs_f64();
-        let ahead = short + slope * AHEAD.as_secs_f64();
-        ahead.clamp(0.0, short * AHEAD_MOST + 1.0)
-    }
-}
-
 /// Placement as one daemon knows it.
 pub struct Placer {
-    watch: Watch,
-    revision: u64,
+    /// The lease.
+    pub watch: Watch,
+    /// The newest revision of its object that was seen.
+    pub revision: u64,
+    /// Whether the log says that it is held.
+    pub led: bool,
     desks: BTreeMap<Key, Desk>,
     models: HashMap<ModelId, Trend>,
     adapters: HashMap<(ModelId, AdapterId), Rate>,
@@ -225,7 +110,6 @@
     unmet: HashMap<(ModelId, AdapterId), Duration>,
     /// When loads from the weight store began.
     loads: VecDeque<Duration>,
-    led: bool,
     noted: Duration,
     /// How many engines held each model when this daemon took over.
     first: HashMap<ModelId, usize>,
@@ -252,6 +136,20 @@
         }
     }
 
+    /// The lease was taken, under this token, or lost: what was known is another's or nobody's now.
+    pub fn begin(&mut self, now: Duration, token: Option<u64>, lease: Duration) {
+        self.desks.clear();
+        self.first.clear();
+        self.unmet.clear();
+        self.known = (0, now);
+        self.loads.clear();
+        if token.is_some_and(|token| token > FIRST) {
+            // The loads that the holder before began are not known: as if it had begun all it could
+            // just before its lease ran out.
+            self.loads.extend(std::iter::repeat_n(now.saturating_sub(lease), BEGUN));
+        }
+    }
+
     /// Whether this daemon may order at `now`.
     pub fn leads(&self, now: Duration) -> bool {
         self.watch.term(now).is_some()
@@ -331,124 +229,6 @@
     }
 }
 
-fn object(object: &Object) -> Option<(u64, Lease)> {
-    let lease = serde_json::from_value(object.spec.clone()).ok()?;
-    Some((object.revision, lease))
-}
-
-/// Follows the lease, and takes or renews it when that is due.
-pub async fn lease(daemon: Rc<Daemon>) {
-    let mut looked = Duration::ZERO;
-    loop {
-        let now = clock::now();
-        let leads = daemon.placer.borrow().leads(now);
-        if !leads && now >= looked + LOOK {
-            look(&daemon).await;
-            looked = clock::now();
-        }
-        let may = daemon.ready() || leads;
-        let write = if may { daemon.placer.borrow_mut().watch.write(clock::now()) } else { None };
-        if let Some(write) = write {
-            apply(&daemon, &write).await;
-        }
-        note_lead(&daemon);
-        Timer::after(STEP * 2).await;
-    }
-}
-
-async fn look(daemon: &Daemon) {
-    let now = clock::now();
-    let Ok(req) = daemon.dialect.get(Kind::Leases, LEASE, Read::Stale) else {
-        return;
-    };
-    let Ok(res) = store::ask(daemon, Kind::Leases, req).await else {
-        return;
-    };
-    let Ok(found) = daemon.dialect.got(&res) else {
-        return;
-    };
-    let found = found.as_ref().and_then(object);
-    let mut placer = daemon.placer.borrow_mut();
-    let revision = found.as_ref().map_or(0, |(revision, _)| *revision);
-    // Stale reads may be older than what is known.
-    if revision >= placer.revision {
-        placer.revision = revision;
-        placer.watch.read(now, found);
-    }
-}
-
-async fn apply(daemon: &Daemon, write: &lease::Write) {
-    let spec = serde_json::json!(write.lease);
-    let req = match write.expect {
-        None => daemon.dialect.create(Kind::Leases, LEASE, &spec),
-        Some(revision) => daemon.dialect.replace(Kind::Leases, LEASE, Some(revision), &spec),
-    };
-    let Ok(req) = req else {
-        return;
-    };
-    let Ok(res) = store::ask(daemon, Kind::Leases, req).await else {
-        return;
-    };
-    let now = clock::now();
-    let mut placer = daemon.placer.borrow_mut();
-    match daemon.dialect.written(&res) {
-        Ok(Written::Done(done)) => {
-            placer.revision = done.revision;
-            placer.watch.applied(now, done.revision, write);
-        }
-        Ok(Written::Conflict(Some(stands))) => {
-            placer.revision = stands.revision;
-            let stands = object(&stands);
-            placer.watch.refused(now, stands);
-        }
-        Ok(Written::Missing) => placer.watch.refused(now, None),
-        Ok(Written::Conflict(None) | Written::Refused) | Err(_) => {}
-    }
-}
-
-fn note_lead(daemon: &Daemon) {
-    let now = clock::now();
-    let mut placer = daemon.placer.borrow_mut();
-    let leads = placer.leads(now);
-    if leads == placer.led {
-        return;
-    }
-    placer.led = leads;
-    let lease = placer.watch.seen();
-    let token = lease.map_or(0, |lease| lease.term);
-    let holder = lease.and_then(|lease| lease.holder.as_ref());
-    let holder = holder.map(|holder| holder.address.clone()).unwrap_or_default();
-    placer.desks.clear();
-    placer.first.clear();
-    placer.unmet.clear();
-    placer.known = (0, now);
-    if leads {
-        // The loads that the holder before began are not known: as if it had begun all it could
-        // just before its lease ran out.
-        let ago = now.saturating_sub(daemon.settings.lease);
-        placer.loads = std::iter::repeat_n(ago, 8).collect();
-        if lease_is_first(token) {
-            placer.loads.clear();
-        }
-    }
-    drop(placer);
-    daemon.note(&Event::Lease { held: leads, token, holder });
-}
-
-/// Whether nobody held the lease before.
-fn lease_is_first(token: u64) -> bool {
-    token <= 1
-}
-
-/// Gives the lease back, so that another daemon takes it at once.
-pub async fn resign(daemon: &Daemon) {
-    let write = daemon.placer.borrow_mut().watch.resign(clock::now());
-    if let Some(write) = write {
-        apply(daemon, &write).await;
-        note_lead(daemon);
-    }
-}
-
 /// Places models for as long as the daemon runs.
 pub async fn steps(daemon: Rc<Daemon>) {
     loop {
@@ -485,21 +265,10 @@
     placer.desks.retain(|key, _| fleet.get(key).is_some());
     for row in engines {
         let instance = &row.instance;
-        let desk = placer.desks.entry(instance.key.clone()).or_insert_with(|| Desk {
-            orders: None,
-            resident: instance.resident.clone(),
-            coming: 0,
-            copies: instance.copies.clone(),
-            goal: None,
-            parting: false,
-            sending: false,
-            // Nothing is ordered before its first report.
-            look: Some(now),
-            rest: now,
-            wants: VecDeque::new(),
-            going: Vec::new(),
-            changed: now,
-        });
+        let desk = placer
+            .desks
+            .entry(instance.key.clone())
+            .or_insert_with(|| Desk::new(now, instance.resident.clone(), instance.copies.clone()));
         let idle = desk.look.is_none() && !desk.sending && desk.goal.is_none();
         if idle && now > desk.changed + BELIEVE {
             desk.look = Some(now);
@@ -512,7 +281,7 @@
     let mut due = Vec::new();
     for (key, desk) in &mut daemon.placer.borrow_mut().desks {
         if desk.look.is_some_and(|at| at <= now) {
-            desk.look = Some(now + POLL + ORDER);
+            desk.look = Some(now + desk::POLL + ORDER);
             due.push(key.clone());
         }
     }
@@ -533,13 +302,13 @@
             return;
         };
         let Some(report) = report else {
-            desk.look = Some(now + POLL);
+            desk.look = Some(now + desk::POLL);
             return;
         };
         // Reports lag behind: one from before the last order says nothing of it.
         let old = desk.orders.is_some_and(|orders| report.orders < orders);
         if old && now < desk.changed + BELIEVE {
-            desk.look = Some(now + POLL);
+            desk.look = Some(now + desk::POLL);
             if !desk.take_models(&report) {
                 return;
             }
@@ -554,106 +323,6 @@
     tell(daemon, key);
 }
 
-impl Desk {
-    /// Takes the models alone of a report that is older than the last order, if it is newer than
-    /// the order for the goal: adapters come and go all the time while a model loads.
-    fn take_models(&mut self, report: &Report) -> bool {
-        let Some(goal) = &self.goal else {
-            return false;
-        };
-        let held = report.resident.iter().find(|row| row.model == goal.model);
-        let Some(held) = held.filter(|_| !report.busy && report.orders >= goal.orders) else {
-            return false;
-        };
-        if !self.resident.iter().any(|row| row.model == held.model) {
-            self.resident.push(held.clone());
-        }
-        self.goal = None;
-        self.look = None;
-        true
-    }
-
-    fn take(&mut self, now: Duration, report: Report) {
-        self.orders = Some(report.orders);
-        self.copies = report.copies;
-        self.resident = report.resident;
-        self.changed = now;
-        self.coming = report.coming;
-        let under_way = report.busy || self.dropping();
-        self.look = under_way.then_some(now + POLL);
-        let held = |model: &ModelId| self.resident.iter().any(|row| row.model == *model);
-        if let Some(goal) = &mut self.goal
-            && !report.busy
-        {
-            if held(&goal.model) {
-                self.goal = None;
-            } else {
-                // The load came to nothing: it is ordered again.
-                goal.loading = false;
-            }
-        }
-    }
-
-    /// Whether an adapter that was told to go is still there.
-    fn dropping(&mut self) -> bool {
-        let resident = &self.resident;
-        let held = |model: &str, adapter: &str| {
-            let rows = resident.iter().filter(|row| row.model == model);
-            rows.flat_map(|row| &row.adapters).any(|other| other == adapter)
-        };
-        self.going.retain(|(model, adapter)| held(model, adapter));
-        !self.going.is_empty()
-    }
-
-    /// Whether a model is there and stays.
-    fn serves(&self, model: &str) -> bool {
-        !self.gives_up(model) && self.resident.iter().any(|row| row.model == model)
-    }
-
-    /// Whether a model is there and not among what its goal drops.
-    fn keeps(&self, model: &str) -> bool {
-        let mut victims = self.goal.iter().flat_map(|goal| &goal.victims);
-        !victims.any(|row| row == model) && self.resident.iter().any(|row| row.model == model)
-    }
-
-    /// Whether a model is to go from there.
-    fn gives_up(&self, model: &str) -> bool {
-        let victims = self.goal.iter().flat_map(|goal| &goal.victims);
-        self.parting && victims.into_iter().any(|row| row == model)
-    }
-
-    /// What an engine can be sent requests for.
-    fn serving(&self) -> Vec<Resident> {
-        let rows = self.resident.iter().filter(|row| self.serves(&row.model));
-        let stays = |row: &Resident, adapter: &AdapterId| {
-            !self.going.iter().any(|(model, other)| *model == row.model && other == adapter)
-        };
-        let kept = rows.map(|row| Resident {
-            model: row.model.clone(),
-            adapters: row.adapters.iter().filter(|name| stays(row, name)).cloned().collect(),
-        });
-        kept.collect()
-    }
-
-    /// The next order for its goal. What nobody else serves yet stays until it is served elsewhere.
-    fn toward(&self, last: &[ModelId]) -> Option<Task> {
-        let goal = self.goal.as_ref().filter(|goal| !goal.loading)?;
-        let held = |victim: &ModelId| self.resident.iter().any(|row| row.model == *victim);
-        if goal.victims.iter().any(|victim| last.contains(victim) && held(victim)) {
-            return None;
-        }
-        let victim = goal
-            .victims
-            .iter()
-            .find(|victim| self.resident.iter().any(|row| row.model == **victim));
-        let (action, model) = match victim {
-            Some(victim) => (Action::Unload, victim),
-            None => (Action::Load, &goal.model),
-        };
-        Some(Task { action, model: model.clone(), adapter: None })
-    }
-}
-
 async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
     let res = exchange(daemon, key, req, ORDER, || true).await.ok()?;
@@ -723,14 +392,14 @@
                 demand: placer.rate(now, &model.name).max(placer.prior(&model.name)),
             })
             .collect();
-        let room = room(engines);
+        let room = desk::room(engines);
         let rows = fleet.rows().filter(|row| {
             row.instance.service == service && row.instance.state == State::Live && row.usable(now)
         });
         let mut hosts: Vec<Host> = rows
             .filter_map(|row| {
                 let desk = placer.desks.get(&row.instance.key)?;
-                Some(host(
+                Some(desk::host(
                     desk,
                     row.instance.key.clone(),
                     fleet.region_of(&row.instance.data_center),
@@ -792,21 +461,6 @@
     }
 }
 
-fn host(desk: &Desk, key: Key, region: String, room: f64) -> Host {
-    let mut resident: Vec<ModelId> = desk.resident.iter().map(|row| row.model.clone()).collect();
-    let mut outgoing = Vec::new();
-    if let Some(goal) = &desk.goal {
-        if !resident.contains(&goal.model) {
-            resident.push(goal.model.clone());
-        }
-        outgoing.clone_from(&goal.victims);
-    }
-    let mut at_hand = desk.copies.memory.clone();
-    at_hand.extend(desk.copies.disk.iter().cloned());
-    let busy = desk.goal.is_some() || desk.orders.is_none() || desk.look.is_some();
-    Host { key, region, room, resident, outgoing, busy, at_hand }
-}
-
 /// A daemon wants an adapter at an engine.
 pub fn want(daemon: &Rc<Daemon>, key: &Key, model: &str, adapter: &str) {
     let now = clock::now();
@@ -853,42 +507,6 @@
     }
 }
 
-/// The next adapter order at an engine.
-fn adapter_task(
-    desk: &mut Desk,
-    engines: &Engines,
-    rate: impl Fn(&str, &str) -> f64,
-    starved: impl Fn(&str, &str) -> bool,
-) -> Option<Task> {
-    while let Some((model, adapter)) = desk.wants.front().cloned() {
-        if !engines.models.iter().any(|row| row.name == model) {
-            return None;
-        }
-        let row = desk.resident.iter().find(|row| row.model == model);
-        if !desk.serves(&model) || row.is_none_or(|row| row.adapters.contains(&adapter)) {
-            desk.wants.pop_front();
-            continue;
-        }
-        let held: usize = desk.resident.iter().map(|row| row.adapters.len()).sum();
-        let held = held + desk.coming;
-        if held < engines.adapters as usize {
-            return Some(Task { action: Action::Load, model, adapter: Some(adapter) });
-        }
-        let all = desk.resident.iter().flat_map(|row| {
-            row.adapters.iter().map(move |adapter| (row.model.clone(), adapter.clone()))
-        });
-        let least = all.min_by(|a, b| rate(&a.0, &a.1).total_cmp(&rate(&b.0, &b.1)))?;
-        // Dropping one that is in use takes until its last run ends, and holds up all other orders
-        // there meanwhile.
-        let due = rate(&model, &adapter) > BUSIER || starved(&model, &adapter);
-        if due || rate(&least.0, &least.1) < UNUSED {
-            return Some(Task { action: Action::Unload, model: least.0, adapter: Some(least.1) });
-        }
-        desk.wants.pop_front();
-    }
-    None
-}
-
 /// Gives an engine its next order, if one is due, in a task of its own.
 fn give(daemon: &Rc<Daemon>, now: Duration, key: &Key, engines: &Engines) {
     let task = {
@@ -902,7 +520,7 @@
             let key = (model.to_string(), adapter.to_string());
             adapters.get(&key).map_or(0.0, |rate| rate.now(now))
         };
-        let last = lasts(desks, key);
+        let last = desk::lasts(desks, key);
         let Some(desk) = desks.get_mut(key) else {
             return;
         };
@@ -914,7 +532,7 @@
         let stands = desk.goal.as_ref().is_none_or(|goal| {
             let kept = desk.resident.iter().map(|row| &row.model);
             let kept = kept.filter(|model| !goal.victims.contains(model));
-            goal.loading || (now <= goal.since + GOAL && fits(engines, kept, &goal.model))
+            goal.loading || (now <= goal.since + GOAL && desk::fits(engines, kept, &goal.model))
         });
         if !stands {
             desk.goal = None;
@@ -932,9 +550,11 @@
         // While a model comes there adapters may come too; while one goes, all else is refused.
         let loading = desk.goal.as_ref().is_some_and(|goal| goal.loading);
         let task = match (desk.look, loading) {
-            (None, _) => desk.toward(&last).or_else(|| adapter_task(desk, engines, rate, starved)),
+            (None, _) => {
+                desk.toward(&last).or_else(|| desk::adapter_task(desk, engines, rate, starved))
+            }
             (Some(_), true) => {
-                let task = adapter_task(desk, engines, rate, starved);
+                let task = desk::adapter_task(desk, engines, rate, starved);
                 task.filter(|task| task.action == Action::Load)
             }
             (Some(_), false) => None,
@@ -962,30 +582,6 @@
     daemon.ex.spawn(work).detach();
 }
 
-/// Room for weights at an engine with all its adapters, in MB.
-fn room(engines: &Engines) -> f64 {
-    let largest = engines.models.iter().map(|model| model.adapter).fold(0.0, f64::max);
-    engines.weights - largest * f64::from(engines.adapters)
-}
-
-/// Whether a model fits beside others. One whose size is not published leaves no room.
-fn fits<'a>(engines: &Engines, kept: impl Iterator<Item = &'a ModelId>, model: &ModelId) -> bool {
-    let weights = |model: &ModelId| engines.model(model).map_or(f64::INFINITY, |row| row.weights);
-    let kept: f64 = kept.filter(|other| *other != model).map(weights).sum();
-    kept + weights(model) <= room(engines)
-}
-
-/// Models at an engine that no other engine keeps.
-fn lasts(desks: &BTreeMap<Key, Desk>, key: &Key) -> Vec<ModelId> {
-    let Some(desk) = desks.get(key) else {
-        return Vec::new();
-    };
-    let models = desk.resident.iter().map(|row| row.model.clone());
-    let others =
-        |model: &ModelId| desks.iter().any(|(other, desk)| other != key && desk.keeps(model));
-    models.filter(|model| !others(model)).collect()
-}
-
 /// How long an order is expected to take once it was accepted.
 fn load_time(daemon: &Daemon, key: &Key, task: &Task, engines: &Engines) -> Duration {
     if task.adapter.is_some() {
@@ -1038,7 +634,7 @@
             // Dropped at once, which counts as an order.
             (Some(Ordered::Already), Action::Unload) => {
                 desk.accepted(now);
-                desk.drop(task);
+                desk.dropped(task);
             }
             (Some(Ordered::Already), Action::Load) => reread = true,
             (Some(Ordered::Conflict), _) => {
@@ -1076,31 +672,6 @@
     tell(daemon, key);
 }
 
-impl Desk {
-    fn accepted(&mut self, now: Duration) {
-        self.orders = self.orders.map(|orders| orders + 1);
-        self.changed = now;
-    }
-
-    fn hold(&mut self, task: &Task) {
-        let rows = self.resident.iter_mut().filter(|row| row.model == task.model);
-        for row in rows {
-            row.adapters.extend(task.adapter.clone());
-        }
-    }
-
-    fn drop(&mut self, task: &Task) {
-        match &task.adapter {
-            None => self.resident.retain(|row| row.model != task.model),
-            Some(adapter) => {
-                for row in self.resident.iter_mut().filter(|row| row.model == task.model) {
-                    row.adapters.retain(|other| other != adapter);
-                }
-            }
-        }
-    }
-}
-
 /// Sends one order; none when no answer came.
 async fn order(daemon: &Rc<Daemon>, key: &Key, task: &Task) -> Option<Ordered> {
     let began = clock::now();
