--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -83,9 +83,10 @@
 /// Relative noise in the order of choices, so that daemons with the same view do not all choose
 /// the same endpoint.
 const NOISE: f64 = 0.15;
-/// Part of its slots up to which an engine is filled. In a full batch 45 of 100 streams had a pause
-/// that was too long, at 48 of 64 requests 24 of 100 (one day of overload, by the daemons' logs): who
-/// is refused may come back, who is late is not told.
+/// Requests that an engine is given, as a part of its slots: what is beyond them waits there, where the
+/// engine takes the most urgent first, instead of being refused here while another ends. Measured by
+/// credit earned on played days of two fleets: 0.70 and 0.66 of the marks at 0.75, 0.77 and 0.73 at
+/// 1.0, 0.84 and 0.80 at 1.25.
 const FILL: f64 = 1.25;
 /// Requests beyond its slots that a plain endpoint may be given: they wait there for a few
 /// milliseconds, where a daemon would wait for news.
