Take out what is not fed: the daemon's quarantine and two kinds of lines; no circle to the settings

Cause: read as a newcomer, a table that is swept and never filled and lines that never come mislead. Quarantine of requests that crash engines stays open for the daemon. No change of behaviour.

--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -177,15 +177,6 @@
         request: String,
         took: u64,
     },
-    Peer {
-        name: String,
-        ready: bool,
-        born: u64,
-    },
-    Quarantined {
-        request: String,
-        fingerprint: u64,
-    },
     Omitted {
         kind: &'static str,
         lines: u64,
@@ -218,8 +209,6 @@
             Event::Resumed { .. } => "resumed",
             Event::Cut { .. } => "cut",
             Event::Left { .. } => "left",
-            Event::Peer { .. } => "peer",
-            Event::Quarantined { .. } => "quarantined",
             Event::Omitted { .. } => "omitted",
         }
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -42,7 +42,6 @@
 use crate::decide::allowance::Allowance;
 use crate::decide::fleet::Fleet;
 use crate::decide::line::Line;
-use crate::decide::quarantine::Quarantine;
 use crate::edge::dialect::Dialect;
 use crate::table::routing::Config;
 
@@ -70,8 +69,6 @@
     pub line: RefCell<Line<seat::Waiter>>,
     /// What may be sent again.
     pub allowance: RefCell<Allowance>,
-    /// Requests that crash endpoints.
-    pub quarantine: RefCell<Quarantine>,
     /// Other daemons.
     pub nodes: RefCell<node::Table>,
     /// What callers ask for, for the placer.
@@ -124,7 +121,6 @@
             fleet: RefCell::new(fleet),
             line: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
-            quarantine: RefCell::default(),
             nodes: RefCell::default(),
             demand: RefCell::default(),
             placer: RefCell::new(placer::Placer::new(&settings, born)),
@@ -177,7 +173,6 @@
         if now >= swept + SWEEP {
             swept = now;
             daemon.pool.borrow_mut().sweep();
-            daemon.quarantine.borrow_mut().tick(now);
         }
     }
 }
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -4,20 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use crate::decide::allowance::Retries;
 use crate::table::DataCenterId;
 use crate::table::RegionId;
 
-/// How many requests may be sent again, over all daemons.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Retries {
-    /// As a share of the requests in a window.
-    pub share: f64,
-    /// The window.
-    pub window: Duration,
-    /// So many more in each window.
-    pub slack: f64,
-}
-
 /// How many loads from the weight store may begin.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ceiling {
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -10,7 +10,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::daemon::settings::Retries;
 use crate::table::ServiceId;
 
 /// Of what is allowed, so much is used: callers' arrivals are counted here when they come, and at
@@ -19,6 +18,17 @@
 /// Buckets of a window.
 const BUCKETS: u32 = 10;
 
+/// How many requests may be sent again, over all daemons.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Retries {
+    /// As a share of the requests in a window.
+    pub share: f64,
+    /// The window.
+    pub window: Duration,
+    /// So many more in each window.
+    pub slack: f64,
+}
+
 /// Requests and repeats within one bucket.
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
