Let one piece serve where the same stood twice

Cause: read once more. A decaying count stood in gauge and trend, the choice of a load's time in seat and placer, the look whether an engine holds something in five places; a request's refusals each closed it; the directory copied each request's head; a refusal's time came wrapped in a verdict; what nobody else keeps was looked up for engines without a goal. Three times to come back had no name. Behaviour stays.

--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -11,6 +11,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::request;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -45,8 +46,9 @@
             if link::guard(&stream).is_err() {
                 return;
             }
-            let service = service_fn(move |req| {
-                let res = answer(&shared, &req);
+            let service = service_fn(move |req: Request<Incoming>| {
+                let (head, _) = req.into_parts();
+                let res = answer(&shared, &head);
                 async move { Ok::<_, Infallible>(res) }
             });
             // Its end concerns nobody but the other side.
@@ -60,23 +62,13 @@
     }
 }
 
-fn answer(daemon: &Daemon, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let (head, ()) = {
-        let mut builder = Request::builder().method(req.method()).uri(req.uri());
-        if let Some(headers) = builder.headers_mut() {
-            headers.clone_from(req.headers());
-        }
-        match builder.body(()) {
-            Ok(req) => req.into_parts(),
-            Err(_) => return reply(StatusCode::BAD_REQUEST, Bytes::new()),
-        }
-    };
-    if daemon.dialect.asks_ready(&head) {
+fn answer(daemon: &Daemon, head: &request::Parts) -> Response<Full<Bytes>> {
+    if daemon.dialect.asks_ready(head) {
         let ready = daemon.ready();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return reply(status, Bytes::new());
     }
-    if let Some(lookup) = daemon.dialect.lookup(&head) {
+    if let Some(lookup) = daemon.dialect.lookup(head) {
         let addresses = node::addresses(daemon, lookup.region.as_ref());
         if addresses.is_empty() {
             return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -19,6 +19,7 @@
 use http::Uri;
 use http::header;
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -50,6 +51,7 @@
 use crate::edge::dialect::Part;
 use crate::table::RequestId;
 use crate::table::ServiceId;
+use crate::table::instance::Key;
 use crate::table::routing::Config;
 use crate::table::routing::Kind;
 use crate::table::routing::Route;
@@ -66,7 +68,11 @@
 const SENDS: u32 = 4;
 /// When a caller comes back to a daemon that knows no configuration yet.
 const STARTING: Duration = Duration::from_millis(500);
-
+/// When a caller comes back whose time, or what may be sent again, is used up: a window of repeats
+/// has moved on a little by then.
+const SPENT: Duration = Duration::from_millis(500);
+/// When a caller comes back that endpoints have turned away: news of their loads has come by then.
+const TURNED: Duration = Duration::from_millis(300);
 /// When a caller comes back that has to ask another daemon: at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
 
@@ -273,63 +279,68 @@
     };
     daemon.open.set(daemon.open.get() + 1);
     let mut open = Open { daemon: daemon.clone(), request: caller.id.clone(), came, done: false };
+    match admit(daemon, caller, &head, body, came).await {
+        Ok(job) => run(daemon, &job, open).await,
+        Err(res) => {
+            open.done = true;
+            res
+        }
+    }
+}
+
+/// Reads a request and finds its route; else its final answer.
+async fn admit(
+    daemon: &Rc<Daemon>,
+    caller: Caller,
+    head: &http::request::Parts,
+    body: Incoming,
+    came: Duration,
+) -> Result<Rc<Job>, Response<Answer>> {
     let Some(config) = daemon.config.borrow().clone() else {
-        open.done = true;
-        return refused(daemon, &caller, "", 0, came, &starting());
+        let refusal = Refusal { reason: "no_configuration", after: STARTING };
+        return Err(refused(daemon, &caller, "", 0, came, &refusal));
     };
     let Some(route) = config.route(&caller.host, head.uri.path()).cloned() else {
-        open.done = true;
         daemon.note(&Event::Absent {
             request: caller.id.clone(),
             route: head.uri.path().to_string(),
             status: 404,
             version: config.version,
         });
-        return own(StatusCode::NOT_FOUND, "no_route");
+        return Err(own(StatusCode::NOT_FOUND, "no_route"));
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = came + patience;
-    let whole = async {
-        let read = Limited::new(body, config.limits.body).collect().await;
-        read.map(|body| Some(body.to_bytes()))
-            .map_err(|err| err.is::<http_body_util::LengthLimitError>())
-    };
-    let late = async {
-        Timer::after(patience).await;
-        Ok(None)
-    };
-    let body = match whole.or(late).await {
-        Ok(Some(body)) => body,
-        Ok(None) => {
-            open.done = true;
-            return own(StatusCode::REQUEST_TIMEOUT, "body_late");
-        }
-        Err(true) => {
-            open.done = true;
-            return own(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-        }
-        Err(false) => {
-            open.done = true;
-            return own(StatusCode::BAD_REQUEST, "body_broken");
-        }
-    };
+    let body = whole(body, config.limits.body, patience).await?;
     if let Some((began, end)) = daemon.ends.get()
         && !stop::takes(clock::now(), began, end, caller.output)
     {
-        open.done = true;
         let refusal = Refusal { reason: "stopping", after: ELSEWHERE };
-        return refused(daemon, &caller, &route.name, config.version, came, &refusal);
+        return Err(refused(daemon, &caller, &route.name, config.version, came, &refusal));
     }
-    let job = Rc::new(job(daemon, &config, route, caller, &head, body, came, deadline));
+    let job = Rc::new(job(daemon, &config, route, caller, head, body, came, came + patience));
     daemon.allowance.borrow_mut().request(came, &job.service);
     if let Some(model) = &job.caller.model {
         daemon.demand.borrow_mut().asked(model, job.caller.adapter.as_deref());
     }
-    run(daemon, &job, open).await
+    Ok(job)
 }
 
-fn starting() -> Refusal {
-    Refusal { reason: "no_configuration", after: STARTING }
+/// Reads a body of at most `max` bytes within `limit`.
+async fn whole(body: Incoming, max: usize, limit: Duration) -> Result<Bytes, Response<Answer>> {
+    let read = async {
+        match Limited::new(body, max).collect().await {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(err) if err.is::<LengthLimitError>() => {
+                Err(own(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+            }
+            Err(_) => Err(own(StatusCode::BAD_REQUEST, "body_broken")),
+        }
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(own(StatusCode::REQUEST_TIMEOUT, "body_late"))
+    };
+    read.or(late).await
 }
 
 #[expect(clippy::too_many_arguments, reason = "all parts of a request come together here, once")]
@@ -389,7 +400,7 @@
     sends: u32,
     /// Endpoints asked, reached or not.
     asked: u32,
-    tried: Vec<crate::table::instance::Key>,
+    tried: Vec<Key>,
     /// A failure of an endpoint's own, to pass on if nothing better comes.
     failure: Option<Response<Bytes>>,
     /// Why the last attempt came to nothing.
@@ -400,7 +411,7 @@
     let mut trail = Trail::default();
     loop {
         if clock::now() >= job.deadline {
-            return give_up(daemon, job, &mut open, trail, "timeout", Duration::from_millis(500));
+            return give_up(daemon, job, &mut open, trail, "timeout", SPENT);
         }
         let place = match seat::find(daemon, job, &trail.tried).await {
             Ok(place) => place,
@@ -409,14 +420,7 @@
             }
         };
         if trail.sends > 0 && !daemon.allowance.borrow_mut().repeat(clock::now(), &job.service) {
-            return give_up(
-                daemon,
-                job,
-                &mut open,
-                trail,
-                "no_allowance",
-                Duration::from_millis(500),
-            );
+            return give_up(daemon, job, &mut open, trail, "no_allowance", SPENT);
         }
         trail.asked += 1;
         let again = job.route.idempotent() && trail.ran + 1 < job.route.attempts;
@@ -452,7 +456,7 @@
         let may = trail.ran == 0 || (job.route.idempotent() && trail.ran < job.route.attempts);
         if !may || trail.asked >= SENDS {
             let reason = trail.last;
-            return give_up(daemon, job, &mut open, trail, reason, Duration::from_millis(300));
+            return give_up(daemon, job, &mut open, trail, reason, TURNED);
         }
     }
 }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -9,6 +9,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::clock;
 use crate::decide::line::Group;
+use crate::decide::trend::Rate;
 use crate::table::routing::Kind;
 
 /// Upper bounds of the latency buckets, in milliseconds.
@@ -23,13 +24,6 @@
     sum: u64,
 }
 
-/// A decaying count of events.
-#[derive(Debug, Clone, Copy)]
-struct Rate {
-    count: f64,
-    at: Duration,
-}
-
 /// What is counted beside the log's events.
 #[derive(Debug, Default)]
 pub struct Gauges {
@@ -59,15 +53,13 @@
     /// A request of a group has ended.
     pub fn ended(&self, now: Duration, group: Group) {
         let mut ends = self.ends.borrow_mut();
-        let row = ends.entry(group).or_insert(Rate { count: 0.0, at: now });
-        row.count = row.faded(now) + 1.0;
-        row.at = now;
+        ends.entry(group).or_insert(Rate::new(now, SMOOTH)).add(now, 1.0);
     }
 
     /// Requests of a group that end a second.
     pub fn rate(&self, now: Duration, group: Group) -> f64 {
         let ends = self.ends.borrow();
-        ends.get(&group).map_or(0.0, |row| row.faded(now) / SMOOTH.as_secs_f64())
+        ends.get(&group).map_or(0.0, |row| row.rate(now))
     }
 
     /// All of it, as text.
@@ -126,10 +118,3 @@
         Ok(())
     }
 }
-
-impl Rate {
-    fn faded(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.count * (-age / SMOOTH.as_secs_f64()).exp()
-    }
-}
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -41,10 +41,10 @@
 use crate::edge::dialect::Ordered;
 use crate::table::AdapterId;
 use crate::table::ModelId;
-use crate::table::instance::Copies;
 use crate::table::instance::Key;
 use crate::table::instance::Report;
 use crate::table::instance::State;
+use crate::table::instance::holds;
 use crate::table::routing::Config;
 use crate::table::routing::Engines;
 
@@ -213,8 +213,7 @@
     /// Engines that hold an adapter, or will.
     fn places(&self, want: &(ModelId, AdapterId)) -> Vec<Key> {
         let holds = |desk: &Desk| {
-            let mut rows = desk.resident.iter().filter(|row| row.model == want.0);
-            rows.any(|row| row.adapters.contains(&want.1)) || desk.wants.contains(want)
+            holds(&desk.resident, &want.0, Some(&want.1)) || desk.wants.contains(want)
         };
         self.desks.iter().filter(|(_, desk)| holds(desk)).map(|(key, _)| key.clone()).collect()
     }
@@ -358,20 +357,15 @@
 
 /// Tells all daemons what an engine holds, leaving out what is being dropped.
 fn tell(daemon: &Rc<Daemon>, key: &Key) {
-    let message = {
+    let (orders, resident) = {
         let placer = daemon.placer.borrow();
         let Some(desk) = placer.desks.get(key) else {
             return;
         };
-        Message::Holding {
-            key: key.clone(),
-            orders: desk.orders.unwrap_or(0),
-            resident: desk.serving(),
-        }
+        (desk.orders.unwrap_or(0), desk.serving())
     };
-    if let Message::Holding { key, orders, resident } = &message {
-        daemon.fleet.borrow_mut().hold(clock::now(), key, *orders, resident.clone());
-    }
+    daemon.fleet.borrow_mut().hold(clock::now(), key, orders, resident.clone());
+    let message = Message::Holding { key: key.clone(), orders, resident };
     let peers = daemon.nodes.borrow().peers();
     peer::tell(daemon, peers, message);
     seat::pump(daemon);
@@ -472,11 +466,10 @@
         let Some(desk) = placer.desks.get(key) else {
             return;
         };
-        let row = desk.resident.iter().find(|row| row.model == model);
-        let Some(row) = row else {
+        if !holds(&desk.resident, model, None) {
             return;
-        };
-        let held = row.adapters.iter().any(|other| other == adapter);
+        }
+        let held = holds(&desk.resident, model, Some(adapter));
         let want = (model.to_string(), adapter.to_string());
         let places = placer.places(&want);
         if places.is_empty() {
@@ -520,13 +513,17 @@
             let key = (model.to_string(), adapter.to_string());
             adapters.get(&key).map_or(0.0, |rate| rate.now(now))
         };
-        let last = desk::lasts(desks, key);
+        // Asked first and only for a goal: what nobody else keeps takes a look at every engine.
+        let goal = match desks.get(key) {
+            Some(desk) if !desk.sending && desk.orders.is_some() && now >= desk.rest => {
+                desk.goal.is_some()
+            }
+            _ => return,
+        };
+        let last = if goal { desk::lasts(desks, key) } else { Vec::new() };
         let Some(desk) = desks.get_mut(key) else {
             return;
         };
-        if desk.sending || desk.orders.is_none() || now < desk.rest {
-            return;
-        }
         // An order that was given up on may have been carried out since the goal was set: what it
         // brought takes the room that the goal was planned with, and the engine would crash.
         let stands = desk.goal.as_ref().is_none_or(|goal| {
@@ -563,8 +560,7 @@
             return;
         };
         desk.sending = true;
-        let cold =
-            !desk.copies.memory.contains(&task.model) && !desk.copies.disk.contains(&task.model);
+        let cold = !desk.copies.has(&task.model);
         if task.action == Action::Load && task.adapter.is_none() && cold {
             loads.push_back(now);
         }
@@ -588,22 +584,12 @@
         return ADAPTER;
     }
     let placer = daemon.placer.borrow();
-    let copies = placer.desks.get(key).map(|desk| &desk.copies);
-    let at = |list: fn(&Copies) -> &Vec<ModelId>| {
-        copies.is_some_and(|copies| list(copies).contains(&task.model))
+    let Some(desk) = placer.desks.get(key) else {
+        return Duration::ZERO;
     };
     match (task.action, engines.model(&task.model)) {
         (Action::Unload, _) | (Action::Load, None) => Duration::ZERO,
-        (Action::Load, Some(model)) => {
-            LONGER
-                + if at(|copies| &copies.memory) {
-                    model.warm
-                } else if at(|copies| &copies.disk) {
-                    model.disk
-                } else {
-                    model.cold
-                }
-        }
+        (Action::Load, Some(model)) => LONGER + model.load(&desk.copies),
     }
 }
 
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -26,6 +26,9 @@
 /// its way to the engine.
 const ORDER: Duration = Duration::from_millis(600);
 
+/// When a caller comes back that has waited here in vain: by then a round of orders is over.
+const WAITED: Duration = Duration::from_millis(500);
+
 /// A request that waits.
 #[derive(Clone)]
 pub struct Waiter {
@@ -168,11 +171,7 @@
         Some(key) => Ok(Place { daemon: daemon.clone(), key }),
         None => {
             let left = job.deadline.saturating_sub(clock::now());
-            let after = Duration::from_millis(500);
-            let verdict = patience::back(left, after, &mut daemon.rng.borrow_mut());
-            let Verdict::Refuse(after) = verdict else {
-                return Err(Refusal { reason: "waited", after });
-            };
+            let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
             Err(Refusal { reason: "waited", after })
         }
     }
@@ -208,18 +207,7 @@
     let model = config.services.get(&job.service)?.engines.as_ref()?.model(name)?.clone();
     let fleet = daemon.fleet.borrow();
     let rows = fleet.rows().filter(|row| row.instance.service == job.service);
-    let has = |list: &[String]| list.iter().any(|other| other == name);
-    let times = rows.map(|row| {
-        let copies = &row.instance.copies;
-        if has(&copies.memory) {
-            model.warm
-        } else if has(&copies.disk) {
-            model.disk
-        } else {
-            model.cold
-        }
-    });
-    times.min()
+    rows.map(|row| model.load(&row.instance.copies)).min()
 }
 
 /// Gives places to requests that wait, in order.
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -18,6 +18,7 @@
 use crate::table::instance::Key;
 use crate::table::instance::Report;
 use crate::table::instance::Resident;
+use crate::table::instance::holds;
 use crate::table::routing::Engines;
 
 /// An adapter that was asked for less than this often lately, counted with a decay over `SMOOTH`, is
@@ -145,23 +146,19 @@
     /// Whether an adapter that was told to go is still there.
     pub fn dropping(&mut self) -> bool {
         let resident = &self.resident;
-        let held = |model: &str, adapter: &str| {
-            let rows = resident.iter().filter(|row| row.model == model);
-            rows.flat_map(|row| &row.adapters).any(|other| other == adapter)
-        };
-        self.going.retain(|(model, adapter)| held(model, adapter));
+        self.going.retain(|(model, adapter)| holds(resident, model, Some(adapter)));
         !self.going.is_empty()
     }
 
     /// Whether a model is there and stays.
     pub fn serves(&self, model: &str) -> bool {
-        !self.gives_up(model) && self.resident.iter().any(|row| row.model == model)
+        !self.gives_up(model) && holds(&self.resident, model, None)
     }
 
     /// Whether a model is there and not among what its goal drops.
     pub fn keeps(&self, model: &str) -> bool {
         let mut victims = self.goal.iter().flat_map(|goal| &goal.victims);
-        !victims.any(|row| row == model) && self.resident.iter().any(|row| row.model == model)
+        !victims.any(|row| row == model) && holds(&self.resident, model, None)
     }
 
     /// Whether a model is to go from there.
@@ -186,14 +183,11 @@
     /// The next order for its goal. What nobody else serves yet stays until it is served elsewhere.
     pub fn toward(&self, last: &[ModelId]) -> Option<Task> {
         let goal = self.goal.as_ref().filter(|goal| !goal.loading)?;
-        let held = |victim: &ModelId| self.resident.iter().any(|row| row.model == *victim);
+        let held = |victim: &ModelId| holds(&self.resident, victim, None);
         if goal.victims.iter().any(|victim| last.contains(victim) && held(victim)) {
             return None;
         }
-        let victim = goal
-            .victims
-            .iter()
-            .find(|victim| self.resident.iter().any(|row| row.model == **victim));
+        let victim = goal.victims.iter().find(|victim| held(victim));
         let (action, model) = match victim {
             Some(victim) => (Action::Unload, victim),
             None => (Action::Load, &goal.model),
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -28,6 +28,7 @@
 use crate::table::instance::Key;
 use crate::table::instance::Resident;
 use crate::table::instance::State;
+use crate::table::instance::holds;
 
 /// Milliseconds that a request is worth waiting to stay off the link between regions: bytes there
 /// cost about a fiftieth of a request, a late answer seven tenths.
@@ -196,12 +197,7 @@
 
     /// Whether it holds a model, and with it the adapter.
     pub fn holds(&self, now: Duration, model: &str, adapter: Option<&str>) -> bool {
-        let resident = self.instance.resident.iter().find(|row| row.model == model);
-        let Some(resident) = resident else {
-            return false;
-        };
-        let has = adapter.is_none_or(|name| resident.adapters.iter().any(|other| other == name));
-        has && !self.lacked(now, model, adapter)
+        holds(&self.instance.resident, model, adapter) && !self.lacked(now, model, adapter)
     }
 
     fn lacked(&self, now: Duration, model: &str, adapter: Option<&str>) -> bool {
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -64,19 +64,27 @@
         Cause::Full { ahead, rate } => {
             let until = held.came + held.aim.min(left).mul_f64(SENT);
             let wait = Duration::from_secs_f64(((ahead as f64 + 1.0) / rate.max(0.5)).min(60.0));
-            if now + wait <= until { Verdict::Wait(until) } else { back(left, wait, rng) }
+            if now + wait <= until {
+                Verdict::Wait(until)
+            } else {
+                Verdict::Refuse(back(left, wait, rng))
+            }
         }
         Cause::Loading(eta) => {
             let share = left.mul_f64(BRING);
-            if eta <= share { Verdict::Wait(now + share) } else { back(left, eta, rng) }
+            if eta <= share {
+                Verdict::Wait(now + share)
+            } else {
+                Verdict::Refuse(back(left, eta, rng))
+            }
         }
-        Cause::Nothing => back(left, Duration::from_secs(1), rng),
+        Cause::Nothing => Verdict::Refuse(back(left, Duration::from_secs(1), rng)),
     }
 }
 
-/// A refusal; the time is spread so that callers do not all come back at once.
-pub fn back(left: Duration, after: Duration, rng: &mut SmallRng) -> Verdict {
+/// When a refused caller comes back; spread so that they do not all come at once.
+pub fn back(left: Duration, after: Duration, rng: &mut SmallRng) -> Duration {
     let spread = rng.random_range(0.9..1.2);
     let most = left.mul_f64(HEEDED).max(SOON);
-    Verdict::Refuse(after.mul_f64(spread).clamp(SOON, most))
+    after.mul_f64(spread).clamp(SOON, most)
 }
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -39,6 +39,12 @@
     pub adapters: Vec<AdapterId>,
 }
 
+/// Whether a model is among what an engine holds, and with it the adapter where one is named.
+pub fn holds(resident: &[Resident], model: &str, adapter: Option<&str>) -> bool {
+    let row = resident.iter().find(|row| row.model == model);
+    row.is_some_and(|row| adapter.is_none_or(|name| row.adapters.iter().any(|other| other == name)))
+}
+
 /// Copies of weights that load faster than from the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Copies {
@@ -48,6 +54,13 @@
     pub disk: Vec<ModelId>,
 }
 
+impl Copies {
+    /// Whether a model loads faster than from the store.
+    pub fn has(&self, model: &ModelId) -> bool {
+        self.memory.contains(model) || self.disk.contains(model)
+    }
+}
+
 /// An endpoint as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Instance {
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -6,6 +6,7 @@
 
 use crate::table::ModelId;
 use crate::table::ServiceId;
+use crate::table::instance::Copies;
 
 /// What may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
@@ -87,6 +88,19 @@
     pub warm: Duration,
 }
 
+impl Model {
+    /// How long a load takes at an engine with these copies at hand.
+    pub fn load(&self, copies: &Copies) -> Duration {
+        if copies.memory.contains(&self.name) {
+            self.warm
+        } else if copies.disk.contains(&self.name) {
+            self.disk
+        } else {
+            self.cold
+        }
+    }
+}
+
 /// What all engines of a service have in common.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engines {
