Bound the prompt tokens that an engine is sent within a pause, over all daemons

Cause: streams are late because prompts of others hold them up. The engine has room for all of it; the prompts come in clumps. Ruled out: the number of streams alone (at 24 to 32 of 64 slots nine in ten are on time). Change: decide::prefill, a window of what was sent to each engine; a request beyond its budget counts the wait as a cost, goes elsewhere or waits for the clump to be read; daemons tell each other what they send. One that cannot wait within its aim goes all the same. Tests: decide_prefill (an engine that reads prompts between steps: late windows 1.6 in a hundred without, under a twentieth of that with).

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -97,6 +97,8 @@
     pub open: Cell<usize>,
     /// Rung when idle connections of callers are to close.
     pub closing: Bell,
+    /// When those who wait are looked at next, if that is due.
+    pub pump_at: Cell<Option<Duration>>,
     next: Cell<u64>,
 }
 
@@ -135,6 +137,7 @@
             listed: Cell::new(false),
             open: Cell::new(0),
             closing: Bell::new(),
+            pump_at: Cell::new(None),
             next: Cell::new(1),
             ex,
             dialect,
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -80,6 +80,13 @@
         /// The adapter.
         adapter: AdapterId,
     },
+    /// Prompts were sent to an engine.
+    Sent {
+        /// The engine.
+        key: Key,
+        /// Tokens that it has to read.
+        tokens: u32,
+    },
     /// What an engine holds, by the placer's knowledge.
     Holding {
         /// The engine.
@@ -255,6 +262,14 @@
     tell(daemon, told, message);
 }
 
+/// Tells others what an engine has to read, so that all together send it no more than it reads in
+/// the pause that its streams may have.
+pub fn say_sent(daemon: &Rc<Daemon>, key: &Key, tokens: u32) {
+    let peers = daemon.nodes.borrow().peers();
+    let told = peers.into_iter().choose_multiple(&mut *daemon.rng.borrow_mut(), TOLD);
+    tell(daemon, told, Message::Sent { key: key.clone(), tokens });
+}
+
 /// Hears other daemons.
 pub async fn hear(daemon: Rc<Daemon>) {
     let mut buf = vec![0_u8; 2 * LARGEST];
@@ -289,6 +304,7 @@
         Message::History { models } => {
             daemon.placer.borrow_mut().demand.merge(now, models);
         }
+        Message::Sent { key, tokens } => daemon.fleet.borrow_mut().sent(now, &key, tokens),
         Message::Want { key, model, adapter } => {
             placer::want(daemon, &key, &model, &adapter);
         }
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -88,6 +88,7 @@
             places: self.places,
             prompt: self.caller.prompt,
             parts: &self.parts,
+            gap: self.route.gap,
             tried,
         }
     }
@@ -112,10 +113,17 @@
     matches!(choice, Choice::Go(_))
 }
 
-fn start(daemon: &Daemon, now: Duration, job: &Job, key: &Key) {
-    let mut fleet = daemon.fleet.borrow_mut();
-    job.unread.set(fleet.unread(key, &job.ask(&[])));
-    fleet.start(now, key, &job.parts);
+fn start(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: &Key) {
+    let unread = {
+        let mut fleet = daemon.fleet.borrow_mut();
+        let unread = fleet.unread(key, &job.ask(&[]));
+        fleet.start(now, key, &job.parts, unread);
+        unread
+    };
+    job.unread.set(unread);
+    if job.engines {
+        peer::say_sent(daemon, key, unread);
+    }
 }
 
 /// Takes a place for a request.
@@ -145,7 +153,13 @@
     let cause = cause(daemon, now, job, &choice, ahead);
     let held = Held { came: job.came, aim: job.route.aim, deadline: job.deadline };
     let verdict = patience::judge(now, &held, cause, &mut daemon.rng.borrow_mut());
+    if let Choice::Pace(span) = choice {
+        pump_after(daemon, now, span);
+    }
     let until = match verdict {
+        Verdict::Refuse(_) if matches!(choice, Choice::Pace(_)) => {
+            return unpaced(daemon, now, job, tried);
+        }
         Verdict::Refuse(after) => return Err(Refusal { reason: reason(&choice), after }),
         Verdict::Wait(until) => until.min(job.deadline),
     };
@@ -169,6 +183,7 @@
     };
     match come.or(over).await {
         Some(key) => Ok(Place { daemon: daemon.clone(), key }),
+        None if matches!(choice, Choice::Pace(_)) => unpaced(daemon, clock::now(), job, tried),
         None => {
             let left = job.deadline.saturating_sub(clock::now());
             let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
@@ -177,9 +192,46 @@
     }
 }
 
+/// A place for a request that cannot wait any longer for others' prompts to be read.
+fn unpaced(
+    daemon: &Rc<Daemon>,
+    now: Duration,
+    job: &Rc<Job>,
+    tried: &[Key],
+) -> Result<Place, Refusal> {
+    let ask = Ask { gap: None, ..job.ask(tried) };
+    let choice = daemon.fleet.borrow().choose(now, &ask, job.engines, &mut daemon.rng.borrow_mut());
+    match choice {
+        Choice::Go(key) => Ok(take(daemon, now, job, key)),
+        other => {
+            let left = job.deadline.saturating_sub(now);
+            let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
+            Err(Refusal { reason: reason(&other), after })
+        }
+    }
+}
+
+/// Looks at those who wait once prompts have been read.
+fn pump_after(daemon: &Rc<Daemon>, now: Duration, span: Duration) {
+    let due = now + span;
+    if daemon.pump_at.get().is_some_and(|at| now < at && at <= due) {
+        return;
+    }
+    daemon.pump_at.set(Some(due));
+    let shared = daemon.clone();
+    let look = async move {
+        Timer::after(span).await;
+        if shared.pump_at.get() == Some(due) {
+            shared.pump_at.set(None);
+        }
+        pump(&shared);
+    };
+    daemon.ex.spawn(look).detach();
+}
+
 fn reason(choice: &Choice) -> &'static str {
     match choice {
-        Choice::Go(_) | Choice::Full => "full",
+        Choice::Go(_) | Choice::Pace(_) | Choice::Full => "full",
         Choice::Fetch(_) => "adapter_absent",
         Choice::Absent => "model_absent",
         Choice::Empty => "no_endpoint",
@@ -191,6 +243,7 @@
         Choice::Go(_) | Choice::Full => {
             Cause::Full { ahead, rate: daemon.gauges.rate(now, job.group) }
         }
+        Choice::Pace(wait) => Cause::Paced(*wait),
         Choice::Fetch(_) => Cause::Loading(ORDER / 4),
         Choice::Absent => match load_time(daemon, job) {
             Some(time) => Cause::Loading(time + ORDER),
@@ -238,6 +291,10 @@
                 peer::want(daemon, &key, job);
                 stuck.insert(group);
             }
+            Choice::Pace(span) => {
+                pump_after(daemon, now, span);
+                stuck.insert(group);
+            }
             Choice::Full | Choice::Absent | Choice::Empty => {
                 stuck.insert(group);
             }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -20,6 +20,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use crate::decide::prefill::READS;
+use crate::decide::prefill::Window;
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::DataCenterId;
@@ -35,8 +37,6 @@
 const FAR: f64 = 25.0;
 /// The same for a link between data centers of a region.
 const ACROSS: f64 = 3.0;
-/// Prompt tokens that an engine reads in a millisecond, where nothing better is known.
-const READS: f64 = 38.0;
 /// Part of an engine's slots up to which its streams are on time.
 const COMFORT: f64 = 0.375;
 /// Milliseconds that stand for the lateness of streams when so many run; it grows with the cube.
@@ -108,6 +108,8 @@
     pub prompt: u32,
     /// Hashes of the prompt's beginnings, each with the tokens of its last part.
     pub parts: &'a [Part],
+    /// The longest pause that streams may have; none where prompts hold up nothing.
+    pub gap: Option<Duration>,
     /// Endpoints that it failed at.
     pub tried: &'a [Key],
 }
@@ -119,6 +121,8 @@
     Go(Key),
     /// Nowhere until the adapter is at this endpoint, which holds the model.
     Fetch(Key),
+    /// Nowhere for so long: an endpoint is best that has prompts enough to read until then.
+    Pace(Duration),
     /// Nowhere for now: all that could take it are full.
     Full,
     /// Nowhere: no endpoint in use holds the model.
@@ -164,6 +168,8 @@
     /// Models and adapters that it refused as not held.
     lacks: HashMap<(String, Option<String>), Duration>,
     parts: HashMap<u64, Duration>,
+    /// Prompts that all daemons sent there lately.
+    prompts: Window,
     /// Adapters that were asked for there, and since when.
     wanted: HashMap<String, Duration>,
     /// Missing from the store since then.
@@ -374,7 +380,7 @@
     ) -> Choice {
         let mut any = false;
         let mut held = false;
-        let mut best: Option<(f64, &Endpoint, bool)> = None;
+        let mut best: Option<(f64, &Endpoint, bool, Duration)> = None;
         for row in self.rows.values() {
             if row.instance.service != ask.service || !row.usable(now) {
                 continue;
@@ -392,22 +398,27 @@
             }
             let fetch = if ready { 0.0 } else { fetch_cost(now, row, ask) };
             let noise = 1.0 + rng.random_range(0.0..NOISE);
-            let cost = (row.cost(now, ask, engines) + fetch) * noise;
-            if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-                best = Some((cost, row, ready));
+            let gap = ask.gap.filter(|_| engines);
+            let pace =
+                gap.map_or(Duration::ZERO, |gap| row.prompts.wait(now, gap, row.unread(ask)));
+            let cost = row.cost(now, ask, engines) + pace.as_secs_f64() * 1000.0 + fetch;
+            let cost = cost * noise;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, row, ready, pace));
             }
         }
         match best {
-            Some((_, row, true)) => Choice::Go(row.instance.key.clone()),
-            Some((_, row, false)) => Choice::Fetch(row.instance.key.clone()),
+            Some((_, row, false, _)) => Choice::Fetch(row.instance.key.clone()),
+            Some((_, _, true, pace)) if !pace.is_zero() => Choice::Pace(pace),
+            Some((_, row, true, _)) => Choice::Go(row.instance.key.clone()),
             None if held => Choice::Full,
             None if any => Choice::Absent,
             None => Choice::Empty,
         }
     }
 
-    /// A request goes there.
-    pub fn start(&mut self, now: Duration, key: &Key, parts: &[Part]) {
+    /// A request goes there, with so many prompt tokens to read.
+    pub fn start(&mut self, now: Duration, key: &Key, parts: &[Part], unread: u32) {
         let Some(row) = self.rows.get_mut(key) else {
             return;
         };
@@ -415,6 +426,7 @@
             row.heard = now;
         }
         row.running += 1;
+        row.prompts.add(now, unread);
         if row.parts.len() > PARTS {
             let mut times: Vec<Duration> = row.parts.values().copied().collect();
             times.sort_unstable();
@@ -426,6 +438,13 @@
         }
     }
 
+    /// Another daemon sent prompts there.
+    pub fn sent(&mut self, now: Duration, key: &Key, tokens: u32) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.prompts.add(now, tokens);
+        }
+    }
+
     /// An adapter is asked for there.
     pub fn want(&mut self, now: Duration, key: &Key, adapter: &str) {
         if let Some(row) = self.rows.get_mut(key) {
@@ -581,6 +600,7 @@
         downs: 0,
         lacks: HashMap::new(),
         parts: HashMap::new(),
+        prompts: Window::default(),
         wanted: HashMap::new(),
         lapsed: None,
         left: false,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod patience;
 pub mod place;
 pub mod pool;
+pub mod prefill;
 pub mod prefix;
 pub mod quarantine;
 pub mod queue;
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -31,6 +31,8 @@
         /// Requests that end a second there.
         rate: f64,
     },
+    /// All engines that hold what it needs have prompts enough to read for so long.
+    Paced(Duration),
     /// Something has to be loaded first, within this time.
     Loading(Duration),
     /// There is nothing to send it to.
@@ -70,6 +72,14 @@
                 Verdict::Refuse(back(left, wait, rng))
             }
         }
+        Cause::Paced(wait) => {
+            let until = held.came + held.aim.min(left).mul_f64(SENT);
+            if now + wait <= until {
+                Verdict::Wait(until)
+            } else {
+                Verdict::Refuse(back(left, wait, rng))
+            }
+        }
         Cause::Loading(eta) => {
             let share = left.mul_f64(BRING);
             if eta <= share {
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -66,7 +66,16 @@
 }
 
 fn ask<'a>(model: &'a str, adapter: Option<&'a str>, tried: &'a [Key]) -> Ask<'a> {
-    Ask { service: "llm", model: Some(model), adapter, places: 8, prompt: 700, parts: &[], tried }
+    Ask {
+        service: "llm",
+        model: Some(model),
+        adapter,
+        places: 8,
+        prompt: 700,
+        parts: &[],
+        gap: None,
+        tried,
+    }
 }
 
 fn choose(fleet: &Fleet, now: Duration, ask: &Ask<'_>) -> Choice {
@@ -85,7 +94,7 @@
         fleet(&[instance("near", 1, "a1", &[("m", &[])]), instance("far", 1, "b1", &[("m", &[])])]);
     assert_eq!(choose(&fleet, ms(1), &ask("m", None, &[])), go("near"));
     for _ in 0..50 {
-        fleet.start(ms(1), &key("near", 1), &[]);
+        fleet.start(ms(1), &key("near", 1), &[], 0);
     }
     assert_eq!(choose(&fleet, ms(1), &ask("m", None, &[])), go("far"));
 }
@@ -216,7 +225,7 @@
         let mut fleet = fleet(&rows);
         for (name, load) in names.iter().zip(&loads) {
             for _ in 0..*load {
-                fleet.start(ms(0), &key(name, 1), &[]);
+                fleet.start(ms(0), &key(name, 1), &[], 0);
             }
         }
         let tried = [key("e0", 1)];
--- /dev/null
+++ b/tests/decide_prefill.rs
@@ -0,0 +1,101 @@
+//! How prompts that come in clumps are spread: seen from the pauses of the streams that run beside
+//! them.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use poplarmux::decide::prefill;
+use poplarmux::decide::prefill::Window;
+
+const GAP: Duration = Duration::from_millis(150);
+const PROMPT: u32 = 570;
+/// Prompts a second of all callers together: the engine spends four tenths of its time on them.
+const RATE: f64 = 27.0;
+/// Tokens of an event, each of which takes a step of the engine.
+const EVENT: usize = 6;
+/// A step without prompts, in milliseconds.
+const STEP: f64 = 5.9;
+/// Tokens that one step reads at most.
+const CHUNK: f64 = 2_048.0;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// An engine that reads prompts between the steps of its streams, by the millisecond.
+struct Engine {
+    at: f64,
+    queued: f64,
+    steps: Vec<f64>,
+}
+
+impl Engine {
+    /// Works until then.
+    fn run(&mut self, until: f64) {
+        while self.at < until {
+            let read = self.queued.min(CHUNK);
+            self.queued -= read;
+            let took = STEP + read / prefill::READS;
+            self.at += took;
+            self.steps.push(took);
+        }
+    }
+
+    /// Share of events that came later than allowed after the one before.
+    fn late(&self) -> f64 {
+        let events = self.steps.windows(EVENT).map(|steps| steps.iter().sum::<f64>());
+        let gap = GAP.as_secs_f64() * 1000.0;
+        let late = events.clone().filter(|took| *took > gap).count();
+        late as f64 / events.count() as f64
+    }
+}
+
+/// Callers at random moments for a minute; the longest wait of one of them.
+fn play(bound: bool) -> (f64, Duration) {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut engine = Engine { at: 0.0, queued: 0.0, steps: Vec::new() };
+    let mut window = Window::default();
+    let (mut now, mut sent, mut longest) = (0.0, 0.0_f64, Duration::ZERO);
+    while now < 60_000.0 {
+        now += -rng.random::<f64>().ln() * 1000.0 / RATE;
+        // Those who wait stand in line: nobody is sent before the one ahead.
+        sent = sent.max(now);
+        let at = Duration::from_secs_f64(sent / 1000.0);
+        let wait = if bound { window.wait(at, GAP, PROMPT) } else { Duration::ZERO };
+        sent += wait.as_secs_f64() * 1000.0;
+        longest = longest.max(Duration::from_secs_f64((sent - now) / 1000.0));
+        window.add(Duration::from_secs_f64(sent / 1000.0), PROMPT);
+        engine.run(sent);
+        engine.queued += f64::from(PROMPT);
+    }
+    (engine.late(), longest)
+}
+
+/// Callers come at random, at a rate that the engine bears well. Seven prompts that happen to come
+/// together are read between two events of every stream there, and each of these streams is late.
+/// Spread over a few more milliseconds, they hold up none, and the one who waits longest is still
+/// answered in time.
+#[test]
+fn a_clump_of_prompts_holds_up_no_stream() {
+    let (unbound, _) = play(false);
+    let (bound, longest) = play(true);
+    // Of streams of thirty events that is a third.
+    assert!(unbound > 0.015, "{unbound}");
+    assert!(bound < unbound / 20.0, "{bound} {unbound}");
+    assert!(longest < ms(300), "{longest:?}");
+}
+
+/// A prompt that alone is over the budget goes when nothing else was sent lately; held until it
+/// fits, it would never go.
+#[test]
+fn a_prompt_larger_than_the_budget_goes_alone() {
+    let mut window = Window::default();
+    let large = prefill::budget(GAP) * 3;
+    assert_eq!(window.wait(ms(0), GAP, large), ms(0));
+    window.add(ms(10), 100);
+    assert_eq!(window.wait(ms(20), GAP, large), ms(140));
+    assert_eq!(window.wait(ms(160), GAP, large), ms(0));
+}
