Let all copies but one of a model that is left go at once; place when engines have registered

Each took the others' copies for gone, so each waited until a new copy had loaded elsewhere, 6 s, and 340 requests at once waited for the model that was to come. And at the start the first engine to register was taken for all once it had been alone for 0.7 s: models that stood on later ones were loaded. Ruled out: late orders, conflicts (none in that time), the limit of loads. Change: a copy counts as serving until its engine begins to drop it; placement settles 1.5 s after the last engine came, and what engines held at first is counted anew with each.

--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -17,8 +17,8 @@
 /// Requests at once that are expected of each copy that engines held before any request came.
 const PRIOR: f64 = 10.0;
 /// So long the number of engines must stand before models are placed: at a start they register one
-/// after the other, and a model that seems to be nowhere is on the next one.
-const SETTLE: Duration = Duration::from_millis(700);
+/// after the other, up to a heartbeat apart, and a model that seems to be nowhere is on the next one.
+const SETTLE: Duration = Duration::from_millis(1_500);
 /// Over how long the use of adapters is smoothed.
 const SMOOTH: Duration = Duration::from_millis(1_500);
 
@@ -93,6 +93,9 @@
     ) -> bool {
         if self.known.0 != engines {
             self.known = (engines, now);
+            if !self.begun() {
+                self.first.clear();
+            }
         }
         if engines == 0 || (now < self.known.1 + SETTLE && !self.begun()) {
             return false;
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -194,12 +194,6 @@
         !self.gives_up(model) && holds(&self.resident, model, None)
     }
 
-    /// Whether a model is there and not among what its goal drops.
-    pub fn keeps(&self, model: &str) -> bool {
-        let mut victims = self.goal.iter().flat_map(|goal| &goal.victims);
-        !victims.any(|row| row == model) && holds(&self.resident, model, None)
-    }
-
     /// Whether a model is to go from there.
     pub fn gives_up(&self, model: &str) -> bool {
         let victims = self.goal.iter().flat_map(|goal| &goal.victims);
@@ -338,13 +332,15 @@
     kept + weights(model) <= room(engines)
 }
 
-/// Models at an engine that no other engine keeps.
+/// Models at an engine that no other engine serves. Another that is to drop one as well still serves it
+/// until it begins to: were it counted out before, of several engines that are to drop a model whose
+/// callers have left, each would wait for another copy to be loaded.
 pub fn lasts(desks: &BTreeMap<Key, Desk>, key: &Key) -> Vec<ModelId> {
     let Some(desk) = desks.get(key) else {
         return Vec::new();
     };
     let models = desk.resident.iter().map(|row| row.model.clone());
     let others =
-        |model: &ModelId| desks.iter().any(|(other, desk)| other != key && desk.keeps(model));
+        |model: &ModelId| desks.iter().any(|(other, desk)| other != key && desk.serves(model));
     models.filter(|model| !others(model)).collect()
 }
--- a/tests/decide_desk.rs
+++ b/tests/decide_desk.rs
@@ -1,5 +1,6 @@
 //! What one engine is ordered next, and where demand goes: seen from what engines can bear.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use poplarmux::decide::desk;
@@ -9,6 +10,7 @@
 use poplarmux::decide::trend::Trend;
 use poplarmux::edge::dialect::Action;
 use poplarmux::table::instance::Copies;
+use poplarmux::table::instance::Key;
 use poplarmux::table::instance::Report;
 use poplarmux::table::instance::Resident;
 use poplarmux::table::routing::Engines;
@@ -94,6 +96,25 @@
     assert_eq!(desk.toward(&["a".to_string()]), None);
 }
 
+/// Callers leave a model, and all three engines that hold it are to drop it for one that is short. Two
+/// do so at once, one after the other; the last copy stays until the model is served elsewhere. Each
+/// took the others for gone and waited six seconds for a load, while callers of the other were refused.
+#[test]
+fn all_copies_but_one_go_at_once() {
+    let key = |at: u64| Key { id: format!("e{at}"), born: 1 };
+    let mut desks: BTreeMap<Key, Desk> = (0..3)
+        .map(|at| (key(at), Desk { goal: Some(goal("c", &["a"])), ..engine(&[("a", &[])]) }))
+        .collect();
+    for at in 0..3 {
+        let last = desk::lasts(&desks, &key(at));
+        let desk = desks.get_mut(&key(at)).expect("known");
+        desk.parting = desk.toward(&last).is_some();
+        assert_eq!(desk.parting, at < 2, "engine {at}");
+    }
+    desks.insert(key(3), engine(&[("a", &[])]));
+    assert!(desk::lasts(&desks, &key(2)).is_empty());
+}
+
 /// An order that was given up on is carried out seconds later and brings a model. The goal that was
 /// planned with that room no longer fits.
 #[test]
