Split the placer: calls to engines in a module of their own

Cause: daemon/placer.rs had 693 lines with planning, the orders' life and the calls in one file. Change: reports and orders as calls move to daemon::engine; no change of behaviour.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod directory;
+pub mod engine;
 pub mod front;
 pub mod gauge;
 pub mod journal;
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -8,18 +8,15 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::Request;
 use smol::Timer;
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::engine;
 use crate::daemon::journal::Event;
-use crate::daemon::link;
-use crate::daemon::link::Link;
 use crate::daemon::peer;
 use crate::daemon::peer::Message;
 use crate::daemon::seat;
@@ -36,12 +33,10 @@
 use crate::decide::spread::Host;
 use crate::decide::spread::Need;
 use crate::edge::dialect::Action;
-use crate::edge::dialect::Order;
 use crate::edge::dialect::Ordered;
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::instance::Key;
-use crate::table::instance::Report;
 use crate::table::instance::State;
 use crate::table::instance::holds;
 use crate::table::routing::Config;
@@ -66,11 +61,6 @@
 const GOAL: Duration = Duration::from_secs(9);
 /// Time between two steps of the placer.
 const STEP: Duration = Duration::from_millis(100);
-/// How long an order for a model, or a report, may take to be answered.
-const ORDER: Duration = Duration::from_millis(900);
-/// The same for an adapter: callers wait for it, and the number of orders that each names makes
-/// sending again safe. Several times the way there and back between regions.
-const ADAPTER_ORDER: Duration = Duration::from_millis(300);
 /// How long an adapter takes to be there once the order was accepted.
 const ADAPTER: Duration = Duration::from_millis(15);
 /// How long an unload takes that waits for streams: half of what the longest take.
@@ -89,8 +79,6 @@
 const FIRST: u64 = 1;
 /// Loads that a holder before is taken to have begun: more than any store allows in a window here.
 const BEGUN: usize = 8;
-/// The most bytes of a report.
-const ANSWER_MAX: usize = 1 << 20;
 
 /// Placement as one daemon knows it.
 pub struct Placer {
@@ -169,6 +157,11 @@
         self.demand.settled(now, known, resident)
     }
 
+    /// What is known of an engine.
+    pub fn desk(&self, key: &Key) -> Option<&Desk> {
+        self.desks.get(key)
+    }
+
     /// Engines that hold an adapter, or will.
     fn places(&self, want: &(ModelId, AdapterId)) -> Vec<Key> {
         let holds = |desk: &Desk| {
@@ -249,7 +242,7 @@
     let mut due = Vec::new();
     for (key, desk) in &mut daemon.placer.borrow_mut().desks {
         if desk.look.is_some_and(|at| at <= now) {
-            desk.look = Some(now + desk::POLL + ORDER);
+            desk.look = Some(now + desk::POLL + engine::ORDER);
             due.push(key.clone());
         }
     }
@@ -261,7 +254,7 @@
 
 /// Reads an engine's report into its desk, and tells what it holds.
 async fn refresh(daemon: &Rc<Daemon>, key: &Key) {
-    let report = report(daemon, key).await;
+    let report = engine::report(daemon, key).await;
     let now = clock::now();
     if report.as_ref().is_some_and(|report| report.born.is_some_and(|born| born != key.born)) {
         // Its entry outlives a crash by some heartbeats; planned with, it would be given models that
@@ -297,37 +290,6 @@
     tell(daemon, key);
 }
 
-async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
-    let req = daemon.dialect.report(&key.id).ok()?;
-    let res = exchange(daemon, key, req, ORDER, || Some(ORDER)).await.ok()?;
-    daemon.dialect.reported(&res).ok()
-}
-
-/// One call to an engine; right before it leaves `left` says how long it may be under way, if at all.
-async fn exchange(
-    daemon: &Rc<Daemon>,
-    key: &Key,
-    req: Request<bytes::Bytes>,
-    limit: Duration,
-    left: impl Fn() -> Option<Duration>,
-) -> Result<http::Response<bytes::Bytes>, link::Error> {
-    let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
-    let addr = addr.ok_or(link::Error::Connect)?;
-    let mut link = open(daemon, addr).await?;
-    let left = left().ok_or(link::Error::Unsent)?;
-    let res = link.call(req, ANSWER_MAX, limit.min(left)).await?;
-    daemon.pool.borrow_mut().give(addr, link, None);
-    Ok(res)
-}
-
-async fn open(daemon: &Rc<Daemon>, addr: SocketAddr) -> Result<Link, link::Error> {
-    let kept = daemon.pool.borrow_mut().take(addr);
-    match kept {
-        Some(link) => Ok(link),
-        None => link::dial(&daemon.ex, addr, ORDER).await,
-    }
-}
-
 /// Tells all daemons what an engine holds, leaving out what is being dropped, if that is news.
 fn tell(daemon: &Rc<Daemon>, key: &Key) {
     let now = clock::now();
@@ -569,7 +531,7 @@
 
 /// Gives one order and takes in what the engine says.
 async fn carry_out(daemon: &Rc<Daemon>, key: &Key, task: &Task, expect: u64, time: Duration) {
-    let ordered = order(daemon, key, task, expect).await;
+    let ordered = engine::order(daemon, key, task, expect).await;
     let now = clock::now();
     let adapter = task.adapter.is_some();
     let mut reread = false;
@@ -635,59 +597,3 @@
     }
     tell(daemon, key);
 }
-
-/// Sends one order; none when no answer came.
-async fn order(daemon: &Rc<Daemon>, key: &Key, task: &Task, expect: u64) -> Option<Ordered> {
-    let began = clock::now();
-    let holds = {
-        let placer = daemon.placer.borrow();
-        let desk = placer.desks.get(key)?;
-        desk.resident.iter().map(|row| row.model.clone()).collect()
-    };
-    let token = daemon.placer.borrow().watch.term(began)?;
-    let order = Order {
-        action: task.action,
-        model: task.model.clone(),
-        adapter: task.adapter.clone(),
-        expect,
-        holder: daemon.settings.name.clone(),
-        token,
-        endpoint: key.id.clone(),
-    };
-    let limit = if task.adapter.is_some() { ADAPTER_ORDER } else { ORDER };
-    // It is given up, and taken back from the wire, before another holder can order.
-    let left = || {
-        let (placer, now) = (daemon.placer.borrow(), clock::now());
-        (placer.watch.term(now) == Some(token)).then(|| placer.watch.left(now))
-    };
-    let outcome = match daemon.dialect.order(&order) {
-        Err(_) => Err(link::Error::Malformed),
-        Ok(req) => exchange(daemon, key, req, limit, left).await,
-    };
-    let ordered = outcome.map(|res| daemon.dialect.ordered(&res));
-    let now = clock::now();
-    let text = match &ordered {
-        Ok(Ok(ordered)) => {
-            let text: &'static str = ordered.into();
-            text.to_string()
-        }
-        Ok(Err(err)) => err.to_string(),
-        Err(err) => err.to_string(),
-    };
-    daemon.note(&Event::Order {
-        endpoint: key.id.clone(),
-        action: task.action.into(),
-        model: task.model.clone(),
-        adapter: task.adapter.clone(),
-        expect,
-        token,
-        holds,
-        outcome: text,
-        took: now.saturating_sub(began).as_millis() as u64,
-        why: if task.adapter.is_some() { "wanted" } else { "demand" },
-    });
-    if matches!(ordered, Err(link::Error::Connect)) {
-        daemon.fleet.borrow_mut().unreachable(now, key);
-    }
-    ordered.ok()?.ok()
-}
