--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -109,7 +109,7 @@
             return None;
         }
         let mut first: Option<Duration> = None;
-        for row in self.rows.values() {
+        for row in self.rows.values().filter(|row| !row.lost(now)) {
             let until = row.away? + lease.mul_f64(VOUCH);
             first = Some(first.map_or(until, |other| other.min(until)));
         }
@@ -151,6 +151,13 @@
 }
 
 impl Row {
+    /// Whether it was cut off before the store went away: nothing is heard of it, and its heartbeat
+    /// stood still while the store still answered, as reads are counted only then. The lease has
+    /// changed since it last saw it, so an attempt of its own to take it fails.
+    fn lost(&self, now: Duration) -> bool {
+        self.quiet >= READS && self.heard.is_none_or(|at| now >= at + STRANGER)
+    }
+
     fn alive(&self, now: Duration) -> bool {
         match self.heard {
             Some(at) => now < at + SILENT,
--- a/tests/daemon_node.rs
+++ b/tests/daemon_node.rs
@@ -65,6 +65,28 @@
     assert!(table.away(ms(6_210), LEASE).is_some());
 }
 
+/// An instance is removed for good; its registration stands for a while. Later the store is away, and
+/// the dead daemon's silence ended placement for the whole outage. Its heartbeat had not risen for
+/// several reads while the store answered, so it had no way to the lease before the outage either.
+#[test]
+fn a_daemon_that_was_gone_before_says_nothing() {
+    let mut table = table();
+    table.heard(ms(100), &here("b", false));
+    for read in 1..=6 {
+        let list = vec![(1, node("me")), (2 + read, node("a")), (3, node("b"))];
+        table.list("me", list);
+    }
+    table.heard(ms(20_000), &here("a", true));
+    assert!(table.away(ms(20_010), LEASE).is_some());
+    // Heard again, it counts: the store may serve just this one.
+    table.heard(ms(20_015), &here("b", false));
+    assert_eq!(table.away(ms(20_016), LEASE), None);
+    // So does one that still wrote heartbeats a read ago, heard or not.
+    table.list("me", vec![(1, node("me")), (9, node("a")), (4, node("b"))]);
+    table.heard(ms(20_020), &here("a", true));
+    assert_eq!(table.away(ms(20_030), LEASE), None);
+}
+
 /// A daemon that knows no other cannot tell an outage from being cut off.
 #[test]
 fn alone_nothing_is_known_of_the_store() {
