Let one piece serve where the change wrote the same twice; look once for what is held

Written again: the trends of a daemon's history stood beside decide::demand::Demand, which counts the same way; what a place in line may wait, twice in patience; the refusal after a vain wait and the choice of an endpoint, each two to four times in seat; the load of copies that go, three times in spread; looks into what an engine holds beside table::instance::holds and Engines::model. Work in a hot path: whether a model is on its way was looked up over all engines for each possible victim, and which model is missing over all engines for each model, ten times a second. The first is kept with the model's row of the plan, the second is one pass. Dead: a second check of an endpoint's state beside usable(); two equal arms in node. Behaviour is meant to stay; no test was changed. The time of a plan was not measured before or after.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -73,8 +73,7 @@
         for (revision, node) in list.into_iter().filter(|(_, node)| node.name != me) {
             match self.rows.get_mut(&node.name) {
                 // Reads may be older than what is known.
-                Some(row) if revision < row.revision => row.quiet += 1,
-                Some(row) if revision == row.revision => row.quiet += 1,
+                Some(row) if revision <= row.revision => row.quiet += 1,
                 Some(row) => {
                     if row.node.born != node.born {
                         (row.heard, row.away) = (None, None);
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -23,7 +23,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::placer;
 use crate::daemon::seat;
-use crate::decide::trend::Trend;
+use crate::decide::demand;
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::instance::Key;
@@ -114,7 +114,7 @@
     spans: HashMap<ModelId, f64>,
     wanted: HashMap<(Key, AdapterId), Duration>,
     /// What was asked for so far.
-    history: HashMap<ModelId, Trend>,
+    history: demand::Demand,
     /// Where the holder of the lease was when last told.
     told: Option<String>,
 }
@@ -146,25 +146,15 @@
             return None;
         }
         self.told = Some(leader.to_string());
-        let counts = |(model, trend): (&ModelId, &Trend)| {
-            let (short, long) = trend.counts(now);
-            (model.clone(), short, long)
-        };
-        let mut models: Vec<_> = self.history.iter().map(counts).collect();
-        models.sort_by(|a, b| b.2.total_cmp(&a.2));
-        models.truncate(HISTORY);
-        Some(Message::History { models })
+        Some(Message::History { models: self.history.counts(now, HISTORY) })
     }
 
     fn take(&mut self, now: Duration) -> Option<Message> {
         if self.models.is_empty() {
             return None;
         }
-        for (model, millis) in &self.models {
-            let trend = self.history.entry(model.clone()).or_insert(Trend::new(now));
-            trend.add(now, f64::from(*millis) / 1000.0);
-        }
-        let models = self.models.drain().collect();
+        let models: Vec<_> = self.models.drain().collect();
+        self.history.add(now, models.clone(), Vec::new());
         let adapters = self.adapters.drain();
         let adapters = adapters.map(|((model, adapter), count)| (model, adapter, count)).collect();
         Some(Message::Demand { models, adapters })
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,7 +38,6 @@
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::instance::Key;
-use crate::table::instance::State;
 use crate::table::instance::holds;
 use crate::table::routing::Config;
 use crate::table::routing::Engines;
@@ -170,14 +170,19 @@
         self.desks.iter().filter(|(_, desk)| holds(desk)).map(|(key, _)| key.clone()).collect()
     }
 
-    /// For how long no engine has held a model.
-    fn missing(&mut self, now: Duration, model: &str) -> Duration {
-        if self.desks.values().any(|desk| holds(&desk.resident, model, None)) {
-            self.missing.remove(model);
-            return Duration::ZERO;
+    /// Looks which models no engine holds.
+    fn look_for(&mut self, now: Duration, engines: &Engines) {
+        let resident = self.desks.values().flat_map(|desk| &desk.resident);
+        let held: HashSet<&ModelId> = resident.map(|row| &row.model).collect();
+        self.missing.retain(|model, _| !held.contains(model));
+        for model in engines.models.iter().filter(|model| !held.contains(&model.name)) {
+            self.missing.entry(model.name.clone()).or_insert(now);
         }
-        let since = *self.missing.entry(model.to_string()).or_insert(now);
-        now.saturating_sub(since)
+    }
+
+    /// For how long no engine has held a model.
+    fn missing(&self, now: Duration, model: &str) -> Duration {
+        self.missing.get(model).map_or(Duration::ZERO, |since| now.saturating_sub(*since))
     }
 
     /// Loads from the weight store that may begin now.
@@ -319,6 +324,7 @@
         let fleet = daemon.fleet.borrow();
         let mut placer = daemon.placer.borrow_mut();
         let cold = placer.cold(now, engines.loads, daemon.settings.ceiling.window);
+        placer.look_for(now, engines);
         let needs: Vec<Need> = engines
             .models
             .iter()
@@ -330,9 +336,7 @@
             })
             .collect();
         let room = desk::room(engines);
-        let rows = fleet.rows().filter(|row| {
-            row.instance.service == service && row.instance.state == State::Live && row.usable(now)
-        });
+        let rows = fleet.rows().filter(|row| row.instance.service == service && row.usable(now));
         let mut hosts: Vec<Host> = rows
             .filter_map(|row| {
                 let desk = placer.desks.get(&row.instance.key)?;
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -94,23 +94,21 @@
     }
 }
 
+fn pick(daemon: &Daemon, now: Duration, job: &Job, ask: &Ask<'_>) -> Choice {
+    daemon.fleet.borrow().choose(now, ask, job.engines, &mut daemon.rng.borrow_mut())
+}
+
 fn choose(daemon: &Daemon, now: Duration, job: &Job, tried: &[Key]) -> Choice {
-    let fleet = daemon.fleet.borrow();
-    let ask = job.ask(tried);
-    let choice = fleet.choose(now, &ask, job.engines, &mut daemon.rng.borrow_mut());
-    // Everything was tried: again is better than not at all, where it may run again.
-    if choice == Choice::Full && !tried.is_empty() {
-        return fleet.choose(now, &job.ask(&[]), job.engines, &mut daemon.rng.borrow_mut());
+    match pick(daemon, now, job, &job.ask(tried)) {
+        // Everything was tried: again is better than not at all, where it may run again.
+        Choice::Full if !tried.is_empty() => pick(daemon, now, job, &job.ask(&[])),
+        choice => choice,
     }
-    choice
 }
 
 /// Whether any endpoint but one takes a job now.
 pub fn takes(daemon: &Daemon, now: Duration, job: &Job, not: &Key) -> bool {
-    let tried = [not.clone()];
-    let fleet = daemon.fleet.borrow();
-    let choice = fleet.choose(now, &job.ask(&tried), job.engines, &mut daemon.rng.borrow_mut());
-    matches!(choice, Choice::Go(_))
+    matches!(pick(daemon, now, job, &job.ask(std::slice::from_ref(not))), Choice::Go(_))
 }
 
 fn start(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: &Key) {
@@ -184,14 +182,17 @@
     match come.or(over).await {
         Some(key) => Ok(Place { daemon: daemon.clone(), key }),
         None if matches!(choice, Choice::Pace(_)) => unpaced(daemon, clock::now(), job, tried),
-        None => {
-            let left = job.deadline.saturating_sub(clock::now());
-            let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
-            Err(Refusal { reason: "waited", after })
-        }
+        None => Err(in_vain(daemon, clock::now(), job, "waited")),
     }
 }
 
+/// The refusal of a request that has waited here.
+fn in_vain(daemon: &Daemon, now: Duration, job: &Job, reason: &'static str) -> Refusal {
+    let left = job.deadline.saturating_sub(now);
+    let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
+    Refusal { reason, after }
+}
+
 /// A place for a request that cannot wait any longer for others' prompts to be read.
 fn unpaced(
     daemon: &Rc<Daemon>,
@@ -199,15 +200,9 @@
     job: &Rc<Job>,
     tried: &[Key],
 ) -> Result<Place, Refusal> {
-    let ask = Ask { gap: None, ..job.ask(tried) };
-    let choice = daemon.fleet.borrow().choose(now, &ask, job.engines, &mut daemon.rng.borrow_mut());
-    match choice {
+    match pick(daemon, now, job, &Ask { gap: None, ..job.ask(tried) }) {
         Choice::Go(key) => Ok(take(daemon, now, job, key)),
-        other => {
-            let left = job.deadline.saturating_sub(now);
-            let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
-            Err(Refusal { reason: reason(&other), after })
-        }
+        other => Err(in_vain(daemon, now, job, reason(&other))),
     }
 }
 
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -52,6 +52,18 @@
         }
     }
 
+    /// What is counted of the models with the most demand, over a short and a long time.
+    pub fn counts(&self, now: Duration, most: usize) -> Vec<(ModelId, f64, f64)> {
+        let counts = |(model, trend): (&ModelId, &Trend)| {
+            let (short, long) = trend.counts(now);
+            (model.clone(), short, long)
+        };
+        let mut models: Vec<_> = self.models.iter().map(counts).collect();
+        models.sort_by(|a, b| b.2.total_cmp(&a.2));
+        models.truncate(most);
+        models
+    }
+
     /// What a daemon had counted for the holder before.
     pub fn merge(&mut self, now: Duration, models: Vec<(ModelId, f64, f64)>) {
         for (model, short, long) in models {
@@ -70,13 +82,16 @@
 
     /// How much an adapter was asked for lately.
     pub fn adapter(&self, now: Duration, model: &str, adapter: &str) -> f64 {
-        let key = (model.to_string(), adapter.to_string());
-        self.adapters.get(&key).map_or(0.0, |rate| rate.now(now))
+        self.uses(model, adapter).map_or(0.0, |rate| rate.now(now))
     }
 
     /// Requests a second that name an adapter.
     pub fn adapter_rate(&self, now: Duration, model: &str, adapter: &str) -> f64 {
-        self.adapter(now, model, adapter) / SMOOTH.as_secs_f64()
+        self.uses(model, adapter).map_or(0.0, |rate| rate.rate(now))
+    }
+
+    fn uses(&self, model: &str, adapter: &str) -> Option<&Rate> {
+        self.adapters.get(&(model.to_string(), adapter.to_string()))
     }
 
     /// Whether any request has come yet.
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -145,7 +145,7 @@
         let Some(held) = held.filter(|_| !report.busy && report.orders >= goal.orders) else {
             return false;
         };
-        if !self.resident.iter().any(|row| row.model == held.model) {
+        if !holds(&self.resident, &held.model, None) {
             self.resident.push(held.clone());
         }
         self.goal = None;
@@ -163,11 +163,10 @@
         let under_way = report.busy || self.dropping();
         self.look = under_way.then_some(now + POLL);
         self.over = if report.busy { self.over.max(now + POLL) } else { now };
-        let held = |model: &ModelId| self.resident.iter().any(|row| row.model == *model);
         if let Some(goal) = &mut self.goal
             && !report.busy
         {
-            if held(&goal.model) {
+            if holds(&self.resident, &goal.model, None) {
                 self.goal = None;
             } else {
                 // The load came to nothing: it is ordered again.
@@ -241,11 +240,13 @@
 
     /// An adapter is there.
     pub fn hold(&mut self, task: &Task) {
-        let rows = self.resident.iter_mut().filter(|row| row.model == task.model);
-        for row in rows {
-            let new = task.adapter.iter().filter(|adapter| !row.adapters.contains(adapter));
-            let new: Vec<AdapterId> = new.cloned().collect();
-            row.adapters.extend(new);
+        let Some(adapter) = &task.adapter else {
+            return;
+        };
+        for row in self.resident.iter_mut().filter(|row| row.model == task.model) {
+            if !row.adapters.contains(adapter) {
+                row.adapters.push(adapter.clone());
+            }
         }
     }
 
@@ -287,9 +288,7 @@
     starved: impl Fn(&str, &str) -> bool,
 ) -> Option<Task> {
     while let Some((model, adapter)) = desk.wants.front().cloned() {
-        if !engines.models.iter().any(|row| row.name == model) {
-            return None;
-        }
+        engines.model(&model)?;
         let row = desk.resident.iter().find(|row| row.model == model);
         if !desk.serves(&model) || row.is_none_or(|row| row.adapters.contains(&adapter)) {
             desk.wants.pop_front();
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -64,22 +64,10 @@
     let left = held.deadline.saturating_sub(now);
     match cause {
         Cause::Full { ahead, rate } => {
-            let until = held.came + held.aim.min(left).mul_f64(SENT);
             let wait = Duration::from_secs_f64(((ahead as f64 + 1.0) / rate.max(0.5)).min(60.0));
-            if now + wait <= until {
-                Verdict::Wait(until)
-            } else {
-                Verdict::Refuse(back(left, wait, rng))
-            }
-        }
-        Cause::Paced(wait) => {
-            let until = held.came + held.aim.min(left).mul_f64(SENT);
-            if now + wait <= until {
-                Verdict::Wait(until)
-            } else {
-                Verdict::Refuse(back(left, wait, rng))
-            }
+            in_time(now, held, wait, rng)
         }
+        Cause::Paced(wait) => in_time(now, held, wait, rng),
         Cause::Loading(eta) => {
             let share = left.mul_f64(BRING);
             if eta <= share {
@@ -92,6 +80,13 @@
     }
 }
 
+/// A request that can be sent after `wait` waits if it can still be on time then.
+fn in_time(now: Duration, held: &Held, wait: Duration, rng: &mut SmallRng) -> Verdict {
+    let left = held.deadline.saturating_sub(now);
+    let until = held.came + held.aim.min(left).mul_f64(SENT);
+    if now + wait <= until { Verdict::Wait(until) } else { Verdict::Refuse(back(left, wait, rng)) }
+}
+
 /// When a refused caller comes back; spread so that they do not all come at once.
 pub fn back(left: Duration, after: Duration, rng: &mut SmallRng) -> Duration {
     let spread = rng.random_range(0.9..1.2);
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -104,6 +104,8 @@
     need: &'a Need,
     /// Hosts that serve it, or soon will.
     hosts: Vec<usize>,
+    /// Whether it is on its way to one of them.
+    coming: bool,
 }
 
 impl Row<'_> {
@@ -171,7 +173,8 @@
 
 impl<'a> Draft<'a> {
     fn new(needs: &'a [Need], hosts: &[Host]) -> Self {
-        let rows: Vec<Row<'a>> = needs.iter().map(|need| Row { need, hosts: Vec::new() }).collect();
+        let row = |need| Row { need, hosts: Vec::new(), coming: false };
+        let rows: Vec<Row<'a>> = needs.iter().map(row).collect();
         let index = needs.iter().enumerate().map(|(at, need)| (need.model.as_str(), at)).collect();
         let mut draft = Draft { rows, index, hosts: hosts.to_vec(), loads: vec![0.0; hosts.len()] };
         for (at, host) in hosts.iter().enumerate() {
@@ -180,6 +183,11 @@
                     draft.rows[*row].hosts.push(at);
                 }
             }
+            if let Some(row) =
+                host.coming.as_ref().and_then(|model| draft.index.get(model.as_str()))
+            {
+                draft.rows[*row].coming = true;
+            }
         }
         for row in &draft.rows {
             for host in &row.hosts {
@@ -260,8 +268,8 @@
                 return None;
             }
         }
-        let lost: f64 = victims.iter().map(|row| self.rows[*row].share()).sum();
-        if missing && row.need.missing < PATIENCE && lost > CALM * self.even() {
+        let patient = missing && row.need.missing < PATIENCE;
+        if patient && self.lost(&victims) > CALM * self.even() {
             return None;
         }
         let cold = !at.at_hand.contains(&row.need.model);
@@ -308,16 +316,18 @@
         let steps = steps.filter(|step| cold > 0 || !step.cold);
         let spare = self.even() * SPARE;
         // What is asked for is not pushed out to make way for what is not.
-        let steps = steps.filter(|step| {
-            step.victims.iter().map(|row| self.rows[*row].share()).sum::<f64>() <= spare
-        });
+        let steps = steps.filter(|step| self.lost(&step.victims) <= spare);
         let price = |step: &Step| {
-            let lost: f64 = step.victims.iter().map(|row| self.rows[*row].share()).sum();
-            self.loads[step.host] + lost + if step.cold { IDLE } else { 0.0 }
+            self.loads[step.host] + self.lost(&step.victims) + if step.cold { IDLE } else { 0.0 }
         };
         steps.min_by(|a, b| price(a).total_cmp(&price(b)))
     }
 
+    /// What the copies that go carry.
+    fn lost(&self, victims: &[usize]) -> f64 {
+        victims.iter().map(|row| self.rows[*row].share()).sum()
+    }
+
     /// What each engine would carry if demand were spread evenly.
     fn even(&self) -> f64 {
         let total: f64 = self.rows.iter().map(|row| row.need.demand).sum();
@@ -342,7 +352,7 @@
         let may = may.filter_map(|model| self.index.get(model.as_str()).copied());
         let may = may.filter(|row| !taken.contains(row) && self.rows[*row].hosts.len() >= copies);
         // One that is on its way elsewhere is short of copies now: those that serve stay until then.
-        let may = may.filter(|row| !self.coming(*row));
+        let may = may.filter(|row| !self.rows[*row].coming);
         let price = |row: &usize| {
             let row = &self.rows[*row];
             let alone = if row.need.weights >= short { 0.0 } else { 1.0 };
@@ -351,11 +361,6 @@
         may.min_by(|a, b| price(a).total_cmp(&price(b)))
     }
 
-    fn coming(&self, row: usize) -> bool {
-        let model = Some(&self.rows[row].need.model);
-        self.hosts.iter().any(|host| host.coming.as_ref() == model)
-    }
-
     /// By how much the sum of squares falls when a model comes to a host in the place of others.
     fn gain(&self, model: usize, host: usize, victims: &[usize]) -> f64 {
         let mut change: HashMap<usize, f64> = HashMap::new();
@@ -395,10 +400,10 @@
         }
         self.spread(step.model, -1.0);
         self.rows[step.model].hosts.push(step.host);
+        self.rows[step.model].coming = true;
         self.spread(step.model, 1.0);
         let host = &mut self.hosts[step.host];
         host.busy = true;
-        host.coming = Some(self.rows[step.model].need.model.clone());
         host.resident.push(self.rows[step.model].need.model.clone());
     }
 
