Learn how fast engines read prompts, in place of one figure for all

Cause: the budget of prompts, the cost of a place and the delay of an engine stood on 38 prompt tokens a millisecond, which was measured on two fleets. Ruled out: queues at engines (first events in time), memory (78 requests put back of 5,000). Change: decide::speed lays a line through the latest first events of each model and follows each engine's slowness; windows and budgets count milliseconds of reading, and daemons tell each other these.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -46,6 +46,7 @@
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Flow;
 use crate::decide::line::Group;
+use crate::decide::speed::Reading;
 use crate::decide::stop;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
@@ -143,8 +144,8 @@
     pub group: Group,
     /// The beginnings of its prompt.
     pub parts: Vec<Part>,
-    /// Tokens of the prompt that its endpoint has to read, as far as is known.
-    pub unread: Cell<u32>,
+    /// What its prompt is expected to take at the endpoint that it goes to.
+    pub reading: Cell<Reading>,
     /// The version of the configuration that decided.
     pub version: u64,
     /// When it came.
@@ -378,7 +379,7 @@
         method: head.method.clone(),
         uri: head.uri.clone(),
         version: config.version,
-        unread: Cell::new(caller.prompt),
+        reading: Cell::default(),
         service,
         engines,
         places,
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -114,6 +114,8 @@
         adapter: Option<String>,
         prompt: u32,
         unread: u32,
+        read: u64,
+        ahead: u64,
         attempt: u32,
         waited: u64,
         left: u64,
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -93,8 +93,8 @@
     Sent {
         /// The engine.
         key: Key,
-        /// Tokens that it has to read.
-        tokens: u32,
+        /// How long it reads them, in microseconds.
+        micros: u32,
     },
     /// What an engine holds, by the placer's knowledge.
     Holding {
@@ -263,7 +263,7 @@
 
 /// Tells others what an engine has to read, so that all together send it no more than it reads in
 /// the pause that its streams may have.
-pub fn say_sent(daemon: &Rc<Daemon>, key: &Key, tokens: u32) {
+pub fn say_sent(daemon: &Rc<Daemon>, key: &Key, read: Duration) {
     let region = {
         let fleet = daemon.fleet.borrow();
         fleet.get(key).map(|row| fleet.region_of(&row.instance.data_center))
@@ -273,7 +273,7 @@
     let mut told = near.into_iter().choose_multiple(&mut *rng, TOLD_SENT);
     let left = TOLD_SENT - told.len();
     told.extend(far.into_iter().choose_multiple(&mut *rng, left));
-    tell(daemon, told, Message::Sent { key: key.clone(), tokens });
+    tell(daemon, told, Message::Sent { key: key.clone(), micros: read.as_micros() as u32 });
 }
 
 /// Hears other daemons.
@@ -308,7 +308,10 @@
         Message::History { models } => {
             daemon.placer.borrow_mut().demand.merge(now, models);
         }
-        Message::Sent { key, tokens } => daemon.fleet.borrow_mut().sent(now, &key, tokens),
+        Message::Sent { key, micros } => {
+            let read = Duration::from_micros(micros.into());
+            daemon.fleet.borrow_mut().sent(now, &key, read);
+        }
         Message::Want { key, model, adapter } => {
             placer::want(daemon, &key, &model, &adapter);
         }
--- a/src/daemon/seat.rs
+++ b/src/daemon/seat.rs
@@ -14,7 +14,7 @@
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
 use crate::daemon::peer;
-use crate::decide::fleet::Ask;
+use crate::decide::endpoint::Ask;
 use crate::decide::fleet::Choice;
 use crate::decide::patience;
 use crate::decide::patience::Cause;
@@ -112,15 +112,15 @@
 }
 
 fn start(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: &Key) {
-    let unread = {
+    let reading = {
         let mut fleet = daemon.fleet.borrow_mut();
-        let unread = fleet.unread(key, &job.ask(&[]));
-        fleet.start(now, key, &job.parts, unread);
-        unread
+        let reading = fleet.reading(now, key, &job.ask(&[]));
+        fleet.start(now, key, &job.parts, reading.own);
+        reading
     };
-    job.unread.set(unread);
+    job.reading.set(reading);
     if job.engines {
-        peer::say_sent(daemon, key, unread);
+        peer::say_sent(daemon, key, reading.own);
     }
 }
 
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -218,7 +218,9 @@
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
         prompt: job.caller.prompt,
-        unread: job.unread.get(),
+        unread: job.reading.get().tokens,
+        read: job.reading.get().own.as_millis() as u64,
+        ahead: job.reading.get().ahead.as_millis() as u64,
         attempt: number,
         waited: now.saturating_sub(job.came).as_millis() as u64,
         left: left.as_millis() as u64,
@@ -340,6 +342,7 @@
     let millis = took.as_millis() as u64;
     let mut fleet = daemon.fleet.borrow_mut();
     let running = fleet.get(key).map_or(0, |row| row.running);
+    let (model, reading) = (job.caller.model.as_deref(), job.reading.get());
     let failed = |error: &'static str, why: &'static str| Event::Failed {
         request: job.caller.id.clone(),
         endpoint: key.id.clone(),
@@ -351,7 +354,7 @@
     };
     match outcome {
         Outcome::Whole(res) => {
-            fleet.answered(now, key, took, job.caller.prompt);
+            fleet.answered(now, key, took, model, &reading);
             daemon.gauges.answered(job.route.kind, took);
             daemon.gauges.ended(now, job.group);
             daemon.note(&Event::Answered {
@@ -363,7 +366,7 @@
             });
         }
         Outcome::Stream(head) => {
-            fleet.answered(now, key, took, job.caller.prompt);
+            fleet.answered(now, key, took, model, &reading);
             daemon.gauges.answered(job.route.kind, took);
             daemon.note(&Event::Answered {
                 request: job.caller.id.clone(),
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -138,10 +138,10 @@
         // Silence ends nothing: the endpoint may still go on, and a dead connection shows by itself.
         let next = frame.or(deadline).await;
         let now = clock::now();
-        self.daemon.fleet.borrow_mut().heard(now, &self.place.key);
         if matches!(next, Next::Data(_)) {
             self.pieces += 1;
             let pause = now.saturating_sub(self.last);
+            self.daemon.fleet.borrow_mut().event(now, &self.place.key, pause);
             self.pause = self.pause.max((pause, now));
             self.last = now;
         }
--- /dev/null
+++ b/src/decide/speed.rs
@@ -0,0 +1,227 @@
+//! How fast engines read prompts, learned from the answers that pass by.
+//!
+//! Load pattern: engines differ by a factor of eight in how fast they read, models on one engine by
+//! three, and an engine may turn slow at any moment. A figure that is right for one fleet lets all
+//! prompts of another clump, or leaves its engines half idle.
+//!
+//! For each model the latest first events are kept with the tokens that had to be read, and a line is
+//! laid through them: the median of the longer prompts against the median of the shorter ones gives
+//! the time for a token, what is left the time without a prompt. Medians bear the answers that were
+//! lost on the way and the prompts that an engine had read without this daemon's knowledge. How much
+//! slower one engine is than the others follows from the sign of its differences alone. A model that
+//! was not seen yet is taken to be like all models together, and no estimate leaves its bounds.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::table::ModelId;
+
+/// Milliseconds a token before anything was seen: the middle, by ratio, of engines that read ten to
+/// eighty tokens a millisecond.
+const FIRST: f64 = 0.035;
+/// Bounds of the time for one token, in milliseconds: ten times beyond those engines.
+const LEAST: f64 = 0.001;
+const MOST: f64 = 1.0;
+/// Milliseconds to the first event of a request without a prompt, before anything was seen: the way
+/// and some steps of an engine.
+const BASE: f64 = 30.0;
+/// The most that it is taken to be: a first event that takes longer was held up by something else.
+const BASE_MOST: f64 = 2_000.0;
+/// First events that are kept for a model: enough that the medians of both halves waver little, few
+/// enough that a change of all engines shows within seconds.
+const KEPT: usize = 64;
+/// Events that the first guess counts as.
+const GUESS: f64 = 2.0;
+/// Prompts whose halves differ by fewer tokens than this tell nothing of the time for one.
+const APART: f64 = 50.0;
+/// Bounds of an engine's own slowness against others with the same model.
+const RATIO_LEAST: f64 = 0.25;
+const RATIO_MOST: f64 = 8.0;
+/// An event counts if the prompts before its own take at most this part of what its own takes.
+const BEHIND: f64 = 0.5;
+/// Which quantile of the times is followed: all that is not known, such as prompts of other daemons
+/// and places that were waited for, only adds to them.
+const LOW: f64 = 0.35;
+/// By which part one event moves it: an engine that turns twice as slow is known after some fifteen
+/// requests, and a steady one wavers by a few parts in a hundred.
+const STEP: f64 = 0.1;
+
+/// A line through the latest first events.
+#[derive(Debug, Clone)]
+struct Line {
+    /// Tokens to be read, and the milliseconds that the first event took.
+    events: VecDeque<(f64, f64)>,
+    /// Milliseconds a token that it began with.
+    first: f64,
+    /// Milliseconds a token; between `LEAST` and `MOST`.
+    each: f64,
+    /// Milliseconds without a prompt; between 0 and `BASE_MOST`.
+    base: f64,
+}
+
+impl Line {
+    fn new(each: f64, base: f64) -> Self {
+        Line { events: VecDeque::new(), first: each, each, base }
+    }
+
+    fn at(&self, tokens: f64) -> f64 {
+        self.base + self.each * tokens
+    }
+
+    fn add(&mut self, tokens: f64, took: f64) {
+        if self.events.len() == KEPT {
+            self.events.pop_front();
+        }
+        self.events.push_back((tokens, took));
+        self.fit();
+    }
+
+    fn fit(&mut self) {
+        let mut rows: Vec<(f64, f64)> = self.events.iter().copied().collect();
+        rows.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (short, long) = rows.split_at(rows.len() / 2);
+        let tokens = |rows: &[(f64, f64)]| median(rows.iter().map(|row| row.0));
+        let took = |rows: &[(f64, f64)]| low(rows.iter().map(|row| row.1));
+        let apart = tokens(long) - tokens(short);
+        if !short.is_empty() && apart > APART {
+            let seen = rows.len() as f64;
+            let each = ((took(long) - took(short)) / apart).clamp(LEAST, MOST);
+            self.each = (self.first * GUESS + each * seen) / (GUESS + seen);
+        }
+        let base = low(rows.iter().map(|row| row.1 - self.each * row.0));
+        self.base = base.clamp(0.0, BASE_MOST);
+    }
+}
+
+/// The value below which a part of all lie; 0 of nothing.
+fn quantile(values: impl Iterator<Item = f64>, part: f64) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get((values.len() as f64 * part) as usize).copied().unwrap_or(0.0)
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    quantile(values, 0.5)
+}
+
+fn low(values: impl Iterator<Item = f64>) -> f64 {
+    quantile(values, LOW)
+}
+
+/// What a prompt is expected to take at an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Reading {
+    /// Tokens that the engine has not read yet.
+    pub tokens: u32,
+    /// Until it has read them, once it begins.
+    pub own: Duration,
+    /// Until it has read what was sent before.
+    pub ahead: Duration,
+}
+
+/// How much slower one engine is than others with the same model; 1 before anything was seen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ratio(f64);
+
+impl Default for Ratio {
+    fn default() -> Self {
+        Ratio(1.0)
+    }
+}
+
+impl Ratio {
+    /// The factor.
+    pub fn get(&self) -> f64 {
+        self.0
+    }
+}
+
+/// What is learned over all engines.
+#[derive(Debug, Clone)]
+pub struct Speeds {
+    models: HashMap<ModelId, Line>,
+    /// Over all models: the first guess for one that was not seen yet.
+    any: Line,
+}
+
+impl Default for Speeds {
+    fn default() -> Self {
+        Speeds { models: HashMap::new(), any: Line::new(FIRST, BASE) }
+    }
+}
+
+impl Speeds {
+    fn line(&self, model: Option<&str>) -> &Line {
+        model.and_then(|model| self.models.get(model)).unwrap_or(&self.any)
+    }
+
+    /// How long an engine reads so many tokens.
+    pub fn read(&self, model: Option<&str>, ratio: &Ratio, tokens: u32) -> Duration {
+        let millis = self.line(model).each * ratio.get() * f64::from(tokens);
+        Duration::from_secs_f64(millis / 1000.0)
+    }
+
+    /// Milliseconds a token, by model, for the metrics.
+    pub fn rows(&self) -> impl Iterator<Item = (&ModelId, f64)> {
+        self.models.iter().map(|(model, line)| (model, line.each))
+    }
+
+    /// A first event came after `took`, its way left out, where `reading` was expected to be read.
+    /// One that stood behind others' prompts says more of what is not known of those: learned from,
+    /// each engine that is pressed would seem slower than it is, be spared, and press the next.
+    pub fn learn(&mut self, model: &str, ratio: &mut Ratio, reading: &Reading, took: Duration) {
+        if reading.ahead > reading.own.mul_f64(BEHIND) {
+            return;
+        }
+        let took = took.saturating_sub(reading.ahead).as_secs_f64() * 1000.0;
+        let tokens = f64::from(reading.tokens);
+        let line = self.line(Some(model));
+        let part = if took > line.at(tokens) * ratio.get() { LOW } else { LOW - 1.0 } * STEP;
+        ratio.0 = (ratio.0 * part.exp()).clamp(RATIO_LEAST, RATIO_MOST);
+        // Counted as if it had come from an engine like the others.
+        let took = took / ratio.get();
+        self.any.add(tokens, took);
+        let first = Line::new(self.any.each, self.any.base);
+        self.models.entry(model.to_string()).or_insert(first).add(tokens, took);
+    }
+}
+
+/// The usual time between two events of a stream at one engine while it reads no prompt: a low
+/// quantile of the pauses that pass by.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Beat(f64);
+
+impl Default for Beat {
+    /// Before anything was seen: no time, so that the budget is the whole pause.
+    fn default() -> Self {
+        Beat(0.0)
+    }
+}
+
+impl Beat {
+    /// Which quantile: below the median, as prompts of others are read during many pauses.
+    const QUANTILE: f64 = 0.3;
+    /// By which part a pause moves it.
+    const RATE: f64 = 0.08;
+    /// Shorter pauses are of events that came in one packet.
+    const LEAST: Duration = Duration::from_millis(1);
+
+    /// The time.
+    pub fn get(&self) -> Duration {
+        Duration::from_secs_f64(self.0)
+    }
+
+    /// A pause between two events.
+    pub fn seen(&mut self, pause: Duration) {
+        if pause < Self::LEAST {
+            return;
+        }
+        let pause = pause.as_secs_f64();
+        if self.0 == 0.0 {
+            self.0 = pause;
+        }
+        let part = if pause > self.0 { Self::QUANTILE } else { Self::QUANTILE - 1.0 };
+        self.0 *= (part * Self::RATE).exp();
+    }
+}
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -10,7 +10,7 @@
 
 use poplarmux::daemon::settings::Retries;
 use poplarmux::decide::allowance::Allowance;
-use poplarmux::decide::fleet::Ask;
+use poplarmux::decide::endpoint::Ask;
 use poplarmux::decide::fleet::Choice;
 use poplarmux::decide::fleet::Fleet;
 use poplarmux::decide::line::Line;
@@ -95,7 +95,7 @@
         fleet(&[instance("near", 1, "a1", &[("m", &[])]), instance("far", 1, "b1", &[("m", &[])])]);
     assert_eq!(choose(&fleet, ms(1), &ask("m", None, &[])), go("near"));
     for _ in 0..50 {
-        fleet.start(ms(1), &key("near", 1), &[], 0);
+        fleet.start(ms(1), &key("near", 1), &[], ms(0));
     }
     assert_eq!(choose(&fleet, ms(1), &ask("m", None, &[])), go("far"));
 }
@@ -244,7 +244,7 @@
         let mut fleet = fleet(&rows);
         for (name, load) in names.iter().zip(&loads) {
             for _ in 0..*load {
-                fleet.start(ms(0), &key(name, 1), &[], 0);
+                fleet.start(ms(0), &key(name, 1), &[], ms(0));
             }
         }
         let tried = [key("e0", 1)];
--- a/tests/decide_prefill.rs
+++ b/tests/decide_prefill.rs
@@ -18,13 +18,22 @@
 const EVENT: usize = 6;
 /// A step without prompts, in milliseconds.
 const STEP: f64 = 5.9;
+/// Prompt tokens that the engine reads in a millisecond.
+const READS: f64 = 38.0;
 /// Tokens that one step reads at most.
 const CHUNK: f64 = 2_048.0;
 
+/// How far apart the events of an engine come that reads nothing.
+const BEAT: Duration = Duration::from_micros((STEP * 1_000.0) as u64 * EVENT as u64);
+
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
+fn read(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / READS / 1_000.0)
+}
+
 /// An engine that reads prompts between the steps of its streams, by the millisecond.
 struct Engine {
     at: f64,
@@ -38,7 +47,7 @@
         while self.at < until {
             let read = self.queued.min(CHUNK);
             self.queued -= read;
-            let took = STEP + read / prefill::READS;
+            let took = STEP + read / READS;
             self.at += took;
             self.steps.push(took);
         }
@@ -64,10 +73,14 @@
         // Those who wait stand in line: nobody is sent before the one ahead.
         sent = sent.max(now);
         let at = Duration::from_secs_f64(sent / 1000.0);
-        let wait = if bound { window.wait(at, GAP, PROMPT) } else { Duration::ZERO };
+        let wait = if bound {
+            window.wait(at, GAP, prefill::budget(GAP, BEAT), read(PROMPT))
+        } else {
+            Duration::ZERO
+        };
         sent += wait.as_secs_f64() * 1000.0;
         longest = longest.max(Duration::from_secs_f64((sent - now) / 1000.0));
-        window.add(Duration::from_secs_f64(sent / 1000.0), PROMPT);
+        window.add(Duration::from_secs_f64(sent / 1000.0), read(PROMPT));
         engine.run(sent);
         engine.queued += f64::from(PROMPT);
     }
@@ -93,9 +106,10 @@
 #[test]
 fn a_prompt_larger_than_the_budget_goes_alone() {
     let mut window = Window::default();
-    let large = prefill::budget(GAP) * 3;
-    assert_eq!(window.wait(ms(0), GAP, large), ms(0));
-    window.add(ms(10), 100);
-    assert_eq!(window.wait(ms(20), GAP, large), ms(140));
-    assert_eq!(window.wait(ms(160), GAP, large), ms(0));
+    let budget = prefill::budget(GAP, BEAT);
+    let large = budget * 3;
+    assert_eq!(window.wait(ms(0), GAP, budget, large), ms(0));
+    window.add(ms(10), ms(3));
+    assert_eq!(window.wait(ms(20), GAP, budget, large), ms(140));
+    assert_eq!(window.wait(ms(160), GAP, budget, large), ms(0));
 }
--- /dev/null
+++ b/tests/decide_speed.rs
@@ -0,0 +1,204 @@
+//! What daemons learn of the speed of engines, from the answers of engines of several kinds.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use poplarmux::decide::prefill;
+use poplarmux::decide::prefill::Window;
+use poplarmux::decide::speed::Beat;
+use poplarmux::decide::speed::Ratio;
+use poplarmux::decide::speed::Reading;
+use poplarmux::decide::speed::Speeds;
+
+/// Requests that a daemon sends to one engine a second.
+const RATE: f64 = 4.0;
+/// Of the true time for a prompt, an estimate may be off by this part: the budget of prompts leaves a
+/// quarter of the pause, and the routing noise is of the same size.
+const ERROR: f64 = 0.25;
+
+/// An engine as it really is.
+#[derive(Clone, Copy)]
+struct Engine {
+    /// Prompt tokens read in a millisecond.
+    reads: f64,
+    /// Milliseconds to the first event without a prompt.
+    base: f64,
+}
+
+/// One daemon that sends to one engine, and what it learns.
+struct Scene {
+    rng: SmallRng,
+    speeds: Speeds,
+    ratio: Ratio,
+    window: Window,
+    now: f64,
+    /// When the engine has read what it was sent.
+    until: f64,
+}
+
+impl Scene {
+    fn new(seed: u64) -> Self {
+        Scene {
+            rng: SmallRng::seed_from_u64(seed),
+            speeds: Speeds::default(),
+            ratio: Ratio::default(),
+            window: Window::default(),
+            now: 0.0,
+            until: 0.0,
+        }
+    }
+
+    /// Sends requests for a while. One answer in twenty comes seconds late, one prompt in five was
+    /// read before without the daemon's knowledge.
+    fn play(&mut self, engine: Engine, model: &str, seconds: f64) {
+        let end = self.now + seconds * 1000.0;
+        while self.now < end {
+            self.now += -self.rng.random::<f64>().ln() * 1000.0 / RATE;
+            let at = Duration::from_secs_f64(self.now / 1000.0);
+            let tokens = self.rng.random_range(50..3_000);
+            let own = self.speeds.read(Some(model), &self.ratio, tokens);
+            let reading = Reading { tokens, own, ahead: self.window.ahead(at) };
+            self.window.add(at, own);
+            let kept = self.rng.random_bool(0.2);
+            let truly = f64::from(tokens) / engine.reads * if kept { 0.7 } else { 1.0 };
+            self.until = self.until.max(self.now) + truly;
+            let mut took = self.until - self.now + engine.base * self.rng.random_range(0.8..1.2);
+            if self.rng.random_bool(0.05) {
+                took += 3_000.0;
+            }
+            let took = Duration::from_secs_f64(took / 1000.0);
+            self.speeds.learn(model, &mut self.ratio, &reading, took);
+        }
+    }
+
+    /// Expected against true time for a prompt.
+    fn error(&self, engine: Engine, model: &str) -> f64 {
+        let tokens = 1_500;
+        let told = self.speeds.read(Some(model), &self.ratio, tokens).as_secs_f64() * 1000.0;
+        told / (f64::from(tokens) / engine.reads) - 1.0
+    }
+}
+
+/// Mean error over some seeds, each learning for so long.
+fn error(engine: Engine, seconds: f64) -> f64 {
+    let errors = (0..16).map(|seed| {
+        let mut scene = Scene::new(seed);
+        scene.play(engine, "m", seconds);
+        scene.error(engine, "m").abs()
+    });
+    errors.sum::<f64>() / 16.0
+}
+
+/// Engines that read slowly or fast, with short and long ways to a first event. Taken for one kind,
+/// the slow ones get clumps of prompts that make all their streams late, the fast ones stand idle
+/// while callers wait.
+#[test]
+fn engines_of_any_speed_are_known_after_some_requests() {
+    for reads in [10.0, 22.0, 38.0, 80.0] {
+        for base in [8.0, 30.0, 120.0] {
+            let off = error(Engine { reads, base }, 15.0);
+            assert!(off < ERROR, "{reads} tokens a ms, first event in {base} ms: off by {off}");
+        }
+    }
+}
+
+/// An engine turns twice as slow after 20 s. Callers go on being sent there as if it were fast, and
+/// its streams falter; within ten seconds its prompts are counted with what they take now.
+#[test]
+fn an_engine_that_turns_slow_is_noticed() {
+    let engine = Engine { reads: 40.0, base: 20.0 };
+    let slow = Engine { reads: 20.0, base: 40.0 };
+    let mut sum = 0.0;
+    for seed in 0..16 {
+        let mut scene = Scene::new(seed);
+        scene.play(engine, "m", 20.0);
+        scene.play(slow, "m", 10.0);
+        sum += scene.error(slow, "m").abs();
+    }
+    assert!(sum / 16.0 < ERROR, "off by {}", sum / 16.0);
+}
+
+/// One engine of a service is 1.3 times slower than the others. Its requests alone tell so; those of
+/// the others still count with what the others take.
+#[test]
+fn a_slower_engine_among_others_is_told_apart() {
+    let mut apart = 0.0;
+    for seed in 0..16 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut speeds = Speeds::default();
+        let mut ratios = [Ratio::default(); 3];
+        for at in 0..600 {
+            let engine = at % 3;
+            let tokens = rng.random_range(200..3_000);
+            let own = speeds.read(Some("m"), &ratios[engine], tokens);
+            let reading = Reading { tokens, own, ahead: Duration::ZERO };
+            let slower = if engine == 2 { 1.3 } else { 1.0 };
+            let took = (f64::from(tokens) / 22.0 + 25.0) * slower * rng.random_range(0.85..1.15);
+            let took = Duration::from_secs_f64(took / 1000.0);
+            speeds.learn("m", &mut ratios[engine], &reading, took);
+        }
+        apart += ratios[2].get() / ((ratios[0].get() + ratios[1].get()) / 2.0) / 16.0;
+    }
+    assert!((apart - 1.3).abs() < 0.1, "{apart}");
+}
+
+/// A model that is three times smaller is read three times faster at the same engine. Its prompts
+/// counted like the other's would hold callers back for nothing.
+#[test]
+fn models_of_two_sizes_are_told_apart() {
+    let (large, small) = (Engine { reads: 22.0, base: 25.0 }, Engine { reads: 66.0, base: 12.0 });
+    let mut off = [0.0; 2];
+    for seed in 0..16 {
+        let mut scene = Scene::new(seed);
+        for _ in 0..15 {
+            scene.play(large, "large", 1.0);
+            scene.play(small, "small", 1.0);
+        }
+        off[0] += scene.error(large, "large").abs() / 16.0;
+        off[1] += scene.error(small, "small").abs() / 16.0;
+    }
+    assert!(off[0] < ERROR && off[1] < ERROR, "{off:?}");
+}
+
+/// Streams of an engine that reads prompts in one pause of two: the time between events by
+/// themselves is the shorter one.
+#[test]
+fn the_pause_of_streams_alone_is_known_among_those_that_wait_for_prompts() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut beat = Beat::default();
+    for _ in 0..400 {
+        let step = rng.random_range(18.0..24.0);
+        let read = if rng.random_bool(0.5) { rng.random_range(20.0..200.0) } else { 0.0 };
+        beat.seen(Duration::from_secs_f64((step + read) / 1000.0));
+    }
+    let told = beat.get().as_secs_f64() * 1000.0;
+    assert!((16.0..28.0).contains(&told), "{told}");
+}
+
+proptest! {
+    /// Lost, late and absurd answers: an estimate stays finite and in its range, and a budget never
+    /// is nothing while a pause is allowed.
+    #[test]
+    fn estimates_stay_in_their_range(
+        rows in proptest::collection::vec((0_u32..=u32::MAX, 0_u64..=u64::MAX / 2, 0_u64..100_000), 0..200),
+        gap in 1_u64..2_000,
+    ) {
+        let mut speeds = Speeds::default();
+        let mut ratio = Ratio::default();
+        let mut beat = Beat::default();
+        for (tokens, took, ahead) in rows {
+            let own = speeds.read(Some("m"), &ratio, tokens);
+            let reading = Reading { tokens, own, ahead: Duration::from_millis(ahead) };
+            speeds.learn("m", &mut ratio, &reading, Duration::from_micros(took));
+            beat.seen(Duration::from_micros(took));
+        }
+        let each = speeds.read(Some("m"), &ratio, 1_000).as_secs_f64();
+        prop_assert!((0.000_25..=8.0).contains(&each), "{each}");
+        let gap = Duration::from_millis(gap);
+        prop_assert!(prefill::budget(gap, beat.get()) > Duration::ZERO);
+    }
+}
