--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -259,7 +259,6 @@
     }
 }
 
-/// What changes it.
 impl Endpoint {
     /// Lets the entry's word on what it holds count, unless the placer's is newer.
     fn settle(&mut self, now: Duration) {
--- a/src/decide/speed.rs
+++ b/src/decide/speed.rs
@@ -5,11 +5,13 @@
 //! prompts of another clump, or leaves its engines half idle.
 //!
 //! For each model the latest first events are kept with the tokens that had to be read, and a line is
-//! laid through them: the median of the longer prompts against the median of the shorter ones gives
-//! the time for a token, what is left the time without a prompt. Medians bear the answers that were
-//! lost on the way and the prompts that an engine had read without this daemon's knowledge. How much
-//! slower one engine is than the others follows from the sign of its differences alone. A model that
-//! was not seen yet is taken to be like all models together, and no estimate leaves its bounds.
+//! laid through them: a low quantile of the longer half of the prompts against that of the shorter half
+//! gives the time for a token, what is left the time without a prompt. Quantiles bear the answers that
+//! were lost on the way and the prompts that an engine had read without this daemon's knowledge. How
+//! much slower one engine is than the others follows from the sign of its differences alone. A model
+//! that was not seen yet is taken to be like all models together, and no estimate leaves its bounds.
+//!
+//! A model of which few first events came may be far off: a handful of them agree on any slope.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -28,7 +30,7 @@
 const BASE: f64 = 30.0;
 /// The most that it is taken to be: a first event that takes longer was held up by something else.
 const BASE_MOST: f64 = 2_000.0;
-/// First events that are kept for a model: enough that the medians of both halves waver little, few
+/// First events that are kept for a model: enough that the quantiles of both halves waver little, few
 /// enough that a change of all engines shows within seconds.
 const KEPT: usize = 64;
 /// Events that the first guess counts as.
