Log how late a daemon runs and when an order's bytes are written

Cause: an order with a lower fencing token than an earlier one could come from a daemon that runs late, from one that takes the lease too early, or from bytes that wait on the way, and the logs could not tell which. Change: `late` lines and two counters say how late timers of the loop fire and how much of that the machine was suspended. `order` lines say when the bytes were handed to the kernel and how much of the lease was left then; `renewal` lines say how long each write of the lease took and what became of it; `start` names the cores of the machine. A socket notes each write. No decision is changed.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -77,7 +77,11 @@
         None => None,
     };
     let daemon = Daemon::new(settings, dialect, ex.clone(), peers);
-    daemon.note(&Event::Start { name: daemon.settings.name.clone(), born: daemon.born });
+    daemon.note(&Event::Start {
+        name: daemon.settings.name.clone(),
+        born: daemon.born,
+        cores: daemon.settings.cores,
+    });
     let accepting = ex.spawn(front::serve(daemon.clone(), front));
     for listener in [Some(ready), Some(directory), metrics].into_iter().flatten() {
         ex.spawn(directory::serve(daemon.clone(), listener)).detach();
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -30,6 +30,8 @@
     firsts: RefCell<HashMap<Kind, Histogram>>,
     ends: RefCell<HashMap<Group, Rate>>,
     connections: Cell<u64>,
+    late: Cell<Duration>,
+    latest: Cell<Duration>,
 }
 
 impl Gauges {
@@ -50,6 +52,12 @@
         self.connections.set(self.connections.get() + 1);
     }
 
+    /// A timer of the loop that runs all tasks came so much later than it was due.
+    pub fn ticked(&self, late: Duration) {
+        self.late.set(self.late.get() + late);
+        self.latest.set(self.latest.get().max(late));
+    }
+
     /// A request of a group has ended.
     pub fn ended(&self, now: Duration, group: Group) {
         let mut ends = self.ends.borrow_mut();
@@ -87,6 +95,8 @@
             ("poplarmux_endpoint_connections_total", self.connections.get()),
             ("poplarmux_idle_connections", daemon.pool.borrow().len() as u64),
             ("poplarmux_nodes", daemon.nodes.borrow().count(now) as u64),
+            ("poplarmux_loop_late_ms_total", self.late.get().as_millis() as u64),
+            ("poplarmux_loop_late_ms_max", self.latest.get().as_millis() as u64),
             ("poplarmux_leads", u64::from(daemon.placer.borrow().leads(now))),
         ];
         for (name, value) in figures {
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -31,6 +31,7 @@
     Start {
         name: String,
         born: u64,
+        cores: f64,
     },
     Stop {
         reason: &'static str,
@@ -39,6 +40,10 @@
     Reload {
         changed: bool,
     },
+    Late {
+        by: u64,
+        suspended: u64,
+    },
     Store {
         kind: &'static str,
         up: bool,
@@ -75,6 +80,11 @@
         token: u64,
         holder: String,
     },
+    Renewal {
+        token: u64,
+        took: u64,
+        outcome: &'static str,
+    },
     Plan {
         model: String,
         demand: f64,
@@ -98,6 +108,8 @@
         holds: Vec<String>,
         outcome: String,
         took: u64,
+        written: Option<u64>,
+        left: Option<i64>,
         why: &'static str,
     },
     Absent {
@@ -192,12 +204,14 @@
             Event::Start { .. } => "start",
             Event::Stop { .. } => "stop",
             Event::Reload { .. } => "reload",
+            Event::Late { .. } => "late",
             Event::Store { .. } => "store",
             Event::Config { .. } => "config",
             Event::Skipped { .. } => "skipped",
             Event::Seen { .. } => "seen",
             Event::Gone { .. } => "gone",
             Event::Lease { .. } => "lease",
+            Event::Renewal { .. } => "renewal",
             Event::Plan { .. } => "plan",
             Event::Goal { .. } => "goal",
             Event::Order { .. } => "order",
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -92,27 +92,46 @@
     let res = match store::ask(daemon, Kind::Leases, req).await {
         Ok(res) => res,
         Err(err) => {
+            let now = clock::now();
             if takes && matches!(err, store::Error::Link(_)) {
-                daemon.placer.borrow_mut().unsure = Some(clock::now());
+                daemon.placer.borrow_mut().unsure = Some(now);
             }
+            daemon.note(&Event::Renewal {
+                token: write.lease.term,
+                took: now.saturating_sub(sent).as_millis() as u64,
+                outcome: "failed",
+            });
             return;
         }
     };
     let now = clock::now();
     let mut placer = daemon.placer.borrow_mut();
-    match daemon.dialect.written(&res) {
+    let outcome = match daemon.dialect.written(&res) {
         Ok(Written::Done(done)) => {
             placer.revision = done.revision;
             placer.watch.applied(now, done.revision, write);
+            "applied"
         }
         Ok(Written::Conflict(Some(stands))) => {
             placer.revision = stands.revision;
             let stands = object(&stands);
             placer.watch.refused(now, stands);
+            "conflict"
         }
-        Ok(Written::Missing) => placer.watch.refused(now, None),
-        Ok(Written::Conflict(None) | Written::Refused) | Err(_) => {}
-    }
+        Ok(Written::Missing) => {
+            placer.watch.refused(now, None);
+            "missing"
+        }
+        Ok(Written::Conflict(None)) => "conflict",
+        Ok(Written::Refused) => "refused",
+        Err(_) => "unreadable",
+    };
+    drop(placer);
+    daemon.note(&Event::Renewal {
+        token: write.lease.term,
+        took: now.saturating_sub(sent).as_millis() as u64,
+        outcome,
+    });
 }
 
 fn note_lead(daemon: &Daemon) {
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -5,11 +5,16 @@
 //! `UNANSWERED`, and an idle peer is probed. Each connection belongs to one task; dropping the
 //! link ends it and closes the socket, so that the endpoint stops work for a caller that left.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +30,8 @@
 use smol::Task;
 use smol::Timer;
 use smol::future::FutureExt;
+use smol::io::AsyncRead;
+use smol::io::AsyncWrite;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
@@ -71,10 +78,52 @@
 
 impl std::error::Error for Error {}
 
+/// When bytes of the current request were last handed to the kernel; none while it is still queued.
+type Written = Rc<Cell<Option<Duration>>>;
+
+/// The socket of a connection.
+struct Socket {
+    stream: TcpStream,
+    written: Written,
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if matches!(done, Poll::Ready(Ok(_))) {
+            self.written.set(Some(clock::now()));
+        }
+        done
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 /// An open connection.
 pub struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     stream: TcpStream,
+    written: Written,
     _task: Task<()>,
 }
 
@@ -100,8 +149,14 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// When bytes of the last request were handed to the kernel, if any were.
+    pub fn written(&self) -> Option<Duration> {
+        self.written.get()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, Error> {
+        self.written.set(None);
         let req = req.map(Full::new);
         match self.sender.try_send_request(req).await {
             Ok(res) => Ok(res),
@@ -150,11 +205,13 @@
     let open = async { TcpStream::connect(addr).await.map_err(|_| Error::Connect) };
     let stream = open.or(expire(limit, Error::Connect)).await?;
     guard(&stream).map_err(|_| Error::Connect)?;
+    let written = Written::default();
+    let socket = Socket { stream: stream.clone(), written: written.clone() };
     let (sender, conn) =
-        http1::handshake(FuturesIo::new(stream.clone())).await.map_err(|_| Error::Connect)?;
+        http1::handshake(FuturesIo::new(socket)).await.map_err(|_| Error::Connect)?;
     // Its end shows at the sender.
     let task = ex.spawn(async move { conn.await.unwrap_or_default() });
-    Ok(Link { sender, stream, _task: task })
+    Ok(Link { sender, stream, written, _task: task })
 }
 
 /// Sets what makes a silent peer show.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -49,6 +49,8 @@
 /// Time between two looks at what is due: a request waits this much longer at most for what no
 /// event announces.
 const TICK: Duration = Duration::from_millis(50);
+/// A tick that comes later than this is logged: callers wait as long for anything else.
+const LATE: Duration = Duration::from_millis(200);
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -167,9 +169,21 @@
 /// Does what time makes due.
 pub async fn ticks(daemon: Rc<Daemon>) {
     let mut swept = clock::now();
+    let mut asleep = clock::suspended();
     loop {
+        let began = clock::now();
         Timer::after(TICK).await;
         let now = clock::now();
+        let late = now.saturating_sub(began + TICK);
+        daemon.gauges.ticked(late);
+        if late >= LATE {
+            let suspended = clock::suspended().saturating_sub(asleep);
+            daemon.note(&Event::Late {
+                by: late.as_millis() as u64,
+                suspended: suspended.as_millis() as u64,
+            });
+        }
+        asleep = clock::suspended();
         let gone = daemon.fleet.borrow_mut().tick(now);
         if gone || !daemon.line.borrow().is_empty() {
             seat::pump(&daemon);
