Test a read of the lease that takes long

Cause: a daemon takes the instant before its read of the lease left for the one at which the version that the read brings was first seen. A version that was written while the read was under way counts as older than it is by up to as long as the read took: 1.5 s by the limit of a call, 0.7 s more for a new connection, and as much longer as the loop is late. A rival then takes a lease under which the holder still acts.

A healthy round of a holder is one step.

--- a/tests/decide_lease.rs
+++ b/tests/decide_lease.rs
@@ -12,15 +12,27 @@
 
 const LEASE: Duration = Duration::from_millis(1000);
 
+/// What the platform holds.
+type Object = Option<(u64, Lease)>;
+
 /// What happens next; placers and writes are chosen modulo their number.
 #[derive(Debug, Clone)]
 enum Step {
     /// Time passes, in milliseconds; a placer to which nothing happens meanwhile was paused.
     Advance(u64),
-    /// A placer reads the object.
+    /// A placer reads the object at once.
     Read(usize),
+    /// A placer that does not hold the lease begins a read.
+    Ask(usize),
+    /// Its read reaches the platform, which answers with the object as it is or as it was so many
+    /// versions before.
+    Serve(usize, usize),
+    /// The answer of its read reaches it.
+    Hear(usize),
     /// A placer sends the write that is due.
     Start(usize),
+    /// The same, and the write is applied and answered at once.
+    Round(usize),
     /// Its write reaches the platform.
     Apply(usize),
     /// It hears the answer, or gives up on it and reads back.
@@ -31,11 +43,22 @@
     Resign(usize),
 }
 
+/// A read on its way.
+struct Look {
+    /// Before it left, by the clock of the one that reads.
+    began: Duration,
+    /// What it found; none before it reached the platform.
+    found: Option<Object>,
+}
+
 struct Placer {
     watch: Watch,
     /// Local milliseconds per second of true time.
     rate: u64,
     call: Option<(Write, Option<bool>)>,
+    look: Option<Look>,
+    /// The newest version that it knows of.
+    newest: u64,
 }
 
 impl Placer {
@@ -48,7 +71,9 @@
 struct World {
     time: u64,
     version: u64,
-    object: Option<(u64, Lease)>,
+    object: Object,
+    /// All that it held before.
+    past: Vec<Object>,
     placers: Vec<Placer>,
     late: Vec<Write>,
 }
@@ -57,7 +82,8 @@
     fn new(rates: &[u64]) -> World {
         let placers = rates.iter().enumerate().map(|(at, rate)| {
             let me = Holder { address: at.to_string(), incarnation: 1 };
-            Placer { watch: Watch::new(me, LEASE), rate: *rate, call: None }
+            let watch = Watch::new(me, LEASE);
+            Placer { watch, rate: *rate, call: None, look: None, newest: 0 }
         });
         World { placers: placers.collect(), ..World::default() }
     }
@@ -66,7 +92,8 @@
         let applied = self.object.as_ref().map(|(version, _)| *version) == write.expect;
         if applied {
             self.version += 1;
-            self.object = Some((self.version, write.lease.clone()));
+            let object = Some((self.version, write.lease.clone()));
+            self.past.push(std::mem::replace(&mut self.object, object));
         }
         applied
     }
@@ -75,32 +102,71 @@
     fn settle(&mut self, at: usize, write: &Write) {
         let object = self.object.clone();
         let now = self.placers[at].now(self.time);
-        let watch = &mut self.placers[at].watch;
+        let Placer { watch, newest, .. } = &mut self.placers[at];
+        *newest = object.as_ref().map_or(0, |(version, _)| *version);
         match object {
             Some((version, lease)) if lease == write.lease => watch.applied(now, version, write),
             other => watch.refused(now, other),
         }
     }
 
+    /// The answer of a read is there. Older ones than what is known are left out.
+    fn hear(&mut self, at: usize) {
+        let placer = &mut self.placers[at];
+        let Some(Look { began, found: Some(found) }) =
+            placer.look.take_if(|look| look.found.is_some())
+        else {
+            return;
+        };
+        let version = found.as_ref().map_or(0, |(version, _)| *version);
+        if version >= placer.newest {
+            placer.newest = version;
+            placer.watch.read(began, found);
+        }
+    }
+
     fn step(&mut self, step: &Step) {
         let count = self.placers.len();
         match step {
             Step::Advance(ms) => self.time += ms,
             Step::Read(at) => {
                 let object = self.object.clone();
-                let now = self.placers[at % count].now(self.time);
-                self.placers[at % count].watch.read(now, object);
+                let placer = &mut self.placers[at % count];
+                placer.newest = object.as_ref().map_or(0, |(version, _)| *version);
+                placer.watch.read(placer.now(self.time), object);
             }
+            Step::Ask(at) => {
+                let placer = &mut self.placers[at % count];
+                let began = placer.now(self.time);
+                if placer.call.is_none()
+                    && placer.look.is_none()
+                    && placer.watch.term(began).is_none()
+                {
+                    placer.look = Some(Look { began, found: None });
+                }
+            }
+            Step::Serve(at, back) => {
+                if let Some(look) = self.placers[at % count].look.as_mut() {
+                    let kept = self.past.iter().chain([&self.object]).rev();
+                    look.found = kept.take(back + 1).last().cloned();
+                }
+            }
+            Step::Hear(at) => self.hear(at % count),
             Step::Start(at) | Step::Resign(at) => {
                 let placer = &mut self.placers[at % count];
                 let now = placer.now(self.time);
-                if placer.call.is_none() {
+                if placer.call.is_none() && placer.look.is_none() {
                     let resign = matches!(step, Step::Resign(_));
                     let watch = &mut placer.watch;
                     let write = if resign { watch.resign(now) } else { watch.write(now) };
                     placer.call = write.map(|write| (write, None));
                 }
             }
+            Step::Round(at) => {
+                for step in [Step::Start(*at), Step::Apply(*at), Step::Answer(*at, true)] {
+                    self.step(&step);
+                }
+            }
             Step::Apply(at) => {
                 if let Some((write, None)) = self.placers[at % count].call.clone() {
                     let applied = self.apply(&write);
@@ -119,6 +185,7 @@
                         // The answer names the write's own version, which is the object's unless
                         // others wrote since; then only reading back is modelled.
                         if self.object.as_ref().is_some_and(|(_, lease)| *lease == write.lease) {
+                            self.placers[at].newest = version;
                             self.placers[at].watch.applied(now, version, &write);
                         } else {
                             self.settle(at, &write);
@@ -154,7 +221,11 @@
         4 => (1_u64..25).prop_map(Step::Advance),
         3 => (200_u64..1100).prop_map(Step::Advance),
         4 => (0..3_usize).prop_map(Step::Read),
+        4 => (0..3_usize).prop_map(Step::Ask),
+        4 => (0..3_usize, 0..2_usize).prop_map(|(at, back)| Step::Serve(at, back)),
+        4 => (0..3_usize).prop_map(Step::Hear),
         6 => (0..3_usize).prop_map(Step::Start),
+        6 => (0..3_usize).prop_map(Step::Round),
         6 => (0..3_usize).prop_map(Step::Apply),
         5 => (0..3_usize, any::<bool>()).prop_map(|(at, heard)| Step::Answer(at, heard)),
         2 => (0..4_usize).prop_map(Step::Late),
@@ -166,12 +237,13 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Three placers with clocks that run up to the stated drift apart take, renew, lapse, resign
-    /// and are paused, while writes and their answers are lost and late. At no instant do two
-    /// believe that they hold the lease, and no fencing number is ever used by two.
+    /// and are paused, while writes and their answers are lost and late, and reads take long and bring
+    /// what was there before. At no instant do two believe that they hold the lease, and no fencing
+    /// number is ever used by two.
     #[test]
     fn one_holder_at_a_time(
         rates in proptest::collection::vec(1000 - u64::from(DRIFT) * 10..=1000 + u64::from(DRIFT) * 10, 3),
-        steps in proptest::collection::vec(step(), 1..200),
+        steps in proptest::collection::vec(step(), 1..300),
     ) {
         let mut world = World::new(&rates);
         let mut terms: BTreeMap<u64, usize> = BTreeMap::new();
@@ -231,6 +303,29 @@
     assert_eq!(world.holders(), [(1, 2)]);
 }
 
+/// A rival's read is on its way for two fifths of the lease, and finds what the holder wrote just before
+/// the answer. Counted from when the read left, the rival took the lease while the holder, whose later
+/// writes were lost, had that much longer to act.
+#[test]
+fn a_read_that_takes_long_makes_no_lease_older() {
+    let mut world = World::new(&[1000, 1000]);
+    for step in [Step::Read(0), Step::Start(0), Step::Apply(0), Step::Answer(0, true)] {
+        world.step(&step);
+    }
+    for step in [Step::Ask(1), Step::Advance(400), Step::Start(0), Step::Apply(0)] {
+        world.step(&step);
+    }
+    for step in [Step::Serve(1, 0), Step::Hear(1), Step::Answer(0, true)] {
+        world.step(&step);
+    }
+    while world.placers[1].call.is_none() {
+        world.step(&Step::Advance(5));
+        world.step(&Step::Start(1));
+        assert!(world.time < 3 * LEASE.as_millis() as u64);
+    }
+    assert_eq!(world.holders(), [], "at {}", world.time);
+}
+
 /// The platform is away from everyone for ten seconds while callers turn to other models. The holder
 /// goes on as long as the others say so, and the one that finds the platform back first does not take
 /// the lease before the holder has had the time to hear of it.
