Count a lease from when its read was answered

Callers saw: nothing at once; two daemons ordered the same engine, which can overcommit it. Cause: a daemon that looked at the lease passed the instant before its read left as the one at which this version was first seen, and `Watch::read` said that this was right. The holder may have written the version at any time before the answer. A rival whose read took long, over a slow store or on a loop that runs late, took the lease up to that much too early, while the holder still acted under it. Class: a clock that is read before an await and used after it. Ruled out: stale reads, which only make the rival wait longer, and writes whose answers are lost, which the model of the lease covers and which fail no case. Change: the instant after the answer; `Watch::read` asks for that one. The model's reader passes what the daemon passes; the scene against a store is unchanged. Why it holds: a holder counts its time from before its write left, a rival from after an answer that followed the write, so the rival's count begins later whatever the loop, the store or the link do. A rival takes a lease later by the time that its first read of a version took.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -58,7 +58,6 @@
 }
 
 async fn look(daemon: &Daemon) {
-    let now = clock::now();
     let Ok(req) = daemon.dialect.get(Kind::Leases, LEASE, Read::Stale) else {
         return;
     };
@@ -71,10 +70,11 @@
     let found = found.as_ref().and_then(object);
     let mut placer = daemon.placer.borrow_mut();
     let revision = found.as_ref().map_or(0, |(revision, _)| *revision);
-    // Stale reads may be older than what is known.
+    // The clock is read after the answer: what it brings may have been written just before, however long
+    // the read took. Stale reads may be older than what is known.
     if revision >= placer.revision {
         placer.revision = revision;
-        placer.watch.read(now, found);
+        placer.watch.read(clock::now(), found);
     }
 }
 
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -125,7 +125,8 @@
         self.seen.as_ref().map(|(_, lease, _)| lease)
     }
 
-    /// Takes in a read of the object that was begun at `now` or later.
+    /// Takes in a read of the object that was answered at `now` or earlier: its holder may have written
+    /// it at any time before the answer.
     pub fn read(&mut self, now: Duration, object: Option<(Version, Lease)>) {
         self.read = true;
         let Some((version, lease)) = object else {
--- a/tests/decide_lease.rs
+++ b/tests/decide_lease.rs
@@ -43,20 +43,13 @@
     Resign(usize),
 }
 
-/// A read on its way.
-struct Look {
-    /// Before it left, by the clock of the one that reads.
-    began: Duration,
-    /// What it found; none before it reached the platform.
-    found: Option<Object>,
-}
-
 struct Placer {
     watch: Watch,
     /// Local milliseconds per second of true time.
     rate: u64,
     call: Option<(Write, Option<bool>)>,
-    look: Option<Look>,
+    /// A read on its way, and what it found; none before it reached the platform.
+    look: Option<Option<Object>>,
     /// The newest version that it knows of.
     newest: u64,
 }
@@ -113,15 +106,13 @@
     /// The answer of a read is there. Older ones than what is known are left out.
     fn hear(&mut self, at: usize) {
         let placer = &mut self.placers[at];
-        let Some(Look { began, found: Some(found) }) =
-            placer.look.take_if(|look| look.found.is_some())
-        else {
+        let Some(Some(found)) = placer.look.take_if(|look| look.is_some()) else {
             return;
         };
         let version = found.as_ref().map_or(0, |(version, _)| *version);
         if version >= placer.newest {
             placer.newest = version;
-            placer.watch.read(began, found);
+            placer.watch.read(placer.now(self.time), found);
         }
     }
 
@@ -137,18 +128,16 @@
             }
             Step::Ask(at) => {
                 let placer = &mut self.placers[at % count];
-                let began = placer.now(self.time);
-                if placer.call.is_none()
-                    && placer.look.is_none()
-                    && placer.watch.term(began).is_none()
-                {
-                    placer.look = Some(Look { began, found: None });
+                let now = placer.now(self.time);
+                let idle = placer.call.is_none() && placer.look.is_none();
+                if idle && placer.watch.term(now).is_none() {
+                    placer.look = Some(None);
                 }
             }
             Step::Serve(at, back) => {
                 if let Some(look) = self.placers[at % count].look.as_mut() {
                     let kept = self.past.iter().chain([&self.object]).rev();
-                    look.found = kept.take(back + 1).last().cloned();
+                    *look = kept.take(back + 1).last().cloned();
                 }
             }
             Step::Hear(at) => self.hear(at % count),
