Write nothing after the time to send it has run out

Callers saw: two daemons ordered one engine in turn, the later order with the lower token; an engine that is ordered by two pictures of its room can be overcommitted and crash under its callers. Cause: a daemon checked the lease and handed the order to the task of its connection, which writes when the executor comes to it. On a daemon that ran seconds late the lease was over by then and another daemon held it; nobody looked at the clock again, and the time-out that would have taken the order back is a timer of the same late loop. Class: a right is checked in one task and used in another. Ruled out: suspension (`late` says 0 ms of it), lost answers of lease writes (no `renewal` fails there before the lease is over), bytes that wait in the holder's own link (`written` itself is late). Change: the socket of a connection knows until when the current request may be written and looks at the boot clock at each write; what is late is not sent and its connection ends. Orders leave only before the last sixth of the lease, so that they reach their engine before it ends, and the kernel's own timer gives up bytes that stay in the socket while the loop stands still. Requests use the same check with their deadline: one that is handed on in time and written late reached its endpoint after its caller had left. An attempt of which nothing was written is known not to have run and is said so. Why it holds: the check and the write are one step of one task; what is written is written under the lease, with half a second of it left, however late the loop runs. Left: a machine that is suspended between the look at the clock and the system call, microseconds apart.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -1,9 +1,9 @@
 //! Calls to engines beside requests: reports and orders.
 //!
-//! An order leaves only while the lease is held, by the boot clock right before, and is given up when
-//! it ends: a machine that was suspended sends nothing under a lease that ran out.
+//! An order leaves only while the lease is held, and is given up before it ends. Its connection looks at
+//! the boot clock as it writes the bytes, so a daemon that was suspended, or that runs late, sends nothing
+//! under a lease that another daemon may hold by then.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 use crate::decide::desk::Task;
 use crate::edge::dialect::Order;
 use crate::edge::dialect::Ordered;
+use crate::table::Fence;
 use crate::table::instance::Key;
 use crate::table::instance::Report;
 
@@ -28,43 +29,73 @@
 /// The same for an adapter: callers wait for it, and the number of orders that each names makes
 /// sending again safe. Several times the way there and back between regions.
 const ADAPTER_ORDER: Duration = Duration::from_millis(300);
+/// The last part of a lease in which no order leaves any more: one that does has to reach its engine before
+/// another holder's can. A sixth of three seconds is several times the way between regions, with a packet
+/// that is sent again.
+const TRANSIT: u32 = 6;
 /// The most bytes of a report.
 const ANSWER_MAX: usize = 1 << 20;
 
 /// Asks an engine for its report; none when no whole one came.
 pub async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
-    let res = exchange(daemon, key, req, ORDER, || Some(ORDER), |_| {}).await.ok()?;
+    let (addr, mut link) = open(daemon, key).await.ok()?;
+    let res = link.call(req, ANSWER_MAX, ORDER).await.ok()?;
+    daemon.pool.borrow_mut().give(addr, link, None);
     daemon.dialect.reported(&res).ok()
 }
 
-/// One call to an engine; right before it leaves `left` says how long it may be under way, if at all.
-/// `written` is told when its bytes were handed to the kernel, if they were.
-async fn exchange(
+/// A connection to an engine, kept or new.
+async fn open(daemon: &Rc<Daemon>, key: &Key) -> Result<(SocketAddr, Link), link::Error> {
+    let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
+    let addr = addr.ok_or(link::Error::Connect)?;
+    let kept = daemon.pool.borrow_mut().take(addr);
+    let link = match kept {
+        Some(link) => link,
+        None => link::dial(&daemon.ex, addr, ORDER).await?,
+    };
+    Ok((addr, link))
+}
+
+/// How much longer an order may be under way under a token; none when it may not leave any more.
+fn left(daemon: &Daemon, now: Duration, token: Fence) -> Option<Duration> {
+    let placer = daemon.placer.borrow();
+    let held = placer.watch.term(now) == Some(token);
+    let left = placer.watch.left(now).checked_sub(daemon.settings.lease / TRANSIT);
+    left.filter(|_| held)
+}
+
+/// What became of an order's bytes.
+#[derive(Debug, Default)]
+struct Trace {
+    /// When they were handed to the kernel.
+    written: Option<Duration>,
+    /// Until when the lease is known to be held, at the last look before that.
+    until: Duration,
+}
+
+/// Sends an order under a token, and waits for its answer for `limit` at most.
+async fn deliver(
     daemon: &Rc<Daemon>,
     key: &Key,
     req: Request<Bytes>,
     limit: Duration,
-    left: impl Fn() -> Option<Duration>,
-    written: impl Fn(Option<Duration>),
+    token: Fence,
+    trace: &mut Trace,
 ) -> Result<Response<Bytes>, link::Error> {
-    let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
-    let addr = addr.ok_or(link::Error::Connect)?;
-    let mut link = open(daemon, addr).await?;
-    let left = left().ok_or(link::Error::Unsent)?;
-    let res = link.call(req, ANSWER_MAX, limit.min(left)).await;
-    written(link.written());
+    let (addr, mut link) = open(daemon, key).await?;
+    let now = clock::now();
+    trace.until = now + daemon.placer.borrow().watch.left(now);
+    let limit = left(daemon, now, token).ok_or(link::Error::Expired)?.min(limit);
+    // The kernel's own timer: this daemon's may fire late, with the bytes still in the socket.
+    link.give_up_after(limit).map_err(|_| link::Error::Unsent)?;
+    let res = link.call(req, ANSWER_MAX, limit).await;
+    trace.written = link.written();
     let res = res?;
-    daemon.pool.borrow_mut().give(addr, link, None);
-    Ok(res)
-}
-
-async fn open(daemon: &Rc<Daemon>, addr: SocketAddr) -> Result<Link, link::Error> {
-    let kept = daemon.pool.borrow_mut().take(addr);
-    match kept {
-        Some(link) => Ok(link),
-        None => link::dial(&daemon.ex, addr, ORDER).await,
+    if link.give_up_after(link::UNANSWERED).is_ok() {
+        daemon.pool.borrow_mut().give(addr, link, None);
     }
+    Ok(res)
 }
 
 fn millis(at: Duration) -> i64 {
@@ -90,18 +121,10 @@
         endpoint: key.id.clone(),
     };
     let limit = if task.adapter.is_some() { ADAPTER_ORDER } else { ORDER };
-    // It is given up, and taken back from the wire, before another holder can order.
-    let until = Cell::new(began);
-    let left = || {
-        let (placer, now) = (daemon.placer.borrow(), clock::now());
-        let left = (placer.watch.term(now) == Some(token)).then(|| placer.watch.left(now))?;
-        until.set(now + left);
-        Some(left)
-    };
-    let written = Cell::new(None);
+    let mut trace = Trace::default();
     let outcome = match daemon.dialect.order(&order) {
         Err(_) => Err(link::Error::Malformed),
-        Ok(req) => exchange(daemon, key, req, limit, left, |at| written.set(at)).await,
+        Ok(req) => deliver(daemon, key, req, limit, token, &mut trace).await,
     };
     let ordered = outcome.map(|res| daemon.dialect.ordered(&res));
     let now = clock::now();
@@ -123,8 +146,8 @@
         holds,
         outcome: text,
         took: now.saturating_sub(began).as_millis() as u64,
-        written: written.get().map(|at| at.saturating_sub(began).as_millis() as u64),
-        left: written.get().map(|at| millis(until.get()) - millis(at)),
+        written: trace.written.map(|at| at.saturating_sub(began).as_millis() as u64),
+        left: trace.written.map(|at| millis(trace.until) - millis(at)),
         why: if task.adapter.is_some() { "wanted" } else { "demand" },
     });
     if matches!(ordered, Err(link::Error::Connect)) {
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -1,6 +1,9 @@
 //! Connections to endpoints and to the store: opened with time-outs of their own, kept while they
 //! are sound.
 //!
+//! A connection's own task writes to its socket, when the executor comes to it: on a daemon that runs late
+//! seconds after the request was handed to it. So the socket itself looks at the clock at each write.
+//!
 //! A connection may go silent for good without a reset: unanswered bytes give up after
 //! `UNANSWERED`, and an idle peer is probed. Each connection belongs to one task; dropping the
 //! link ends it and closes the socket, so that the endpoint stops work for a caller that left.
@@ -39,7 +42,7 @@
 
 /// How long bytes may stay unanswered by the other side's kernel: several times the longest way
 /// there and back, and under what callers wait for.
-const UNANSWERED: Duration = Duration::from_millis(2_500);
+pub const UNANSWERED: Duration = Duration::from_millis(2_500);
 /// An idle or silent peer is probed after this long, and again each time.
 const PROBE: Duration = Duration::from_secs(1);
 /// Probes without an answer before the connection is given up.
@@ -55,6 +58,8 @@
     Connect,
     /// The connection turned out closed before anything was sent.
     Unsent,
+    /// Time ran out before anything was sent.
+    Expired,
     /// The connection broke after bytes may have been sent.
     Broken,
     /// Time ran out after bytes may have been sent.
@@ -66,7 +71,7 @@
 impl Error {
     /// Whether nothing can have reached the other side.
     pub fn unsent(self) -> bool {
-        matches!(self, Error::Connect | Error::Unsent)
+        matches!(self, Error::Connect | Error::Unsent | Error::Expired)
     }
 }
 
@@ -78,13 +83,19 @@
 
 impl std::error::Error for Error {}
 
-/// When bytes of the current request were last handed to the kernel; none while it is still queued.
-type Written = Rc<Cell<Option<Duration>>>;
+/// The request that a connection carries.
+#[derive(Debug, Default)]
+struct Current {
+    /// No bytes are handed to the kernel from then on.
+    until: Cell<Duration>,
+    /// When bytes were last handed to it; none while all are still queued.
+    written: Cell<Option<Duration>>,
+}
 
 /// The socket of a connection.
 struct Socket {
     stream: TcpStream,
-    written: Written,
+    current: Rc<Current>,
 }
 
 impl AsyncRead for Socket {
@@ -103,9 +114,14 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        // The sender's right to send, such as a lease, may have ended while the request was queued.
+        let now = clock::now();
+        if now >= self.current.until.get() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         let done = Pin::new(&mut self.stream).poll_write(cx, buf);
         if matches!(done, Poll::Ready(Ok(_))) {
-            self.written.set(Some(clock::now()));
+            self.current.written.set(Some(now));
         }
         done
     }
@@ -123,7 +139,7 @@
 pub struct Link {
     sender: http1::SendRequest<Full<Bytes>>,
     stream: TcpStream,
-    written: Written,
+    current: Rc<Current>,
     _task: Task<()>,
 }
 
@@ -151,19 +167,26 @@
 
     /// When bytes of the last request were handed to the kernel, if any were.
     pub fn written(&self) -> Option<Duration> {
-        self.written.get()
+        self.current.written.get()
     }
 
-    /// Sends a request and waits for the head of the answer.
-    pub async fn send(&mut self, req: Request<Bytes>) -> Result<Response<Incoming>, Error> {
-        self.written.set(None);
+    /// Sends a request, none of it later than `limit` from now, and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        self.current.until.set(clock::now() + limit);
+        self.current.written.set(None);
         let req = req.map(Full::new);
         match self.sender.try_send_request(req).await {
             Ok(res) => Ok(res),
             Err(mut err) => {
-                let unsent = err.take_message().is_some();
+                let unsent = err.take_message().is_some() || self.written().is_none();
                 let err = err.into_error();
-                Err(if unsent {
+                Err(if unsent && self.expired() {
+                    Error::Expired
+                } else if unsent {
                     Error::Unsent
                 } else if err.is_parse() {
                     Error::Malformed
@@ -174,6 +197,16 @@
         }
     }
 
+    /// Has the kernel give the connection up when bytes stay unanswered for so long, instead of `UNANSWERED`.
+    pub fn give_up_after(&self, limit: Duration) -> rustix::io::Result<()> {
+        sockopt::set_tcp_user_timeout(&self.stream, limit.as_millis().max(1) as u32)
+    }
+
+    /// Whether the time to send the request ran out before any of it was written.
+    pub fn expired(&self) -> bool {
+        self.written().is_none() && clock::now() >= self.current.until.get()
+    }
+
     /// Sends a request and reads the whole answer, of at most `max` bytes, within `limit`.
     pub async fn call(
         &mut self,
@@ -182,11 +215,12 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
         let whole = async {
-            let (head, body) = self.send(req).await?.into_parts();
+            let (head, body) = self.send(req, limit).await?.into_parts();
             let body = Limited::new(body, max).collect().await.map_err(|_| Error::Broken)?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
-        whole.or(expire(limit, Error::Timeout)).await
+        let outcome = whole.or(expire(limit, Error::Timeout)).await;
+        outcome.map_err(|err| if self.expired() { Error::Expired } else { err })
     }
 }
 
@@ -205,13 +239,13 @@
     let open = async { TcpStream::connect(addr).await.map_err(|_| Error::Connect) };
     let stream = open.or(expire(limit, Error::Connect)).await?;
     guard(&stream).map_err(|_| Error::Connect)?;
-    let written = Written::default();
-    let socket = Socket { stream: stream.clone(), written: written.clone() };
+    let current = Rc::new(Current::default());
+    let socket = Socket { stream: stream.clone(), current: current.clone() };
     let (sender, conn) =
         http1::handshake(FuturesIo::new(socket)).await.map_err(|_| Error::Connect)?;
     // Its end shows at the sender.
     let task = ex.spawn(async move { conn.await.unwrap_or_default() });
-    Ok(Link { sender, stream, written, _task: task })
+    Ok(Link { sender, stream, current, _task: task })
 }
 
 /// Sets what makes a silent peer show.
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -120,6 +120,8 @@
             Ok(res) => return judge(daemon, job, place, link, res, left).await,
             Err(link::Error::Unsent) if reused => fresh = true,
             Err(err) if err.unsent() => return Outcome::Unsent(err.into()),
+            // Dropped with the link, it is not written any more.
+            Err(_) if link.written().is_none() => return Outcome::Unsent("expired"),
             Err(err) => return Outcome::Lost(err.into()),
         }
     }
@@ -136,7 +138,7 @@
     left: Duration,
     again: bool,
 ) -> Result<Response<Incoming>, link::Error> {
-    let mut head = std::pin::pin!(link.send(req));
+    let mut head = std::pin::pin!(link.send(req, left));
     let mut rest = left;
     if again {
         let limit = try_limit(job).min(left);
