Give the lease back only when all orders have been answered

Callers saw: after a stop of the daemon that places models, an engine that two daemons ordered in turn. Cause: a daemon that is told to stop gave the lease back at once, though orders had been sent that no engine had answered. The next holder need not wait for a lease that is given back, so its first order could come before the last ones of its predecessor. Class: a right is passed on while it is still in use. With one that was never answered within the last lease it gives nothing back: the lease runs out. It registers as leaving meanwhile, not after that. Why it holds: what was answered has arrived; what was not had the rest of the lease to arrive or be given up. A stop takes the answers' time longer to hand over, and up to a lease where an engine is silent.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -108,8 +108,8 @@
     peer::say_here(daemon);
     let tell = async {
         // Both only spare others a wait: without them the lease runs out, and heartbeats stop.
-        lease::resign(daemon).await;
-        let _ = node::write(daemon, u64::MAX).await;
+        let registered = node::write(daemon, u64::MAX);
+        let _ = smol::future::zip(lease::resign(daemon), registered).await;
     };
     let late = async {
         Timer::after(Duration::from_secs(2)).await;
--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -4,6 +4,7 @@
 //! the boot clock as it writes the bytes, so a daemon that was suspended, or that runs late, sends nothing
 //! under a lease that another daemon may hold by then.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,6 +37,42 @@
 /// The most bytes of a report.
 const ANSWER_MAX: usize = 1 << 20;
 
+/// Orders on their way to engines.
+#[derive(Debug, Default)]
+pub struct Orders {
+    under_way: Cell<usize>,
+    /// When the last one ended without an answer: the engine may get it yet.
+    unanswered: Cell<Option<Duration>>,
+}
+
+impl Orders {
+    /// Whether all have ended.
+    pub fn ended(&self) -> bool {
+        self.under_way.get() == 0
+    }
+
+    /// Whether engines have answered all that were sent since then.
+    pub fn answered_since(&self, at: Duration) -> bool {
+        self.unanswered.get().is_none_or(|lost| lost < at)
+    }
+}
+
+/// An order on its way to an engine.
+struct UnderWay<'a>(&'a Orders);
+
+impl<'a> UnderWay<'a> {
+    fn new(orders: &'a Orders) -> Self {
+        orders.under_way.set(orders.under_way.get() + 1);
+        UnderWay(orders)
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.under_way.set(self.0.under_way.get() - 1);
+    }
+}
+
 /// Asks an engine for its report; none when no whole one came.
 pub async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
@@ -122,12 +159,17 @@
     };
     let limit = if task.adapter.is_some() { ADAPTER_ORDER } else { ORDER };
     let mut trace = Trace::default();
+    let under_way = UnderWay::new(&daemon.orders);
     let outcome = match daemon.dialect.order(&order) {
         Err(_) => Err(link::Error::Malformed),
         Ok(req) => deliver(daemon, key, req, limit, token, &mut trace).await,
     };
     let ordered = outcome.map(|res| daemon.dialect.ordered(&res));
     let now = clock::now();
+    if trace.written.is_some() && ordered.is_err() {
+        daemon.orders.unanswered.set(Some(now));
+    }
+    drop(under_way);
     let text = match &ordered {
         Ok(Ok(ordered)) => {
             let text: &'static str = ordered.into();
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -21,6 +21,8 @@
 /// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
 /// price of a read.
 const LOOK: Duration = Duration::from_millis(1_000);
+/// Time between two looks whether all orders are answered.
+const SETTLE: Duration = Duration::from_millis(20);
 /// Time between two steps.
 const STEP: Duration = Duration::from_millis(200);
 
@@ -151,11 +153,19 @@
     daemon.note(&Event::Lease { held: leads, token, holder });
 }
 
-/// Gives the lease back, so that another daemon takes it at once.
+/// Stops ordering and gives the lease back, so that another daemon takes it at once, or leaves it to run out
+/// while an order may still reach its engine: one of the next holder could overtake it.
 pub async fn resign(daemon: &Daemon) {
-    let write = daemon.placer.borrow_mut().watch.resign(clock::now());
-    if let Some(write) = write {
+    let began = clock::now();
+    let write = daemon.placer.borrow_mut().watch.resign(began);
+    note_lead(daemon);
+    let Some(write) = write else {
+        return;
+    };
+    while !daemon.orders.ended() {
+        Timer::after(SETTLE).await;
+    }
+    if daemon.orders.answered_since(began.saturating_sub(daemon.settings.lease)) {
         apply(daemon, &write).await;
-        note_lead(daemon);
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -78,6 +78,8 @@
     pub demand: RefCell<peer::Demand>,
     /// Placement, active while the lease is held.
     pub placer: RefCell<placer::Placer>,
+    /// Orders on their way to engines.
+    pub orders: engine::Orders,
     /// Connections to endpoints.
     pub pool: RefCell<Pool>,
     /// The store.
@@ -129,6 +131,7 @@
             nodes: RefCell::default(),
             demand: RefCell::default(),
             placer: RefCell::new(placer::Placer::new(&settings, born)),
+            orders: engine::Orders::default(),
             pool: RefCell::default(),
             store: store::Client::new(ex.clone(), settings.store),
             peers,
