Tell who asked alone, and many engines in one datagram

Callers saw: models that nobody loads for seconds at a time, and engines that two daemons order in turn. Cause: the holder of the lease told each change of an engine to each daemon in a datagram of its own, and repeated what it knew to all of them whenever one asked for an adapter that was there: each question cost as many datagrams as there are daemons, for every engine with the adapter. On a machine of 0.12 cores and 10 Mbit/s that took the time in which the lease is renewed, and its orders waited for seconds in the queue of its link, past the end of the lease. Class: work and traffic that grow with daemons times engines. Change: an answer goes to the address that asked. Engines whose news is due wait in a queue, each once; one task sends what is due at most every 20 ms, packed, so that a holder that is late sends the newest state of each engine instead of all states before. Telling takes a quarter of the time at most. A datagram is written once, not once a daemon. An unload leaves 40 ms after the last daemon was told of it, not 40 ms after that was begun. Why it holds: what a flush sends is bounded by the engines that there are, and how often it does by the time that it takes, not by how often engines change or daemons ask.

--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use postcard::ser_flavors::Size;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,6 +25,7 @@
 use crate::daemon::placer;
 use crate::daemon::seat;
 use crate::decide::demand;
+use crate::decide::news;
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::instance::Key;
@@ -49,6 +51,8 @@
 const HISTORY: usize = 35;
 /// The largest datagram: below what one packet holds.
 const LARGEST: usize = 1_400;
+/// Of these the kind of a message and the number of its rows take at most.
+const HEAD: usize = 8;
 
 /// A daemon lives.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,13 +100,8 @@
         /// How long it reads them, in microseconds.
         micros: u32,
     },
-    /// What an engine holds, by the placer's knowledge.
-    Holding {
-        /// The engine.
-        key: Key,
-        /// What it holds.
-        held: Stock,
-    },
+    /// What engines hold, by the placer's knowledge.
+    Holding(Vec<(Key, Stock)>),
 }
 
 /// What callers of this daemon asked for since the last round.
@@ -173,12 +172,14 @@
         Ok(Sender { socket: UdpSocket::bind(addr).await? })
     }
 
-    async fn send(&self, to: SocketAddr, message: &Message) {
+    async fn send(&self, to: &[SocketAddr], message: &Message) {
         // All messages are repeated in some form; one that is lost or too long is not missed.
         if let Ok(bytes) = postcard::to_stdvec(message)
             && bytes.len() <= LARGEST
         {
-            let _ = self.socket.send_to(&bytes, to).await;
+            for addr in to {
+                let _ = self.socket.send_to(&bytes, *addr).await;
+            }
         }
     }
 }
@@ -186,12 +187,20 @@
 /// Sends one message to some daemons.
 pub fn tell(daemon: &Rc<Daemon>, to: Vec<SocketAddr>, message: Message) {
     let shared = daemon.clone();
-    let send = async move {
-        for addr in to {
-            shared.peers.send(addr, &message).await;
-        }
+    daemon.ex.spawn(async move { shared.peers.send(&to, &message).await }).detach();
+}
+
+/// Tells some daemons what engines hold, and returns once that is sent.
+pub async fn say_holding(daemon: &Daemon, to: &[SocketAddr], rows: Vec<(Key, Stock)>) {
+    // One that cannot be written is larger than any datagram.
+    let size = |row: &(Key, Stock)| {
+        postcard::serialize_with_flavor(row, Size::default()).unwrap_or(LARGEST)
     };
-    daemon.ex.spawn(send).detach();
+    for rows in news::pack(rows, LARGEST - HEAD, size) {
+        daemon.peers.send(to, &Message::Holding(rows)).await;
+        // Sending hardly ever waits, and the lease is renewed in between.
+        smol::future::yield_now().await;
+    }
 }
 
 /// Asks the placer for a job's adapter at an engine, unless it was asked just now.
@@ -219,7 +228,7 @@
 fn to_placer(daemon: &Rc<Daemon>, message: Message) {
     let now = clock::now();
     if daemon.placer.borrow().leads(now) {
-        take(daemon, message);
+        take(daemon, message, None);
         return;
     }
     let leader = daemon.placer.borrow().leader();
@@ -281,8 +290,8 @@
     let mut buf = vec![0_u8; 2 * LARGEST];
     loop {
         match daemon.peers.socket.recv_from(&mut buf).await {
-            Ok((len, _)) => match postcard::from_bytes(&buf[..len]) {
-                Ok(message) => take(&daemon, message),
+            Ok((len, from)) => match postcard::from_bytes(&buf[..len]) {
+                Ok(message) => take(&daemon, message, Some(from)),
                 // Another version of the program, or not one of ours.
                 Err(err) => daemon.note(&Event::Skipped {
                     what: "datagram",
@@ -298,7 +307,8 @@
     }
 }
 
-fn take(daemon: &Rc<Daemon>, message: Message) {
+/// Takes in a message; its sender's address is none when that is this daemon.
+fn take(daemon: &Rc<Daemon>, message: Message, from: Option<SocketAddr>) {
     let now = clock::now();
     match message {
         Message::Here(here) => daemon.nodes.borrow_mut().heard(now, &here),
@@ -313,10 +323,12 @@
             daemon.fleet.borrow_mut().sent(now, &key, read);
         }
         Message::Want { key, model, adapter } => {
-            placer::want(daemon, &key, &model, &adapter);
+            placer::want(daemon, &key, &model, &adapter, from);
         }
-        Message::Holding { key, held } => {
-            daemon.fleet.borrow_mut().hold(now, &key, held);
+        Message::Holding(rows) => {
+            for (key, held) in rows {
+                daemon.fleet.borrow_mut().hold(now, &key, held);
+            }
             seat::pump(daemon);
         }
     }
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -9,9 +9,11 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use event_listener::Event as Bell;
 use smol::Timer;
 
 use crate::daemon::Daemon;
@@ -19,7 +21,6 @@
 use crate::daemon::engine;
 use crate::daemon::journal::Event;
 use crate::daemon::peer;
-use crate::daemon::peer::Message;
 use crate::daemon::seat;
 use crate::daemon::settings::Settings;
 use crate::decide::demand::Demand;
@@ -29,6 +30,7 @@
 use crate::decide::desk::Task;
 use crate::decide::lease::Holder;
 use crate::decide::lease::Watch;
+use crate::decide::news::News;
 use crate::decide::spread;
 use crate::decide::spread::Bring;
 use crate::decide::spread::Host;
@@ -38,6 +40,7 @@
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::instance::Key;
+use crate::table::instance::Stock;
 use crate::table::instance::holds;
 use crate::table::routing::Config;
 use crate::table::routing::Engines;
@@ -52,8 +55,11 @@
 const NOTE: Duration = Duration::from_secs(2);
 /// An engine that carries out another order is asked again after this long.
 const BUSY: Duration = Duration::from_millis(120);
-/// The way of news to all daemons.
-const NEWS: Duration = Duration::from_millis(40);
+/// News of engines is told at most this often: callers wait for what it is of.
+const GATHER: Duration = Duration::from_millis(20);
+/// Telling takes at most one part of the time, these many others are left to the rest: with as many daemons
+/// as there may be, the smallest machine could do nothing else.
+const REST: u32 = 3;
 /// Reports are so far behind at most.
 const LAG: Duration = Duration::from_millis(230);
 /// A model that could not be brought within this time is planned anew: longer than the longest
@@ -91,6 +97,10 @@
     /// Whether the log says that it is held.
     pub led: bool,
     desks: BTreeMap<Key, Desk>,
+    /// Engines that are due to be told.
+    news: News,
+    /// Rung when there are some.
+    due: Bell,
     /// What callers of all daemons ask for.
     pub demand: Demand,
     /// Adapters that were wanted and are at no engine, and since when.
@@ -111,6 +121,8 @@
             revision: 0,
             unsure: None,
             desks: BTreeMap::new(),
+            news: News::default(),
+            due: Bell::new(),
             demand: Demand::default(),
             unmet: HashMap::new(),
             missing: HashMap::new(),
@@ -123,6 +135,7 @@
     /// The lease was taken, under this token, or lost: what was known is another's or nobody's now.
     pub fn begin(&mut self, now: Duration, token: Option<u64>, lease: Duration) {
         self.desks.clear();
+        self.news = News::default();
         self.unmet.clear();
         self.missing.clear();
         self.demand = Demand::default();
@@ -162,6 +175,26 @@
         self.desks.get(key)
     }
 
+    /// Something has changed at an engine, which daemons are told with the next news.
+    fn tell(&mut self, key: &Key) {
+        self.news.changed(key);
+        self.due.notify(1);
+    }
+
+    /// A daemon has missed what these engines hold.
+    fn answer(&mut self, from: SocketAddr, keys: Vec<Key>) {
+        self.news.missed(from, keys);
+        if !self.news.is_empty() {
+            self.due.notify(1);
+        }
+    }
+
+    /// What is known of engines, as daemons are told.
+    fn stocks(&self, keys: impl IntoIterator<Item = Key>, now: Duration) -> Vec<(Key, Stock)> {
+        let known = keys.into_iter().filter_map(|key| Some((self.desks.get(&key)?, key)));
+        known.map(|(desk, key)| (key, desk.stock(now))).collect()
+    }
+
     /// Engines that hold an adapter, or will.
     fn places(&self, want: &(ModelId, AdapterId)) -> Vec<Key> {
         let holds = |desk: &Desk| {
@@ -292,30 +325,54 @@
     if let Some(goal) = goal.filter(|_| !open) {
         note_goal(daemon, key, &goal, "reached");
     }
-    tell(daemon, key);
+    daemon.placer.borrow_mut().tell(key);
+}
+
+/// Tells daemons the news of engines for as long as the daemon runs.
+pub async fn reports(daemon: Rc<Daemon>) {
+    loop {
+        let due = daemon.placer.borrow().due.listen();
+        if daemon.placer.borrow().news.is_empty() {
+            due.await;
+        }
+        let began = clock::now();
+        report(&daemon).await;
+        let took = clock::now().saturating_sub(began);
+        Timer::after(GATHER.max(took * REST)).await;
+    }
 }
 
-/// Tells all daemons what an engine holds, leaving out what is being dropped, if that is news.
-fn tell(daemon: &Rc<Daemon>, key: &Key) {
+/// Tells all news that there is, leaving out what is being dropped.
+async fn report(daemon: &Rc<Daemon>) {
     let now = clock::now();
-    let mut placer = daemon.placer.borrow_mut();
-    let Some(held) = placer.desks.get_mut(key).and_then(|desk| desk.news(now)) else {
-        return;
+    let (rows, answers) = {
+        let mut placer = daemon.placer.borrow_mut();
+        let News { all, asked } = placer.news.take();
+        let news = |key: Key| Some((placer.desks.get(&key)?.news(now)?, key));
+        let rows: Vec<_> =
+            all.into_iter().filter_map(news).map(|(held, key)| (key, held)).collect();
+        let answers: Vec<_> =
+            asked.into_iter().map(|(from, keys)| (from, placer.stocks(keys, now))).collect();
+        (rows, answers)
     };
-    drop(placer);
-    daemon.fleet.borrow_mut().hold(now, key, held.clone());
-    let message = Message::Holding { key: key.clone(), held };
+    for (key, held) in &rows {
+        daemon.fleet.borrow_mut().hold(now, key, held.clone());
+    }
+    if !rows.is_empty() {
+        seat::pump(daemon);
+    }
     let peers = daemon.nodes.borrow().peers();
-    peer::tell(daemon, peers, message);
-    seat::pump(daemon);
-}
-
-/// The same, news or not, for a daemon that has missed it.
-fn tell_again(daemon: &Rc<Daemon>, key: &Key) {
-    if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(key) {
-        desk.told = None;
+    peer::say_holding(daemon, &peers, rows.clone()).await;
+    for (from, rows) in answers {
+        peer::say_holding(daemon, &[from], rows).await;
+    }
+    let now = clock::now();
+    let mut placer = daemon.placer.borrow_mut();
+    for (key, held) in rows {
+        if let Some(desk) = placer.desks.get_mut(&key) {
+            desk.told = Some((held, now));
+        }
     }
-    tell(daemon, key);
 }
 
 /// Plans and begins what is due for the models of a service.
@@ -402,10 +459,10 @@
     }
 }
 
-/// A daemon wants an adapter at an engine.
-pub fn want(daemon: &Rc<Daemon>, key: &Key, model: &str, adapter: &str) {
+/// A daemon wants an adapter at an engine; its address is none when it is this one.
+pub fn want(daemon: &Rc<Daemon>, key: &Key, model: &str, adapter: &str, from: Option<SocketAddr>) {
     let now = clock::now();
-    let held = {
+    let asked = {
         let mut placer = daemon.placer.borrow_mut();
         if !placer.leads(now) {
             return;
@@ -430,13 +487,23 @@
             Some(desk) if !enough && !desk.wants.contains(&want) => desk.wants.push_back(want),
             _ => {}
         }
-        if held { vec![key.clone()] } else { places }
+        let asked = held || places.contains(key);
+        let mut there = if held { vec![key.clone()] } else { places };
+        there.retain(|key| {
+            placer.desk(key).is_some_and(|desk| holds(&desk.resident, model, Some(adapter)))
+        });
+        // The one who asked missed the news of where it is.
+        match from {
+            Some(from) => placer.answer(from, there),
+            None => {
+                for (key, held) in placer.stocks(there, now) {
+                    daemon.fleet.borrow_mut().hold(now, &key, held);
+                }
+            }
+        }
+        asked
     };
-    // The one who asked missed the news of where it is.
-    for key in &held {
-        tell_again(daemon, key);
-    }
-    if held.contains(key) {
+    if asked {
         return;
     }
     let Some(config) = daemon.config.borrow().clone() else {
@@ -482,10 +549,10 @@
         let news = parting != desk.parting;
         desk.parting = parting;
         if news && parting {
-            // Daemons stop sending it before the order leaves: what comes after it is refused.
-            desk.rest = now + NEWS;
-            drop(placer);
-            tell(daemon, key);
+            placer.tell(key);
+            return;
+        }
+        if parting && !desk.announced(now) {
             return;
         }
         // While a model comes or goes there, all else is refused.
@@ -599,5 +666,5 @@
     if let Some(desk) = daemon.placer.borrow_mut().desks.get_mut(key) {
         desk.sending = false;
     }
-    tell(daemon, key);
+    daemon.placer.borrow_mut().tell(key);
 }
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -32,6 +32,8 @@
 /// The same while something comes or goes there: its own entry, which daemons go back to after 2.5 s,
 /// still names what goes.
 const TELL_BUSY: Duration = Duration::from_millis(1_200);
+/// The way of news to all daemons.
+const NEWS: Duration = Duration::from_millis(40);
 /// Between two looks at an engine whose load takes longer than expected.
 pub const POLL: Duration = Duration::from_millis(250);
 
@@ -64,7 +66,7 @@
     pub going: Vec<(ModelId, AdapterId)>,
     /// When a report or an accepted order last changed it.
     pub changed: Duration,
-    /// What daemons were last told of it, and when.
+    /// What daemons were last told of it, and when the last of them was.
     pub told: Option<(Stock, Duration)>,
 }
 
@@ -115,24 +117,34 @@
         }
     }
 
-    /// What daemons are told of it, unless they were told the same lately: with many engines and
-    /// daemons most news would be old, and the holder of the lease would send little else.
-    pub fn news(&mut self, now: Duration) -> Option<Stock> {
-        let stock = Stock {
+    /// What daemons are told of it.
+    pub fn stock(&self, now: Duration) -> Stock {
+        Stock {
             orders: self.orders.unwrap_or(0),
             resident: self.serving(),
             busy: self.busy(now).as_millis() as u32,
-        };
+        }
+    }
+
+    /// The same, unless they were told so lately: with many engines and daemons most news would be
+    /// old, and the holder of the lease would send little else.
+    pub fn news(&self, now: Duration) -> Option<Stock> {
+        let stock = self.stock(now);
         let every = if self.goal.is_some() || self.look.is_some() { TELL_BUSY } else { TELL };
         let same = self.told.as_ref().is_some_and(|(told, at)| {
             let as_busy = (told.busy == 0) == (stock.busy == 0);
             as_busy && told.resident == stock.resident && now < *at + every
         });
-        if same {
-            return None;
-        }
-        self.told = Some((stock.clone(), now));
-        Some(stock)
+        (!same).then_some(stock)
+    }
+
+    /// Whether daemons know for long enough that what its goal drops goes: what they send there once
+    /// it is gone is refused.
+    pub fn announced(&self, now: Duration) -> bool {
+        let mut victims = self.goal.iter().flat_map(|goal| &goal.victims);
+        self.told.as_ref().is_some_and(|(told, at)| {
+            now >= *at + NEWS && !victims.any(|victim| holds(&told.resident, victim, None))
+        })
     }
 
     /// Takes the models alone of a report that is older than the last order, if it is newer than
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,6 +20,7 @@
 pub mod line;
 pub mod load;
 pub mod member;
+pub mod news;
 pub mod offer;
 pub mod outlier;
 pub mod owner;
--- a/tests/decide_desk.rs
+++ b/tests/decide_desk.rs
@@ -13,6 +13,7 @@
 use poplarmux::table::instance::Key;
 use poplarmux::table::instance::Report;
 use poplarmux::table::instance::Resident;
+use poplarmux::table::instance::Stock;
 use poplarmux::table::routing::Engines;
 use poplarmux::table::routing::Model;
 
@@ -69,6 +70,15 @@
     Goal { model: model.to_string(), victims, since: ms(0), loading: false, orders: 0 }
 }
 
+/// Daemons are told what is news.
+fn tell(desk: &mut Desk, at: u64) -> Option<Stock> {
+    let stock = desk.news(ms(at));
+    if let Some(stock) = &stock {
+        desk.told = Some((stock.clone(), ms(at)));
+    }
+    stock
+}
+
 fn task(action: Action, model: &str, adapter: Option<&str>) -> Task {
     Task { action, model: model.to_string(), adapter: adapter.map(str::to_string) }
 }
@@ -220,14 +230,27 @@
 #[test]
 fn only_news_is_told() {
     let mut desk = engine(&[("a", &[]), ("b", &[])]);
-    assert!(desk.news(ms(10)).is_some());
+    assert!(tell(&mut desk, 10).is_some());
     desk.take(ms(3_000), report(4, false, &[("a", &[]), ("b", &[])]));
-    assert_eq!(desk.news(ms(3_000)), None);
+    assert_eq!(tell(&mut desk, 3_000), None);
     desk.hold(&task(Action::Load, "a", Some("x")));
-    assert!(desk.news(ms(3_100)).is_some());
-    assert_eq!(desk.news(ms(3_200)), None);
+    assert!(tell(&mut desk, 3_100).is_some());
+    assert_eq!(tell(&mut desk, 3_200), None);
     (desk.goal, desk.parting) = (Some(goal("c", &["a"])), true);
-    let news = desk.news(ms(3_300)).expect("a goes");
+    let news = tell(&mut desk, 3_300).expect("a goes");
     assert_eq!(news.resident, resident(&[("b", &[])]));
-    assert!(desk.news(ms(4_600)).is_some());
+    assert!(tell(&mut desk, 4_600).is_some());
+}
+
+/// The holder of the lease is late, and an unload leaves before daemons were told of it: they go on
+/// sending there, and what arrives after it is refused.
+#[test]
+fn a_model_goes_when_daemons_know() {
+    let mut desk = engine(&[("a", &[]), ("b", &[])]);
+    assert!(tell(&mut desk, 10).is_some());
+    (desk.goal, desk.parting) = (Some(goal("c", &["a"])), true);
+    assert!(!desk.announced(ms(5_000)));
+    assert!(tell(&mut desk, 5_000).is_some());
+    assert!(!desk.announced(ms(5_010)));
+    assert!(desk.announced(ms(5_100)));
 }
--- /dev/null
+++ b/tests/decide_news.rs
@@ -0,0 +1,71 @@
+//! What is told of engines, and to whom: seen from how much the holder of the lease sends.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+
+use poplarmux::decide::news;
+use poplarmux::decide::news::News;
+use poplarmux::table::instance::Key;
+
+fn key(at: usize) -> Key {
+    Key { id: format!("e{at}"), born: 1 }
+}
+
+fn daemon(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+/// Each of many daemons asks for one adapter every few milliseconds, and the holder of the lease is
+/// late. It owes each of them one answer, and nothing to those who did not ask.
+#[test]
+fn an_answer_is_due_once_to_who_asked() {
+    let mut news = News::default();
+    for port in 1..80 {
+        for _ in 0..10 {
+            news.missed(daemon(port), vec![key(1), key(2)]);
+        }
+    }
+    news.missed(daemon(99), vec![]);
+    let due = news.take();
+    assert!(due.all.is_empty());
+    assert_eq!(due.asked.len(), 79);
+    assert!(due.asked.values().all(|keys| *keys == BTreeSet::from([key(1), key(2)])));
+    assert!(news.is_empty());
+}
+
+/// An engine changes many times while a late holder of the lease tells nothing. Told of each, daemons
+/// would hear old states for longer than these lasted.
+#[test]
+fn an_engine_that_changes_often_is_due_once() {
+    let mut news = News::default();
+    for at in 0..1_000 {
+        news.changed(&key(at % 100));
+    }
+    assert_eq!(news.take().all.len(), 100);
+    assert!(news.is_empty());
+}
+
+proptest! {
+    /// What is told at once takes datagrams by its bytes, not by its engines: two that follow each
+    /// other would not fit in one. Each row is in one of them, and none is too large that need not be.
+    #[test]
+    fn datagrams_are_full(rows in proptest::collection::vec(1_usize..700, 0..200)) {
+        const ROOM: usize = 1_400;
+        let datagrams = news::pack(rows.clone(), ROOM, |row| *row);
+        prop_assert_eq!(datagrams.concat(), rows.clone());
+        let sizes: Vec<usize> = datagrams.iter().map(|rows| rows.iter().sum()).collect();
+        prop_assert!(sizes.iter().all(|size| (1..=ROOM).contains(size)));
+        prop_assert!(sizes.windows(2).all(|pair| pair[0] + pair[1] > ROOM));
+        let bytes: usize = rows.iter().sum();
+        prop_assert!(datagrams.len() <= 2 * bytes / ROOM + 1);
+    }
+}
+
+/// An engine holds so much that no datagram carries it. The others' news must not go with it.
+#[test]
+fn what_is_too_large_is_alone() {
+    let datagrams = news::pack(vec![10, 2_000, 20, 30], 1_400, |row| *row);
+    assert_eq!(datagrams, [vec![10], vec![2_000], vec![20, 30]]);
+}
