Give the lease back again when a renewal's answer brings it back

Callers saw: models that nobody places for up to eight seconds after a stop of the daemon that placed them. Cause: a daemon was told to stop while the answer to a renewal was still on the way. The write that gives the lease back names the revision before and is refused; then the answer makes the daemon the holder again, and it renewed the lease until its end without placing anything. Change: while it is leaving, the task that follows the lease gives it back whenever it is held.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -37,6 +37,12 @@
     loop {
         let now = clock::now();
         let leads = daemon.placer.borrow().leads(now);
+        if leads && daemon.leaving.get() {
+            // The answer to a renewal came after the lease was given back, and brought it back.
+            resign(&daemon).await;
+            Timer::after(STEP).await;
+            continue;
+        }
         if !leads && now >= looked + LOOK {
             look(&daemon).await;
             looked = clock::now();
