Log a lease that is taken anew between two looks

Cause: the log compared only whether the lease is held. A daemon that stood still past the end of its lease and took it anew in the same step gave orders under tokens that no `lease` line names. Change: the token is compared. What was known is kept: the take names the revision at which the lease ran out, so nobody held it in between.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -145,18 +145,22 @@
 fn note_lead(daemon: &Daemon) {
     let now = clock::now();
     let mut placer = daemon.placer.borrow_mut();
-    let leads = placer.leads(now);
-    if leads == placer.led {
+    let term = placer.watch.term(now);
+    if term == placer.led {
         return;
     }
-    placer.led = leads;
+    // Taken anew at the very revision at which it ran out: nobody else ordered in between.
+    let goes_on = term.is_some() && placer.led.is_some();
+    placer.led = term;
     let lease = placer.watch.seen();
     let token = lease.map_or(0, |lease| lease.term);
     let holder = lease.and_then(|lease| lease.holder.as_ref());
     let holder = holder.map(|holder| holder.address.clone()).unwrap_or_default();
-    placer.begin(now, leads.then_some(token), daemon.settings.lease);
+    if !goes_on {
+        placer.begin(now, term, daemon.settings.lease);
+    }
     drop(placer);
-    daemon.note(&Event::Lease { held: leads, token, holder });
+    daemon.note(&Event::Lease { held: term.is_some(), token, holder });
 }
 
 /// Stops ordering and gives the lease back, so that another daemon takes it at once, or leaves it to run out
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -94,8 +94,8 @@
     pub revision: u64,
     /// When it last tried to take it without hearing what became of that.
     pub unsure: Option<Duration>,
-    /// Whether the log says that it is held.
-    pub led: bool,
+    /// The token under which it is held, as the log says.
+    pub led: Option<u64>,
     desks: BTreeMap<Key, Desk>,
     /// Engines that are due to be told.
     news: News,
@@ -127,7 +127,7 @@
             unmet: HashMap::new(),
             missing: HashMap::new(),
             loads: VecDeque::new(),
-            led: false,
+            led: None,
             noted: Duration::ZERO,
         }
     }
