Leave a free lease to larger machines first

Callers saw: models that nobody loads, as a daemon that is too small for the fleet places for all. Cause: any daemon took a free lease, and the one that looked first got it: mostly one of the many small machines. Placing for a hundred engines takes more than 0.12 cores and 10 Mbit/s have in a burst; such a holder runs seconds late and loses the lease, after which the next small one takes it. Change: a daemon registers how much processor its machine has. One that knows of a larger one that lives leaves a free lease alone for 1.5 s, in which the larger ones look, step and write. Until it is ready it reads the list of daemons each 0.5 s, so that the first take is settled by it too. Why it holds: the lease itself is unchanged; a small daemon still takes it where no larger one does. Measured: unit tests of who is larger and since when a lease is free.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -80,7 +80,7 @@
     daemon.note(&Event::Start {
         name: daemon.settings.name.clone(),
         born: daemon.born,
-        cores: daemon.settings.cores,
+        millicores: daemon.settings.millicores,
     });
     let accepting = ex.spawn(front::serve(daemon.clone(), front));
     for listener in [Some(ready), Some(directory), metrics].into_iter().flatten() {
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -31,7 +31,7 @@
     Start {
         name: String,
         born: u64,
-        cores: f64,
+        millicores: u32,
     },
     Stop {
         reason: &'static str,
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -21,6 +21,9 @@
 /// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
 /// price of a read.
 const LOOK: Duration = Duration::from_millis(1_000);
+/// A daemon leaves a lease that is free to larger ones for this long: they need a look, a step and a write
+/// to take it. Placing for a large fleet takes more processor than the smallest machines have.
+const DEFER: Duration = Duration::from_millis(1_500);
 /// Time between two looks whether all orders are answered.
 const SETTLE: Duration = Duration::from_millis(20);
 /// Time between two steps.
@@ -55,7 +58,7 @@
             }
         }
         // An attempt to take it now could act late, when another goes on under it.
-        let may = (daemon.ready() && !away) || leads;
+        let may = leads || (daemon.ready() && !away && !defers(&daemon, clock::now()));
         let write = if may { daemon.placer.borrow_mut().watch.write(clock::now()) } else { None };
         if let Some(write) = write {
             apply(&daemon, &write).await;
@@ -65,6 +68,13 @@
     }
 }
 
+/// Whether the lease, if it is free, is left to a larger daemon for now.
+fn defers(daemon: &Daemon, now: Duration) -> bool {
+    let since = daemon.placer.borrow().watch.free_since(now);
+    let larger = daemon.nodes.borrow().larger(now, daemon.settings.millicores);
+    larger && since.is_some_and(|since| now < since + DEFER)
+}
+
 async fn look(daemon: &Daemon) {
     let Ok(req) = daemon.dialect.get(Kind::Leases, LEASE, Read::Stale) else {
         return;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -26,7 +26,8 @@
 /// Time between two heartbeats in the store: each is a priced write, and daemons hear each other
 /// directly as well.
 const BEAT: Duration = Duration::from_secs(3);
-/// The same until the daemon is ready, which others then learn from the list.
+/// The same, and between two reads of the list, until the daemon is ready: others learn from the list that it
+/// is, and who may place is settled then.
 const STARTING: Duration = Duration::from_millis(500);
 /// Time between two reads of the list, which cost a tenth of a read each.
 const READ: Duration = Duration::from_millis(1_500);
@@ -120,6 +121,11 @@
         self.rows.values().filter(move |row| row.alive(now)).map(|row| &row.node)
     }
 
+    /// Whether another daemon that lives has more processor than this.
+    pub fn larger(&self, now: Duration, millicores: u32) -> bool {
+        self.live(now).any(|node| node.millicores > millicores)
+    }
+
     /// Where all registered daemons hear each other.
     pub fn peers(&self) -> Vec<SocketAddr> {
         self.rows.values().map(|row| row.node.peer).collect()
@@ -214,6 +220,7 @@
         region: settings.region.clone(),
         data_center: settings.data_center.clone(),
         born: daemon.born,
+        millicores: settings.millicores,
         beat,
         ready: daemon.ready(),
     };
@@ -237,7 +244,7 @@
             }
             Err(_) => store::pause(&daemon).await,
         }
-        Timer::after(READ).await;
+        Timer::after(if daemon.ready() { READ } else { STARTING }).await;
     }
 }
 
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -26,8 +26,8 @@
     pub data_center: DataCenterId,
     /// The region of each data center.
     pub data_centers: BTreeMap<DataCenterId, RegionId>,
-    /// How much processor its machine gives it, in cores.
-    pub cores: f64,
+    /// How much processor its machine gives it, in thousandths of a core.
+    pub millicores: u32,
     /// Where callers connect.
     pub front: SocketAddr,
     /// Where it is asked whether it is ready.
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -71,8 +71,8 @@
     held: Option<(Fence, Duration)>,
     /// Until when it may act beyond that, as nobody can take the lease.
     vouched: Duration,
-    /// Whether the platform has answered at least one read.
-    read: bool,
+    /// Since when the platform has answered that there is no object.
+    absent: Option<Duration>,
     /// The highest renewal number that this placer has written.
     renewal: u64,
 }
@@ -86,7 +86,7 @@
             seen: None,
             held: None,
             vouched: Duration::ZERO,
-            read: false,
+            absent: None,
             renewal: 0,
         }
     }
@@ -128,36 +128,45 @@
     /// Takes in a read of the object that was answered at `now` or earlier: its holder may have written
     /// it at any time before the answer.
     pub fn read(&mut self, now: Duration, object: Option<(Version, Lease)>) {
-        self.read = true;
         let Some((version, lease)) = object else {
             self.seen = None;
+            self.absent.get_or_insert(now);
             return;
         };
+        self.absent = None;
         let known = self.seen.as_ref().is_some_and(|(seen, _, _)| *seen == version);
         if !known {
             self.seen = Some((version, lease, now));
         }
     }
 
-    /// The write to send at `now`, if any: a renewal when a third is used up, or a take.
-    pub fn write(&mut self, now: Duration) -> Option<Write> {
-        if !self.read {
+    /// Since when this placer may take the lease, as far as it knows; none while another may hold it.
+    pub fn free_since(&self, now: Duration) -> Option<Duration> {
+        if self.term(now).is_some() {
             return None;
         }
+        let Some((_, lease, since)) = &self.seen else {
+            return self.absent;
+        };
+        let wait = Duration::from_millis(lease.duration_ms) * (100 + DRIFT) / 100;
+        // A holder that let its own lease lapse takes it anew, under a new term: what it sent under
+        // the old one must stay older than what it sends now.
+        let free = lease.holder.is_none() || lease.holder.as_ref() == Some(&self.me);
+        let from = if free { *since } else { *since + wait };
+        (now >= from).then_some(from)
+    }
+
+    /// The write to send at `now`, if any: a renewal when a third is used up, or a take.
+    pub fn write(&mut self, now: Duration) -> Option<Write> {
         if self.term(now).is_some() {
             let due = self.left(now) < self.duration * 2 / 3;
             return due.then(|| self.renewal(now)).flatten();
         }
-        let Some((version, lease, since)) = self.seen.clone() else {
+        self.free_since(now)?;
+        let Some((version, lease, _)) = self.seen.clone() else {
             return Some(self.take(now, None, 0, 0));
         };
-        let wait = Duration::from_millis(lease.duration_ms) * (100 + DRIFT) / 100;
-        let mine = lease.holder.as_ref() == Some(&self.me);
-        let lapsed = now.saturating_sub(since) >= wait;
-        // A holder that let its own lease lapse takes it anew, under a new term: what it sent under
-        // the old one must stay older than what it sends now.
-        let free = lease.holder.is_none() || mine || lapsed;
-        free.then(|| self.take(now, Some(version), lease.term, lease.renewal))
+        Some(self.take(now, Some(version), lease.term, lease.renewal))
     }
 
     /// Stops acting at once; the write that gives the lease back, if it was held.
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -131,6 +131,9 @@
     pub data_center: DataCenterId,
     /// Its start, in milliseconds since the Unix epoch.
     pub born: u64,
+    /// How much processor it has, in thousandths of a core.
+    #[serde(default)]
+    pub millicores: u32,
     /// Rises with each heartbeat.
     pub beat: u64,
     /// Whether it takes new callers.
--- a/tests/daemon_node.rs
+++ b/tests/daemon_node.rs
@@ -21,6 +21,7 @@
         region: "r".to_string(),
         data_center: "z".to_string(),
         born: 1,
+        millicores: 500,
         beat: 1,
         ready: true,
     }
@@ -92,3 +93,18 @@
 fn alone_nothing_is_known_of_the_store() {
     assert_eq!(Table::default().away(ms(100), LEASE), None);
 }
+
+/// A daemon of a small machine places for a whole fleet though larger ones live, and runs seconds late. A
+/// larger one that is gone holds up nobody.
+#[test]
+fn only_a_larger_daemon_that_lives_goes_first() {
+    let mut table = Table::default();
+    let large = Node { millicores: 1_000, ..node("a") };
+    table.list("me", vec![(1, node("me")), (2, large.clone())]);
+    assert!(table.larger(ms(0), 500));
+    assert!(!table.larger(ms(0), 1_000));
+    for _ in 0..6 {
+        table.list("me", vec![(1, node("me")), (2, large.clone())]);
+    }
+    assert!(!table.larger(ms(9_000), 500), "its heartbeat stands still");
+}
--- a/tests/decide_lease.rs
+++ b/tests/decide_lease.rs
@@ -356,3 +356,22 @@
     holder.vouch(ms(1_300), ms(1_700));
     assert!(holder.term(ms(1_300)).is_none());
 }
+
+/// Larger daemons get a moment to take a lease that nobody holds, counted from when it was free: a small one
+/// must be able to tell that moment, and it must not begin anew with each look.
+#[test]
+fn a_free_lease_says_since_when() {
+    let ms = Duration::from_millis;
+    let name = |at: &str| Holder { address: at.to_string(), incarnation: 1 };
+    let mut rival = Watch::new(name("b"), LEASE);
+    assert_eq!(rival.free_since(ms(5)), None, "nothing is known");
+    rival.read(ms(10), None);
+    rival.read(ms(30), None);
+    assert_eq!(rival.free_since(ms(40)), Some(ms(10)));
+    let lease = Lease { holder: Some(name("a")), term: 1, renewal: 1, duration_ms: 1_000 };
+    rival.read(ms(50), Some((1, lease.clone())));
+    assert_eq!(rival.free_since(ms(1_059)), None, "it has not lapsed");
+    assert_eq!(rival.free_since(ms(1_500)), Some(ms(1_060)));
+    rival.read(ms(1_600), Some((2, Lease { holder: None, renewal: 2, ..lease })));
+    assert_eq!(rival.free_since(ms(1_700)), Some(ms(1_600)));
+}
