Give no orders while calls to engines end late

Callers saw: engines that two daemons order in turn, the later order with the lower token. Cause: a holder hands an order to the kernel in time, and the order waits for seconds in the queue of the machine's own link, past the end of the lease. A reset does not overtake it. Change: after three calls in a row to whatever engines that took longer than 250 ms, the holder gives no order, and looks at one engine each step until a call ends soon again. A loop that runs late counts the same, as it sees the ends of calls late. A `path` line says when. Why it holds: queues grow; calls come back late before orders take longer than the sixth of the lease that each one has left. Measured: unit tests of one silent engine and of late calls in a row.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -19,6 +19,7 @@
 use crate::daemon::link;
 use crate::daemon::link::Link;
 use crate::decide::desk::Task;
+use crate::decide::path::Path;
 use crate::edge::dialect::Order;
 use crate::edge::dialect::Ordered;
 use crate::table::Fence;
@@ -46,6 +47,8 @@
     under_way: Cell<usize>,
     /// When the last one ended without an answer: the engine may get it yet.
     unanswered: Cell<Option<Duration>>,
+    /// How soon calls to engines have ended.
+    path: Cell<Path>,
 }
 
 impl Orders {
@@ -54,6 +57,11 @@
         self.under_way.get() == 0
     }
 
+    /// Whether one that is given now would arrive late.
+    pub fn late(&self) -> bool {
+        self.path.get().late()
+    }
+
     /// Whether engines have answered all that were sent since then.
     pub fn answered_since(&self, at: Duration) -> bool {
         self.unanswered.get().is_none_or(|lost| lost < at)
@@ -80,11 +88,29 @@
 pub async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
     let (addr, mut link) = open(daemon, key).await.ok()?;
-    let res = link.call(req, ANSWER_MAX, ORDER).await.ok()?;
+    let res = call(daemon, &mut link, req, ORDER).await.ok()?;
     daemon.pool.borrow_mut().give(addr, link, None);
     daemon.dialect.reported(&res).ok()
 }
 
+/// Makes a call and notes how long it took.
+async fn call(
+    daemon: &Daemon,
+    link: &mut Link,
+    req: Request<Bytes>,
+    limit: Duration,
+) -> Result<Response<Bytes>, link::Error> {
+    let began = clock::now();
+    let res = link.call(req, ANSWER_MAX, limit).await;
+    let mut path = daemon.orders.path.get();
+    path.ended(clock::now().saturating_sub(began));
+    if path.late() != daemon.orders.late() {
+        daemon.note(&Event::Path { late: path.late() });
+    }
+    daemon.orders.path.set(path);
+    res
+}
+
 /// A connection to an engine, kept or new.
 async fn open(daemon: &Rc<Daemon>, key: &Key) -> Result<(SocketAddr, Link), link::Error> {
     let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
@@ -131,7 +157,7 @@
     // The kernel's own timer: this daemon's may fire late, with the bytes still in the socket.
     let kernel = limit.min(left.saturating_sub(KERNEL_LATE));
     link.give_up_after(kernel).map_err(|_| link::Error::Unsent)?;
-    let res = link.call(req, ANSWER_MAX, limit).await;
+    let res = call(daemon, &mut link, req, limit).await;
     trace.written = link.written();
     let res = res?;
     if link.give_up_after(link::UNANSWERED).is_ok() {
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -85,6 +85,9 @@
         took: u64,
         outcome: &'static str,
     },
+    Path {
+        late: bool,
+    },
     Plan {
         model: String,
         demand: f64,
@@ -212,6 +215,7 @@
             Event::Gone { .. } => "gone",
             Event::Lease { .. } => "lease",
             Event::Renewal { .. } => "renewal",
+            Event::Path { .. } => "path",
             Event::Plan { .. } => "plan",
             Event::Goal { .. } => "goal",
             Event::Order { .. } => "order",
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use event_listener::Event as Bell;
+use rand::seq::IteratorRandom;
 use smol::Timer;
 
 use crate::daemon::Daemon;
@@ -240,6 +241,9 @@
             continue;
         };
         sync(&daemon, now, &config);
+        if daemon.orders.late() {
+            probe(&daemon);
+        }
         looks(&daemon, now);
         if !daemon.placer.borrow_mut().settled(now) {
             continue;
@@ -275,6 +279,18 @@
     }
 }
 
+/// Looks at any engine, to find out whether calls end soon again.
+fn probe(daemon: &Rc<Daemon>) {
+    let key = {
+        let placer = daemon.placer.borrow();
+        placer.desks.keys().choose(&mut *daemon.rng.borrow_mut()).cloned()
+    };
+    if let Some(key) = key {
+        let shared = daemon.clone();
+        daemon.ex.spawn(async move { refresh(&shared, &key).await }).detach();
+    }
+}
+
 /// Looks at engines where something should be over.
 fn looks(daemon: &Rc<Daemon>, now: Duration) {
     let mut due = Vec::new();
@@ -516,6 +532,9 @@
 
 /// Gives an engine its next order, if one is due, in a task of its own.
 fn give(daemon: &Rc<Daemon>, now: Duration, key: &Key, engines: &Engines) {
+    if daemon.orders.late() {
+        return;
+    }
     let (task, expect) = {
         let mut placer = daemon.placer.borrow_mut();
         let Placer { desks, demand, loads, unmet, .. } = &mut *placer;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,6 +24,7 @@
 pub mod offer;
 pub mod outlier;
 pub mod owner;
+pub mod path;
 pub mod patience;
 pub mod place;
 pub mod pool;
