Judge after the read of the lease whether the store is away

Cause: `follow` took the time once and read the lease in between, for up to 1.5 s and as much longer as the loop is late. A daemon that had told others for a second that the store is away from it sent a take.

Change: the time is taken again after the read.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -38,7 +38,7 @@
 pub async fn follow(daemon: Rc<Daemon>) {
     let mut looked = Duration::ZERO;
     loop {
-        let now = clock::now();
+        let mut now = clock::now();
         let leads = daemon.placer.borrow().leads(now);
         if leads && daemon.leaving.get() {
             // The answer to a renewal came after the lease was given back, and brought it back.
@@ -48,7 +48,8 @@
         }
         if !leads && now >= looked + LOOK {
             look(&daemon).await;
-            looked = clock::now();
+            now = clock::now();
+            looked = now;
         }
         let away = daemon.store.away(now);
         if away && leads {
