Count another daemon's word from when it may have come

What lay in the socket while the loop stood still was taken for new.

Change: the word that the store is away counts from when the socket was last found empty. Whether a daemon lives is judged as before, by when it was heard. What a datagram takes on its way is still not counted.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -64,6 +64,8 @@
     rows: HashMap<String, Row>,
     /// When one was heard that is not known.
     stranger: Option<Duration>,
+    /// When all that had come was last read.
+    drained: Option<Duration>,
 }
 
 impl Table {
@@ -90,13 +92,19 @@
         }
     }
 
+    /// All that has come is read. What is read next may have lain there since: a loop that stood still
+    /// for seconds would take an old word for a new one.
+    pub fn drained(&mut self, now: Duration) {
+        self.drained = Some(now);
+    }
+
     /// A daemon was heard.
     pub fn heard(&mut self, now: Duration, here: &Here) {
         match self.rows.get_mut(&here.name) {
             Some(row) if row.node.born == here.born => {
                 row.heard = Some(now);
                 row.node.ready = here.ready;
-                row.away = here.away.then_some(now);
+                row.away = here.away.then_some(self.drained.unwrap_or(now));
             }
             _ => self.stranger = Some(now),
         }
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -16,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol::Timer;
+use smol::future;
 use smol::net::UdpSocket;
 
 use crate::daemon::Daemon;
@@ -289,7 +290,17 @@
 pub async fn hear(daemon: Rc<Daemon>) {
     let mut buf = vec![0_u8; 2 * LARGEST];
     loop {
-        match daemon.peers.socket.recv_from(&mut buf).await {
+        let read = {
+            let mut read = std::pin::pin!(daemon.peers.socket.recv_from(&mut buf));
+            match future::poll_once(read.as_mut()).await {
+                Some(read) => read,
+                None => {
+                    daemon.nodes.borrow_mut().drained(clock::now());
+                    read.await
+                }
+            }
+        };
+        match read {
             Ok((len, from)) => match postcard::from_bytes(&buf[..len]) {
                 Ok(message) => take(&daemon, message, Some(from)),
                 // Another version of the program, or not one of ours.
