Count a request's time from when it may have come

Callers saw: nothing; endpoints worked for callers that had left. Cause: a request's time counted from when its head was read. On a daemon that runs late it lies in the socket for seconds before that, got its whole time again, and reached its endpoint after its caller had left. Change: the loop's ticks tell when it stood still for 200 ms or more. What is read before the tick that is late, or right after it, counts from when that tick was due. Why it holds: no request can have come before the last tick that was on time without having been read then. A request that comes at the end of a stall is given less time than it has, by at most the stall.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -272,7 +272,8 @@
 
 /// Takes one request to its final answer.
 async fn take(daemon: &Rc<Daemon>, req: Request<Incoming>) -> Response<Answer> {
-    let came = clock::now();
+    // What lay in the socket has used up part of its caller's time.
+    let came = daemon.pulse.get().arrived(clock::now());
     let (head, body) = req.into_parts();
     let caller = match daemon.dialect.caller(&head) {
         Ok(caller) => caller,
@@ -318,7 +319,8 @@
         let refusal = Refusal { reason: "stopping", after: ELSEWHERE };
         return Err(refused(daemon, &caller, &route.name, config.version, came, &refusal));
     }
-    let job = Rc::new(job(daemon, &config, route, caller, head, body, came, came + patience));
+    let deadline = came + patience;
+    let job = Rc::new(job(daemon, &config, route, caller, head, body, came, deadline));
     daemon.allowance.borrow_mut().request(came, &job.service);
     if let Some(model) = &job.caller.model {
         daemon.demand.borrow_mut().asked(model, job.caller.adapter.as_deref());
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -43,14 +43,11 @@
 use crate::decide::allowance::Allowance;
 use crate::decide::fleet::Fleet;
 use crate::decide::line::Line;
+use crate::decide::pulse;
+use crate::decide::pulse::Pulse;
 use crate::edge::dialect::Dialect;
 use crate::table::routing::Config;
 
-/// Time between two looks at what is due: a request waits this much longer at most for what no
-/// event announces.
-const TICK: Duration = Duration::from_millis(50);
-/// A tick that comes later than this is logged: callers wait as long for anything else.
-const LATE: Duration = Duration::from_millis(200);
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -92,6 +89,8 @@
     pub gauges: Gauges,
     /// Randomness.
     pub rng: RefCell<SmallRng>,
+    /// The ticks of the loop that runs all tasks.
+    pub pulse: Cell<Pulse>,
     /// Whether it was told to stop.
     pub leaving: Cell<bool>,
     /// When it was told, and when it ends.
@@ -138,6 +137,7 @@
             journal: RefCell::default(),
             gauges: Gauges::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            pulse: Cell::default(),
             leaving: Cell::new(false),
             ends: Cell::new(None),
             listed: Cell::new(false),
@@ -156,6 +156,14 @@
         self.journal.borrow_mut().note(event);
     }
 
+    /// Notes that the loop goes on; by how much it was late.
+    fn tick(&self, now: Duration) -> Duration {
+        let mut pulse = self.pulse.get();
+        let late = pulse.tick(now);
+        self.pulse.set(pulse);
+        late
+    }
+
     /// Whether it takes new callers.
     pub fn ready(&self) -> bool {
         !self.leaving.get() && self.listed.get() && self.config.borrow().is_some()
@@ -173,13 +181,13 @@
 pub async fn ticks(daemon: Rc<Daemon>) {
     let mut swept = clock::now();
     let mut asleep = clock::suspended();
+    daemon.tick(swept);
     loop {
-        let began = clock::now();
-        Timer::after(TICK).await;
+        Timer::after(pulse::TICK).await;
         let now = clock::now();
-        let late = now.saturating_sub(began + TICK);
+        let late = daemon.tick(now);
         daemon.gauges.ticked(late);
-        if late >= LATE {
+        if late >= pulse::LATE {
             let suspended = clock::suspended().saturating_sub(asleep);
             daemon.note(&Event::Late {
                 by: late.as_millis() as u64,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod prefill;
 pub mod prefix;
+pub mod pulse;
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
