Look once at the ways out for a model that blocks others

Callers saw: models that nobody loads for seconds while demand moves, and late orders of a holder that plans. Cause: for each model that is short and each engine, the plan looked at all engines for a place to which the last copy in the way could go first. When demand moves, many engines are blocked by few models, and one step of the placer took 450 ms on half a core and over a second on 0.12 cores, in which the holder of the lease did nothing else: no renewal, no order, no answer. Change: the two best places for such a copy are looked up once for each model and round; the one that is not the blocked engine itself is taken. No test bounds the time.

--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -161,7 +161,10 @@
             return out;
         };
         // Both or neither: planned anew in between, the first could be undone for another.
-        let first = step.blocked.and_then(|last| draft.elsewhere(last, step.host, cold));
+        let first = step.blocked.and_then(|last| {
+            let ways = draft.ways(last, cold);
+            ways.into_iter().find(|way| way.host != step.host)
+        });
         for step in first.iter().chain([&step]) {
             cold = cold.saturating_sub(u32::from(step.cold));
             out.push(draft.bring(step));
@@ -207,6 +210,8 @@
             b.0.cmp(&a.0).then(b.1.total_cmp(&a.1))
         });
         let mut best: Option<(f64, Step)> = None;
+        // Many engines are blocked by the same few models: each is looked at once.
+        let mut ways: HashMap<usize, Vec<Step>> = HashMap::new();
         for model in needy.into_iter().take(NEEDY) {
             let missing = self.rows[model].hosts.is_empty();
             if !missing && even < IDLE {
@@ -216,7 +221,10 @@
                 let Some(step) = self.step(model, host, missing) else {
                     continue;
                 };
-                let Some(step) = self.whole(step, cold) else {
+                let ways = step.blocked.map_or(&[] as &[Step], |last| {
+                    ways.entry(last).or_insert_with(|| self.ways(last, cold))
+                });
+                let Some(step) = self.whole(step, ways, cold) else {
                     continue;
                 };
                 let slow = step.cold || step.blocked.is_some();
@@ -286,11 +294,11 @@
     }
 
     /// The step with what it takes first, if the loads it takes are allowed.
-    fn whole(&self, step: Step, cold: u32) -> Option<Step> {
-        let Some(last) = step.blocked else {
+    fn whole(&self, step: Step, ways: &[Step], cold: u32) -> Option<Step> {
+        if step.blocked.is_none() {
             return (!step.cold || cold > 0).then_some(step);
-        };
-        let first = self.elsewhere(last, step.host, cold)?;
+        }
+        let first = ways.iter().find(|way| way.host != step.host)?;
         // Each alone may drop a model that has two copies; both together would drop the last.
         if first.victims.iter().any(|victim| step.victims.contains(victim)) {
             return None;
@@ -308,10 +316,10 @@
         }
     }
 
-    /// The best way to bring a second copy of a model to any other host, so that its first may go.
-    fn elsewhere(&self, model: usize, not: usize, cold: u32) -> Option<Step> {
-        let hosts = (0..self.hosts.len()).filter(|host| *host != not);
-        let steps = hosts.filter_map(|host| self.step(model, host, false));
+    /// The two best ways to bring a second copy of a model to a host, so that its first may go: one of
+    /// them is elsewhere, wherever its first is.
+    fn ways(&self, model: usize, cold: u32) -> Vec<Step> {
+        let steps = (0..self.hosts.len()).filter_map(|host| self.step(model, host, false));
         let steps = steps.filter(|step| step.blocked.is_none());
         let steps = steps.filter(|step| cold > 0 || !step.cold);
         let spare = self.even() * SPARE;
@@ -320,7 +328,10 @@
         let price = |step: &Step| {
             self.loads[step.host] + self.lost(&step.victims) + if step.cold { IDLE } else { 0.0 }
         };
-        steps.min_by(|a, b| price(a).total_cmp(&price(b)))
+        let mut steps: Vec<Step> = steps.collect();
+        steps.sort_by(|a, b| price(a).total_cmp(&price(b)));
+        steps.truncate(2);
+        steps
     }
 
     /// What the copies that go carry.
