--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -4,7 +4,8 @@
 //! rate by each placer that waits. Without it every placer of a region would order loads for the
 //! same lack, and each would cost a move.
 //!
-//! The lease only saves work. Two holders at once do no harm: see `ledger`.
+//! To the product's placer the lease only saves work: two holders at once do no harm, see `ledger`. A daemon's
+//! orders go to engines that do not compare tokens, so there each has to be written under the lease.
 //!
 //! Grounds for `DRIFT`: a monotonic clock is slewed by at most 500 parts in a million, and a quartz
 //! is off by at most 100; one in a hundred is over fifteen times both. The holder counts from before
