Tell nobody that the store is away while a take is under way

Cause: a daemon that says that the store is away from it must not take the lease, as the holder before goes on by that word. An attempt counted as one that may act late only once it had failed: while it was under way, 1.5 s at most, another call could find the store away, others were told so, and then the take was answered. Class: a right is passed on while it may still be used. Change: an attempt counts from when it leaves until it is answered.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -112,10 +112,16 @@
         Ok(res) => res,
         Err(err) => {
             let now = clock::now();
-            if takes && matches!(err, store::Error::Link(_)) {
-                daemon.placer.borrow_mut().unsure = Some(now);
+            if takes {
+                let lost = matches!(err, store::Error::Link(_));
+                daemon.placer.borrow_mut().unsure = if lost { Some(now) } else { before };
             }
             daemon.note(&Event::Renewal {
+    let before = daemon.placer.borrow().unsure;
+    if takes {
+        // Until it is answered others must not be told that the store is away: this may succeed.
+        daemon.placer.borrow_mut().unsure = Some(sent);
+    }
                 token: write.lease.term,
                 took: now.saturating_sub(sent).as_millis() as u64,
                 outcome: "failed",
@@ -133,6 +139,9 @@
         }
         Ok(Written::Conflict(Some(stands))) => {
             placer.revision = stands.revision;
+    if takes {
+        placer.unsure = before;
+    }
             let stands = object(&stands);
             placer.watch.refused(now, stands);
             "conflict"
