--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -116,6 +116,11 @@
                 let lost = matches!(err, store::Error::Link(_));
                 daemon.placer.borrow_mut().unsure = if lost { Some(now) } else { before };
             }
+    let before = daemon.placer.borrow().unsure;
+    if takes {
+        // Until it is answered others must not be told that the store is away: this may succeed.
+        daemon.placer.borrow_mut().unsure = Some(sent);
+    }
             daemon.note(&Event::Renewal {
     let before = daemon.placer.borrow().unsure;
     if takes {
