Give no orders while a renewal of the lease is overdue

Cause: an order may leave until the last sixth of the lease, half a second, and waited for up to five seconds in the queue of a full link. A healthy holder renews when a third of the lease is used up; one that has less than half of it left has lost a renewal on the very link that its orders take. Change: an order leaves only with half of the lease left, or while all others vouch for the holder.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -126,7 +126,8 @@
 /// How much longer an order may be under way under a token; none when it may not leave any more.
 fn left(daemon: &Daemon, now: Duration, token: Fence) -> Option<Duration> {
     let placer = daemon.placer.borrow();
-    let held = placer.watch.term(now) == Some(token);
+    // While a renewal is overdue, what holds it up may hold up orders as well.
+    let held = placer.watch.term(now) == Some(token) && placer.watch.fresh(now);
     let left = placer.watch.left(now).checked_sub(daemon.settings.lease / TRANSIT);
     left.filter(|_| held)
 }
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -354,7 +354,7 @@
         let began = clock::now();
         report(&daemon).await;
         let took = clock::now().saturating_sub(began);
-        Timer::after(GATHER.max(took * REST)).await;
+        Timer::after((took * REST).clamp(GATHER, PAUSE)).await;
     }
 }
 
