Take only answers for a free way to engines; give up a lease that is of no use

Cause: any end of a call within 250 ms was taken for a sign that orders would arrive soon, also a time-out of an order with little of the lease left and a broken connection. And a holder that gives no orders because its calls end late kept the lease for as long as it could renew it, while nobody placed. Change: only an answer within 250 ms is soon; a time-out is late however short, and other failures say nothing. A holder for which that lasts for a whole lease gives the lease up and leaves it to others for three, unless it knows of no other daemon.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -62,6 +62,11 @@
         self.path.get().late()
     }
 
+    /// Whether that has been so for as long as this.
+    pub fn late_for(&self, now: Duration, span: Duration) -> bool {
+        self.path.get().since().is_some_and(|since| now >= since + span)
+    }
+
     /// Whether engines have answered all that were sent since then.
     pub fn answered_since(&self, at: Duration) -> bool {
         self.unanswered.get().is_none_or(|lost| lost < at)
@@ -103,7 +108,12 @@
     let began = clock::now();
     let res = link.call(req, ANSWER_MAX, limit).await;
     let mut path = daemon.orders.path.get();
-    path.ended(clock::now().saturating_sub(began));
+    match &res {
+        Ok(_) => path.answered(began, clock::now()),
+        Err(link::Error::Timeout) => path.timed_out(clock::now()),
+        // Nothing came back, and nothing says that it would have come late.
+        Err(_) => {}
+    }
     if path.late() != daemon.orders.late() {
         daemon.note(&Event::Path { late: path.late() });
     }
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -24,6 +24,8 @@
 /// A daemon leaves a lease that is free to larger ones for this long: they need a look, a step and a write
 /// to take it. Placing for a large fleet takes more processor than the smallest machines have.
 const DEFER: Duration = Duration::from_millis(1_500);
+/// For so many leases a daemon that could give no orders leaves the lease to others.
+const REST: u32 = 3;
 /// Time between two looks whether all orders are answered.
 const SETTLE: Duration = Duration::from_millis(20);
 /// Time between two steps.
@@ -37,12 +39,17 @@
 /// Follows the lease, and takes or renews it when that is due.
 pub async fn follow(daemon: Rc<Daemon>) {
     let mut looked = Duration::ZERO;
+    let mut rests = Duration::ZERO;
     loop {
         let mut now = clock::now();
         let leads = daemon.placer.borrow().leads(now);
-        if leads && daemon.leaving.get() {
-            // The answer to a renewal came after the lease was given back, and brought it back.
+        // The answer to a renewal may come after the lease was given back, and bring it back.
+        let stops = daemon.leaving.get();
+        // Others may reach the engines: placement must not wait for this daemon's link or loop.
+        let stuck = daemon.orders.late_for(now, daemon.settings.lease) && !daemon.alone(now);
+        if leads && (stops || stuck) {
             resign(&daemon).await;
+            rests = now + daemon.settings.lease * REST;
             Timer::after(STEP).await;
             continue;
         }
@@ -59,7 +66,8 @@
             }
         }
         // An attempt to take it now could act late, when another goes on under it.
-        let may = leads || (daemon.ready() && !away && !defers(&daemon, clock::now()));
+        let now = clock::now();
+        let may = leads || (daemon.ready() && !away && now >= rests && !defers(&daemon, now));
         let write = if may { daemon.placer.borrow_mut().watch.write(clock::now()) } else { None };
         if let Some(write) = write {
             apply(&daemon, &write).await;
@@ -108,6 +116,11 @@
     };
     let sent = clock::now();
     let takes = !daemon.placer.borrow().leads(sent);
+    let before = daemon.placer.borrow().unsure;
+    if takes {
+        // Until it is answered others must not be told that the store is away: this may succeed.
+        daemon.placer.borrow_mut().unsure = Some(sent);
+    }
     let res = match store::ask(daemon, Kind::Leases, req).await {
         Ok(res) => res,
         Err(err) => {
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -378,11 +378,11 @@
         seat::pump(daemon);
     }
     let peers = daemon.nodes.borrow().peers();
-    peer::say_holding(daemon, &peers, rows.clone()).await;
     for (from, rows) in answers {
         peer::say_holding(daemon, &[from], rows).await;
     }
     let now = clock::now();
+    peer::say_holding(daemon, &peers, rows.clone()).await;
     let mut placer = daemon.placer.borrow_mut();
     for (key, held) in rows {
         if let Some(desk) = placer.desks.get_mut(&key) {
@@ -567,13 +567,11 @@
         let parting = desk.toward(&last).is_some_and(|task| task.action == Action::Unload);
         let news = parting != desk.parting;
         desk.parting = parting;
-        if news && parting {
+        if parting && (news || !desk.announced(now)) {
+            // Told again while it is not: its goal may have changed since. What was told is left out.
             placer.tell(key);
             return;
         }
-        if parting && !desk.announced(now) {
-            return;
-        }
         // While a model comes or goes there, all else is refused.
         if desk.look.is_some() {
             return;
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -121,6 +121,12 @@
         until.saturating_sub(now)
     }
 
+    /// Whether half of the lease is left, so that no renewal is overdue, or others vouch for it.
+    pub fn fresh(&self, now: Duration) -> bool {
+        let half = self.held.is_some_and(|(_, until)| now + self.duration / 2 <= until);
+        self.term(now).is_some() && (half || now < self.vouched)
+    }
+
     /// The lease as last read.
     pub fn seen(&self) -> Option<&Lease> {
         self.seen.as_ref().map(|(_, lease, _)| lease)
@@ -150,10 +156,13 @@
             return self.absent;
         };
         let wait = Duration::from_millis(lease.duration_ms) * (100 + DRIFT) / 100;
-        // A holder that let its own lease lapse takes it anew, under a new term: what it sent under
-        // the old one must stay older than what it sends now.
-        let free = lease.holder.is_none() || lease.holder.as_ref() == Some(&self.me);
-        let from = if free { *since } else { *since + wait };
+        let from = match &lease.holder {
+            None => *since,
+            // A holder that let its own lease lapse takes it anew, under a new term: what it sent under
+            // the old one must stay older than what it sends now.
+            Some(holder) if *holder == self.me => self.held.map_or(*since, |(_, until)| until),
+            Some(_) => *since + wait,
+        };
         (now >= from).then_some(from)
     }
 
--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -2,13 +2,13 @@
 //!
 //! Load pattern: the link of the holder of the lease is full, or its loop runs late. Orders that it hands
 //! over in time reach their engines seconds later, when another daemon may hold the lease and order too.
-//! Before that the ends of its other calls come late. After a few such calls in a row, to whatever engines,
-//! no order is given until one ends soon again.
+//! Before that the answers to its other calls come late. After a few such calls in a row, to whatever engines,
+//! no order is given until one is answered soon again; a holder for which that lasts gives the lease up.
 
 use std::time::Duration;
 
-/// A call that ends within this time was not held up: twice the way there and back between regions, and half
-/// of the time that an order has to arrive in after its lease could have ended.
+/// A call that is answered within this time was not held up: twice the way there and back between regions, and
+/// half of the time that an order has to arrive in after its lease could have ended.
 const SOON: Duration = Duration::from_millis(250);
 /// So many late calls in a row are not the doing of single engines.
 const ROW: u32 = 3;
@@ -17,18 +17,36 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct Path {
     /// Late calls since the last one that was not.
-    late: u32,
+    row: u32,
+    /// When the last of `ROW` of them ended.
+    since: Option<Duration>,
 }
 
 impl Path {
-    /// A call to an engine has ended, well or not, after this time. A refused connection shows as well as an
-    /// answer that the way there and back is free.
-    pub fn ended(&mut self, took: Duration) {
-        self.late = if took <= SOON { 0 } else { self.late.saturating_add(1) };
+    /// A call was answered.
+    pub fn answered(&mut self, began: Duration, now: Duration) {
+        if now <= began + SOON {
+            *self = Path::default();
+        } else {
+            self.timed_out(now);
+        }
+    }
+
+    /// A call was given up on, after however short a time.
+    pub fn timed_out(&mut self, now: Duration) {
+        self.row = self.row.saturating_add(1);
+        if self.row >= ROW {
+            self.since.get_or_insert(now);
+        }
     }
 
     /// Whether orders would be late.
     pub fn late(self) -> bool {
-        self.late >= ROW
+        self.since.is_some()
+    }
+
+    /// Since when they would.
+    pub fn since(self) -> Option<Duration> {
+        self.since
     }
 }
