--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -359,7 +359,7 @@
 }
 
 /// Tells all news that there is, leaving out what is being dropped.
-async fn report(daemon: &Rc<Daemon>) {
+async fn flush(daemon: &Rc<Daemon>) {
     let now = clock::now();
     let (rows, answers) = {
         let mut placer = daemon.placer.borrow_mut();
