Bound the pause between news, and tell again what has not been told

Cause: the pause after a flush was three times what the flush took, the time of other tasks included: a flush of half a second on a late daemon brought a second and a half of silence, for answers too. An engine whose goal changed while an unload waited to be announced was not told again, and its unload waited until the goal was given up after 9 s. Change: the pause is 250 ms at most, answers to single daemons go first, and what has not been announced is told again. `announce` and `flush` in place of `reports` and `report`, which are what engines give.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -94,7 +94,7 @@
     ex.spawn(peer::hear(daemon.clone())).detach();
     ex.spawn(lease::follow(daemon.clone())).detach();
     ex.spawn(placer::steps(daemon.clone())).detach();
-    ex.spawn(placer::reports(daemon.clone())).detach();
+    ex.spawn(placer::announce(daemon.clone())).detach();
     ex.spawn(journal::flush(daemon.clone())).detach();
     ex.spawn(daemon::ticks(daemon.clone())).detach();
     Ok((daemon, accepting))
--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -163,10 +163,10 @@
     let (addr, mut link) = open(daemon, key).await?;
     let now = clock::now();
     trace.until = now + daemon.placer.borrow().watch.left(now);
-    let left = left(daemon, now, token).ok_or(link::Error::Expired)?;
-    let limit = limit.min(left);
+    let rest = left(daemon, now, token).ok_or(link::Error::Expired)?;
+    let limit = limit.min(rest);
     // The kernel's own timer: this daemon's may fire late, with the bytes still in the socket.
-    let kernel = limit.min(left.saturating_sub(KERNEL_LATE));
+    let kernel = limit.min(rest.saturating_sub(KERNEL_LATE));
     link.give_up_after(kernel).map_err(|_| link::Error::Unsent)?;
     let res = call(daemon, &mut link, req, limit).await;
     trace.written = link.written();
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -129,17 +129,7 @@
                 let lost = matches!(err, store::Error::Link(_));
                 daemon.placer.borrow_mut().unsure = if lost { Some(now) } else { before };
             }
-    let before = daemon.placer.borrow().unsure;
-    if takes {
-        // Until it is answered others must not be told that the store is away: this may succeed.
-        daemon.placer.borrow_mut().unsure = Some(sent);
-    }
             daemon.note(&Event::Renewal {
-    let before = daemon.placer.borrow().unsure;
-    if takes {
-        // Until it is answered others must not be told that the store is away: this may succeed.
-        daemon.placer.borrow_mut().unsure = Some(sent);
-    }
                 token: write.lease.term,
                 took: now.saturating_sub(sent).as_millis() as u64,
                 outcome: "failed",
@@ -149,6 +139,9 @@
     };
     let now = clock::now();
     let mut placer = daemon.placer.borrow_mut();
+    if takes {
+        placer.unsure = before;
+    }
     let outcome = match daemon.dialect.written(&res) {
         Ok(Written::Done(done)) => {
             placer.revision = done.revision;
@@ -157,9 +150,6 @@
         }
         Ok(Written::Conflict(Some(stands))) => {
             placer.revision = stands.revision;
-    if takes {
-        placer.unsure = before;
-    }
             let stands = object(&stands);
             placer.watch.refused(now, stands);
             "conflict"
@@ -187,8 +177,8 @@
     if term == placer.led {
         return;
     }
-    // Taken anew at the very revision at which it ran out: nobody else ordered in between.
-    let goes_on = term.is_some() && placer.led.is_some();
+    // Each take raises the term by one: of the next one nobody else ordered in between.
+    let goes_on = term.is_some() && term == placer.led.map(|before| before + 1);
     placer.led = term;
     let lease = placer.watch.seen();
     let token = lease.map_or(0, |lease| lease.term);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -169,6 +169,11 @@
         !self.leaving.get() && self.listed.get() && self.config.borrow().is_some()
     }
 
+    /// Whether no other daemon is known to live.
+    pub fn alone(&self, now: Duration) -> bool {
+        self.nodes.borrow().live(now).next().is_none()
+    }
+
     /// A number that no other request of this daemon has.
     pub fn number(&self) -> u64 {
         let number = self.next.get();
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -1,9 +1,8 @@
 //! Places models on engines while this daemon holds the lease.
 //!
-//! Only the holder gives orders, and it looks at the boot clock right before each one leaves, so
-//! that a machine that was suspended sends nothing under a lease that ran out. Each order names
-//! the number of orders that the engine has accepted: one without an answer may act seconds later,
-//! but not after another order was accepted in between, so sending again cannot double it.
+//! Only the holder gives orders, each within its lease: see `engine`. Each order names the number of orders
+//! that the engine has accepted: one without an answer may act seconds later, but not after another order
+//! was accepted in between, so sending again cannot double it.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -61,6 +60,8 @@
 /// Telling takes at most one part of the time, these many others are left to the rest: with as many daemons
 /// as there may be, the smallest machine could do nothing else.
 const REST: u32 = 3;
+/// But no longer than this: callers wait for what the news is of.
+const PAUSE: Duration = Duration::from_millis(250);
 /// Reports are so far behind at most.
 const LAG: Duration = Duration::from_millis(230);
 /// A model that could not be brought within this time is planned anew: longer than the longest
@@ -345,14 +346,14 @@
 }
 
 /// Tells daemons the news of engines for as long as the daemon runs.
-pub async fn reports(daemon: Rc<Daemon>) {
+pub async fn announce(daemon: Rc<Daemon>) {
     loop {
         let due = daemon.placer.borrow().due.listen();
         if daemon.placer.borrow().news.is_empty() {
             due.await;
         }
         let began = clock::now();
-        report(&daemon).await;
+        flush(&daemon).await;
         let took = clock::now().saturating_sub(began);
         Timer::after((took * REST).clamp(GATHER, PAUSE)).await;
     }
@@ -381,8 +382,8 @@
     for (from, rows) in answers {
         peer::say_holding(daemon, &[from], rows).await;
     }
-    let now = clock::now();
     peer::say_holding(daemon, &peers, rows.clone()).await;
+    let now = clock::now();
     let mut placer = daemon.placer.borrow_mut();
     for (key, held) in rows {
         if let Some(desk) = placer.desks.get_mut(&key) {
