Judge a new lease by its own calls; split the task that follows the lease

Cause: how late calls to engines end was kept from one lease to the next. A daemon that gave the lease up over late calls, and calls no engine without it, would have given up each later lease at once. Change: the count begins anew when a lease is taken or lost. The task that follows the lease is in three pieces: when it is given up, when it is written, and the loop. Measured: the daemon's tests over loopback are green; no test of a second lease.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -31,9 +31,9 @@
 /// The same for an adapter: callers wait for it, and the number of orders that each names makes
 /// sending again safe. Several times the way there and back between regions.
 const ADAPTER_ORDER: Duration = Duration::from_millis(300);
-/// The last part of a lease in which no order leaves any more: one that does has to reach its engine before
-/// another holder's can. A sixth of three seconds is several times the way between regions, with a packet
-/// that is sent again.
+/// One of so many parts of the lease, the last one, is left to orders on their way: they have to reach their
+/// engines before another holder's can. Of three seconds it is several times the way between regions, with a
+/// packet that is sent again.
 const TRANSIT: u32 = 6;
 /// So much later than told the kernel gives up bytes that the engine does not read: it counts from its first
 /// probe of the engine's window.
@@ -52,6 +52,11 @@
 }
 
 impl Orders {
+    /// The lease was taken or lost: how soon calls ended before says nothing of those to come.
+    pub fn begin(&self) {
+        self.path.set(Path::default());
+    }
+
     /// Whether all have ended.
     pub fn ended(&self) -> bool {
         self.under_way.get() == 0
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -36,47 +36,54 @@
     Some((object.revision, lease))
 }
 
-/// Follows the lease, and takes or renews it when that is due.
+/// Follows the lease, and takes, renews or gives it back when that is due.
 pub async fn follow(daemon: Rc<Daemon>) {
     let mut looked = Duration::ZERO;
     let mut rests = Duration::ZERO;
     loop {
-        let mut now = clock::now();
+        let now = clock::now();
         let leads = daemon.placer.borrow().leads(now);
-        // The answer to a renewal may come after the lease was given back, and bring it back.
-        let stops = daemon.leaving.get();
-        // Others may reach the engines: placement must not wait for this daemon's link or loop.
-        let stuck = daemon.orders.late_for(now, daemon.settings.lease) && !daemon.alone(now);
-        if leads && (stops || stuck) {
+        if leads && gives_up(&daemon, now) {
             resign(&daemon).await;
             rests = now + daemon.settings.lease * REST;
-            Timer::after(STEP).await;
-            continue;
-        }
-        if !leads && now >= looked + LOOK {
-            look(&daemon).await;
-            now = clock::now();
-            looked = now;
-        }
-        let away = daemon.store.away(now);
-        if away && leads {
-            let until = daemon.nodes.borrow().away(now, daemon.settings.lease);
-            if let Some(until) = until {
-                daemon.placer.borrow_mut().watch.vouch(now, until);
+        } else {
+            if !leads && now >= looked + LOOK {
+                look(&daemon).await;
+                looked = clock::now();
             }
-        }
-        // An attempt to take it now could act late, when another goes on under it.
-        let now = clock::now();
-        let may = leads || (daemon.ready() && !away && now >= rests && !defers(&daemon, now));
-        let write = if may { daemon.placer.borrow_mut().watch.write(clock::now()) } else { None };
-        if let Some(write) = write {
-            apply(&daemon, &write).await;
+            write(&daemon, leads, rests).await;
         }
         note_lead(&daemon);
         Timer::after(STEP).await;
     }
 }
 
+/// Whether the holder is to give the lease back.
+fn gives_up(daemon: &Daemon, now: Duration) -> bool {
+    // Others may reach the engines: placement must not wait for this daemon's link or loop.
+    let stuck = daemon.orders.late_for(now, daemon.settings.lease) && !daemon.alone(now);
+    // Given back already, it may be held again: the answer to a renewal came after that.
+    stuck || daemon.leaving.get()
+}
+
+/// Takes or renews the lease if that is due.
+async fn write(daemon: &Daemon, leads: bool, rests: Duration) {
+    let now = clock::now();
+    let away = daemon.store.away(now);
+    if away && leads {
+        let until = daemon.nodes.borrow().away(now, daemon.settings.lease);
+        if let Some(until) = until {
+            daemon.placer.borrow_mut().watch.vouch(now, until);
+        }
+    }
+    // An attempt to take it while the store is away could act late, when another goes on under it.
+    let may = leads || (daemon.ready() && !away && now >= rests && !defers(daemon, now));
+    let write = if may { daemon.placer.borrow_mut().watch.write(now) } else { None };
+    if let Some(write) = write {
+        apply(daemon, &write).await;
+    }
+}
+
 /// Whether the lease, if it is free, is left to a larger daemon for now.
 fn defers(daemon: &Daemon, now: Duration) -> bool {
     let since = daemon.placer.borrow().watch.free_since(now);
@@ -186,6 +193,7 @@
     let holder = holder.map(|holder| holder.address.clone()).unwrap_or_default();
     if !goes_on {
         placer.begin(now, term, daemon.settings.lease);
+        daemon.orders.begin();
     }
     drop(placer);
     daemon.note(&Event::Lease { held: term.is_some(), token, holder });
