Move the telling of news out of the placer

Change: `daemon::news` sends what is due; the placer says what that is and learns that it was told. No change of behaviour.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -20,6 +20,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::lease;
 use crate::daemon::link::Executor;
+use crate::daemon::news;
 use crate::daemon::node;
 use crate::daemon::peer;
 use crate::daemon::placer;
@@ -94,7 +95,7 @@
     ex.spawn(peer::hear(daemon.clone())).detach();
     ex.spawn(lease::follow(daemon.clone())).detach();
     ex.spawn(placer::steps(daemon.clone())).detach();
-    ex.spawn(placer::announce(daemon.clone())).detach();
+    ex.spawn(news::announce(daemon.clone())).detach();
     ex.spawn(journal::flush(daemon.clone())).detach();
     ex.spawn(daemon::ticks(daemon.clone())).detach();
     Ok((daemon, accepting))
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 pub mod journal;
 pub mod lease;
 pub mod link;
+pub mod news;
 pub mod node;
 pub mod peer;
 pub mod placer;
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -20,8 +20,6 @@
 use crate::daemon::clock;
 use crate::daemon::engine;
 use crate::daemon::journal::Event;
-use crate::daemon::peer;
-use crate::daemon::seat;
 use crate::daemon::settings::Settings;
 use crate::decide::demand::Demand;
 use crate::decide::desk;
@@ -55,13 +53,6 @@
 const NOTE: Duration = Duration::from_secs(2);
 /// An engine that carries out another order is asked again after this long.
 const BUSY: Duration = Duration::from_millis(120);
-/// News of engines is told at most this often: callers wait for what it is of.
-const GATHER: Duration = Duration::from_millis(20);
-/// Telling takes at most one part of the time, these many others are left to the rest: with as many daemons
-/// as there may be, the smallest machine could do nothing else.
-const REST: u32 = 3;
-/// But no longer than this: callers wait for what the news is of.
-const PAUSE: Duration = Duration::from_millis(250);
 /// Reports are so far behind at most.
 const LAG: Duration = Duration::from_millis(230);
 /// A model that could not be brought within this time is planned anew: longer than the longest
@@ -88,6 +79,9 @@
 /// Loads that a holder before is taken to have begun: more than any store allows in a window here.
 const BEGUN: usize = 8;
 
+/// What engines hold.
+pub type Stocks = Vec<(Key, Stock)>;
+
 /// Placement as one daemon knows it.
 pub struct Placer {
     /// The lease.
@@ -191,8 +185,40 @@
         }
     }
 
+    /// Ends once some news is due.
+    pub fn news_due(&self) -> impl Future<Output = ()> + use<> {
+        let due = self.due.listen();
+        let now = !self.news.is_empty();
+        async move {
+            if !now {
+                due.await;
+            }
+        }
+    }
+
+    /// The news that is due: what all daemons are to be told, and what those that asked are.
+    pub fn take_news(&mut self, now: Duration) -> (Stocks, Vec<(SocketAddr, Stocks)>) {
+        let News { all, asked } = self.news.take();
+        let news = |key: Key| {
+            let held = self.desks.get(&key)?.news(now)?;
+            Some((key, held))
+        };
+        let rows = all.into_iter().filter_map(news).collect();
+        let answers = asked.into_iter().map(|(from, keys)| (from, self.stocks(keys, now)));
+        (rows, answers.collect())
+    }
+
+    /// All daemons have been told.
+    pub fn told(&mut self, now: Duration, rows: Stocks) {
+        for (key, held) in rows {
+            if let Some(desk) = self.desks.get_mut(&key) {
+                desk.told = Some((held, now));
+            }
+        }
+    }
+
     /// What is known of engines, as daemons are told.
-    fn stocks(&self, keys: impl IntoIterator<Item = Key>, now: Duration) -> Vec<(Key, Stock)> {
+    fn stocks(&self, keys: impl IntoIterator<Item = Key>, now: Duration) -> Stocks {
         let known = keys.into_iter().filter_map(|key| Some((self.desks.get(&key)?, key)));
         known.map(|(desk, key)| (key, desk.stock(now))).collect()
     }
@@ -345,53 +371,6 @@
     daemon.placer.borrow_mut().tell(key);
 }
 
-/// Tells daemons the news of engines for as long as the daemon runs.
-pub async fn announce(daemon: Rc<Daemon>) {
-    loop {
-        let due = daemon.placer.borrow().due.listen();
-        if daemon.placer.borrow().news.is_empty() {
-            due.await;
-        }
-        let began = clock::now();
-        flush(&daemon).await;
-        let took = clock::now().saturating_sub(began);
-        Timer::after((took * REST).clamp(GATHER, PAUSE)).await;
-    }
-}
-
-/// Tells all news that there is, leaving out what is being dropped.
-async fn flush(daemon: &Rc<Daemon>) {
-    let now = clock::now();
-    let (rows, answers) = {
-        let mut placer = daemon.placer.borrow_mut();
-        let News { all, asked } = placer.news.take();
-        let news = |key: Key| Some((placer.desks.get(&key)?.news(now)?, key));
-        let rows: Vec<_> =
-            all.into_iter().filter_map(news).map(|(held, key)| (key, held)).collect();
-        let answers: Vec<_> =
-            asked.into_iter().map(|(from, keys)| (from, placer.stocks(keys, now))).collect();
-        (rows, answers)
-    };
-    for (key, held) in &rows {
-        daemon.fleet.borrow_mut().hold(now, key, held.clone());
-    }
-    if !rows.is_empty() {
-        seat::pump(daemon);
-    }
-    let peers = daemon.nodes.borrow().peers();
-    for (from, rows) in answers {
-        peer::say_holding(daemon, &[from], rows).await;
-    }
-    peer::say_holding(daemon, &peers, rows.clone()).await;
-    let now = clock::now();
-    let mut placer = daemon.placer.borrow_mut();
-    for (key, held) in rows {
-        if let Some(desk) = placer.desks.get_mut(&key) {
-            desk.told = Some((held, now));
-        }
-    }
-}
-
 /// Plans and begins what is due for the models of a service.
 fn moves(daemon: &Rc<Daemon>, now: Duration, service: &str, engines: &Engines) {
     let (needs, hosts, cold) = {
