--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -187,11 +187,11 @@
 
     /// Ends once some news is due.
     pub fn news_due(&self) -> impl Future<Output = ()> + use<> {
-        let due = self.due.listen();
-        let now = !self.news.is_empty();
+        let rung = self.due.listen();
+        let none = self.news.is_empty();
         async move {
-            if !now {
-                due.await;
+            if none {
+                rung.await;
             }
         }
     }
--- a/src/decide/path.rs
+++ b/src/decide/path.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-/// A call that is answered within this time was not held up: twice the way there and back between regions, and
-/// half of the time that an order has to arrive in after its lease could have ended.
+/// A call that is answered within this time was not held up: several times the way there and back between
+/// regions, and half of the last part of a lease, which is left to orders on their way.
 const SOON: Duration = Duration::from_millis(250);
 /// So many late calls in a row are not the doing of single engines.
 const ROW: u32 = 3;
