Take in the store's answer to the lease in one place; call what is there already

Cause: read once more. A write of the lease logged its outcome and put back what it had noted in two places, one for a failed call and one for an answer. `Daemon::alone` counted daemons a second time beside `Table::count`. Change: each in one piece. No change of behaviour, no assertion touched.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Response;
 use smol::Timer;
 
 use crate::daemon::Daemon;
@@ -61,7 +63,8 @@
 /// Whether the holder is to give the lease back.
 fn gives_up(daemon: &Daemon, now: Duration) -> bool {
     // Others may reach the engines: placement must not wait for this daemon's link or loop.
-    let stuck = daemon.orders.late_for(now, daemon.settings.lease) && !daemon.alone(now);
+    let stuck =
+        daemon.orders.late_for(now, daemon.settings.lease) && daemon.nodes.borrow().count(now) > 1;
     // Given back already, it may be held again: the answer to a renewal came after that.
     stuck || daemon.leaving.get()
 }
@@ -128,28 +131,32 @@
         // Until it is answered others must not be told that the store is away: this may succeed.
         daemon.placer.borrow_mut().unsure = Some(sent);
     }
-    let res = match store::ask(daemon, Kind::Leases, req).await {
-        Ok(res) => res,
-        Err(err) => {
-            let now = clock::now();
-            if takes {
-                let lost = matches!(err, store::Error::Link(_));
-                daemon.placer.borrow_mut().unsure = if lost { Some(now) } else { before };
-            }
-            daemon.note(&Event::Renewal {
-                token: write.lease.term,
-                took: now.saturating_sub(sent).as_millis() as u64,
-                outcome: "failed",
-            });
-            return;
-        }
-    };
+    let res = store::ask(daemon, Kind::Leases, req).await;
     let now = clock::now();
-    let mut placer = daemon.placer.borrow_mut();
     if takes {
-        placer.unsure = before;
+        let lost = matches!(res, Err(store::Error::Link(_)));
+        daemon.placer.borrow_mut().unsure = if lost { Some(now) } else { before };
     }
-    let outcome = match daemon.dialect.written(&res) {
+    let outcome = match res {
+        Ok(res) => answered(daemon, now, write, &res),
+        Err(_) => "failed",
+    };
+    daemon.note(&Event::Renewal {
+        token: write.lease.term,
+        took: now.saturating_sub(sent).as_millis() as u64,
+        outcome,
+    });
+}
+
+/// Takes in the store's answer to a write; what became of it, for the log.
+fn answered(
+    daemon: &Daemon,
+    now: Duration,
+    write: &lease::Write,
+    res: &Response<Bytes>,
+) -> &'static str {
+    let mut placer = daemon.placer.borrow_mut();
+    match daemon.dialect.written(res) {
         Ok(Written::Done(done)) => {
             placer.revision = done.revision;
             placer.watch.applied(now, done.revision, write);
@@ -168,13 +175,7 @@
         Ok(Written::Conflict(None)) => "conflict",
         Ok(Written::Refused) => "refused",
         Err(_) => "unreadable",
-    };
-    drop(placer);
-    daemon.note(&Event::Renewal {
-        token: write.lease.term,
-        took: now.saturating_sub(sent).as_millis() as u64,
-        outcome,
-    });
+    }
 }
 
 fn note_lead(daemon: &Daemon) {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -170,11 +170,6 @@
         !self.leaving.get() && self.listed.get() && self.config.borrow().is_some()
     }
 
-    /// Whether no other daemon is known to live.
-    pub fn alone(&self, now: Duration) -> bool {
-        self.nodes.borrow().live(now).next().is_none()
-    }
-
     /// A number that no other request of this daemon has.
     pub fn number(&self) -> u64 {
         let number = self.next.get();
@@ -193,14 +188,14 @@
         let now = clock::now();
         let late = daemon.tick(now);
         daemon.gauges.ticked(late);
+        let before = std::mem::replace(&mut asleep, clock::suspended());
         if late >= pulse::LATE {
-            let suspended = clock::suspended().saturating_sub(asleep);
+            let suspended = asleep.saturating_sub(before);
             daemon.note(&Event::Late {
                 by: late.as_millis() as u64,
                 suspended: suspended.as_millis() as u64,
             });
         }
-        asleep = clock::suspended();
         let gone = daemon.fleet.borrow_mut().tick(now);
         if gone || !daemon.line.borrow().is_empty() {
             seat::pump(&daemon);
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -121,7 +121,9 @@
             Err(link::Error::Unsent) if reused => fresh = true,
             Err(err) if err.unsent() => return Outcome::Unsent(err.into()),
             // Dropped with the link, it is not written any more.
-            Err(_) if link.written().is_none() => return Outcome::Unsent("expired"),
+            Err(_) if link.written().is_none() => {
+                return Outcome::Unsent(link::Error::Expired.into());
+            }
             Err(err) => return Outcome::Lost(err.into()),
         }
     }
