Count calls to the store by kind, and show from logs where requests are lost

Which calls to the store were most was not known: one counter took them all. They are counted by object, kind of call and outcome, in the metrics and every two seconds in the log.

Lines of 'sent' name the time within which an answer is on time and the longest pause, by which the command judges.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -26,6 +26,7 @@
 use crate::daemon::placer;
 use crate::daemon::settings::Settings;
 use crate::daemon::store;
+use crate::daemon::tally;
 use crate::edge::dialect::Dialect;
 use crate::error;
 use crate::error::Error;
@@ -97,6 +98,7 @@
     ex.spawn(placer::steps(daemon.clone())).detach();
     ex.spawn(news::announce(daemon.clone())).detach();
     ex.spawn(journal::flush(daemon.clone())).detach();
+    ex.spawn(tally::note(daemon.clone())).detach();
     ex.spawn(daemon::ticks(daemon.clone())).detach();
     Ok((daemon, accepting))
 }
--- /dev/null
+++ b/src/cmd/losses/plot.rs
@@ -0,0 +1,62 @@
+//! The table of losses as a drawing: a line for each cause over time.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use plotters::prelude::ChartBuilder;
+use plotters::prelude::Color;
+use plotters::prelude::IntoDrawingArea;
+use plotters::prelude::LineSeries;
+use plotters::prelude::PathElement;
+use plotters::prelude::SVGBackend;
+use plotters::style::Palette;
+use plotters::style::Palette99;
+use plotters::style::WHITE;
+
+use super::Account;
+use super::Cause;
+use crate::error::Error;
+
+/// Width and height, in pixels.
+const SIZE: (u32, u32) = (960, 480);
+/// Causes that are drawn: those with the most requests.
+const CAUSES: usize = 8;
+
+/// Draws requests not served in time, by cause and window.
+pub(super) fn draw(account: &Account, path: &Path) -> Result<(), Error> {
+    render(account, path).map_err(|err| Error::Io(std::io::Error::other(err.to_string())))
+}
+
+fn render(account: &Account, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let mut lines: BTreeMap<&Cause, BTreeMap<u64, u64>> = BTreeMap::new();
+    for (at, causes) in account.windows() {
+        for (cause, count) in causes {
+            lines.entry(cause).or_default().insert(at.as_secs(), *count);
+        }
+    }
+    let mut lines: Vec<_> = lines.into_iter().collect();
+    lines.sort_by_key(|(_, counts)| std::cmp::Reverse(counts.values().sum::<u64>()));
+    lines.truncate(CAUSES);
+    let times: Vec<u64> = account.occupancy().map(|(at, _)| at.as_secs()).collect();
+    let most = lines.iter().flat_map(|(_, counts)| counts.values()).copied().max().unwrap_or(1);
+    let end = times.last().copied().unwrap_or(1).max(1);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(0..end, 0..most + 1)?;
+    chart.configure_mesh().x_desc("seconds").y_desc("requests not in time").draw()?;
+    for (at, (cause, counts)) in lines.iter().enumerate() {
+        let color = Palette99::pick(at).to_rgba();
+        let points = times.iter().map(|time| (*time, counts.get(time).copied().unwrap_or(0)));
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(cause.to_string())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -6,9 +6,11 @@
 use std::path::PathBuf;
 
 use clap::Parser;
+use clap::Subcommand;
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::cmd::losses;
 use crate::error::Error;
 
 /// Shows all that daemons logged of one request, in order of time.
@@ -17,9 +19,14 @@
 /// that holds no JSON object is passed over. Exits with 1 when no line speaks of the request.
 #[derive(Debug, Parser)]
 #[command(name = "poplarmux-trace", version)]
+#[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 pub struct Args {
+    /// Instead of one request, all of them.
+    #[command(subcommand)]
+    pub verb: Option<Verb>,
     /// The request's id.
-    pub id: String,
+    #[arg(required = true)]
+    pub id: Option<String>,
     /// Logs of any daemons.
     #[arg(required = true)]
     pub logs: Vec<PathBuf>,
@@ -28,6 +35,13 @@
     pub json: bool,
 }
 
+/// What else can be shown.
+#[derive(Debug, Subcommand)]
+pub enum Verb {
+    /// Where requests are lost or late: by cause, route and time.
+    Losses(losses::Args),
+}
+
 /// One line that speaks of the request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Step {
@@ -39,11 +53,15 @@
 
 /// Prints the steps; false when there are none.
 pub fn run(args: &Args) -> Result<bool, Error> {
+    if let Some(Verb::Losses(args)) = &args.verb {
+        return losses::run(args);
+    }
+    let id = args.id.as_deref().unwrap_or_default();
     let mut steps = Vec::new();
     for path in &args.logs {
         let file = BufReader::new(File::open(path)?);
         for line in file.lines() {
-            steps.extend(step(&line?, &args.id));
+            steps.extend(step(&line?, id));
         }
     }
     steps.sort_by_key(|step| step.line.get("at").and_then(Value::as_u64));
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -91,7 +91,6 @@
             ("poplarmux_waiting_requests", daemon.line.borrow().len() as u64),
             ("poplarmux_config_version", version),
             ("poplarmux_store_up", u64::from(daemon.store.up())),
-            ("poplarmux_store_calls_total", daemon.store.calls()),
             ("poplarmux_endpoint_connections_total", self.connections.get()),
             ("poplarmux_idle_connections", daemon.pool.borrow().len() as u64),
             ("poplarmux_nodes", daemon.nodes.borrow().count(now) as u64),
@@ -102,6 +101,11 @@
         for (name, value) in figures {
             writeln!(out, "{name} {value}")?;
         }
+        for ((object, op, outcome), count) in daemon.store.tally().rows() {
+            let (op, outcome): (&str, &str) = (op.into(), outcome.into());
+            let labels = format!("object=\"{object}\",op=\"{op}\",outcome=\"{outcome}\"");
+            writeln!(out, "poplarmux_store_calls_total{{{labels}}} {count}")?;
+        }
         for row in fleet.rows() {
             let (id, service) = (&row.instance.key.id, &row.instance.service);
             let labels = format!("endpoint=\"{id}\",service=\"{service}\"");
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -11,6 +11,7 @@
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
 use crate::daemon::store;
+use crate::daemon::tally::Op;
 use crate::decide::lease;
 use crate::decide::lease::Lease;
 use crate::edge::dialect::Kind;
@@ -98,7 +99,7 @@
     let Ok(req) = daemon.dialect.get(Kind::Leases, LEASE, Read::Stale) else {
         return;
     };
-    let Ok(res) = store::ask(daemon, Kind::Leases, req).await else {
+    let Ok(res) = store::ask(daemon, Kind::Leases, Op::GetStale, req).await else {
         return;
     };
     let Ok(found) = daemon.dialect.got(&res) else {
@@ -117,9 +118,11 @@
 
 async fn apply(daemon: &Daemon, write: &lease::Write) {
     let spec = serde_json::json!(write.lease);
-    let req = match write.expect {
-        None => daemon.dialect.create(Kind::Leases, LEASE, &spec),
-        Some(revision) => daemon.dialect.replace(Kind::Leases, LEASE, Some(revision), &spec),
+    let (op, req) = match write.expect {
+        None => (Op::Create, daemon.dialect.create(Kind::Leases, LEASE, &spec)),
+        Some(revision) => {
+            (Op::Replace, daemon.dialect.replace(Kind::Leases, LEASE, Some(revision), &spec))
+        }
     };
     let Ok(req) = req else {
         return;
@@ -131,7 +134,7 @@
         // Until it is answered others must not be told that the store is away: this may succeed.
         daemon.placer.borrow_mut().unsure = Some(sent);
     }
-    let res = store::ask(daemon, Kind::Leases, req).await;
+    let res = store::ask(daemon, Kind::Leases, op, req).await;
     let now = clock::now();
     if takes {
         let lost = matches!(res, Err(store::Error::Link(_)));
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,6 +22,7 @@
 pub mod settings;
 pub mod store;
 pub mod stream;
+pub mod tally;
 
 use std::cell::Cell;
 use std::cell::RefCell;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -16,6 +16,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::peer::Here;
 use crate::daemon::store;
+use crate::daemon::tally::Op;
 use crate::edge::dialect::Kind;
 use crate::edge::dialect::Object;
 use crate::edge::dialect::Read;
@@ -234,10 +235,10 @@
     };
     let spec = serde_json::json!(node);
     let req = daemon.dialect.replace(Kind::Nodes, &node.name, None, &spec)?;
-    let res = store::ask(daemon, Kind::Nodes, req).await?;
+    let res = store::ask(daemon, Kind::Nodes, Op::Replace, req).await?;
     if daemon.dialect.written(&res)? == Written::Missing {
         let req = daemon.dialect.create(Kind::Nodes, &node.name, &spec)?;
-        daemon.dialect.written(&store::ask(daemon, Kind::Nodes, req).await?)?;
+        daemon.dialect.written(&store::ask(daemon, Kind::Nodes, Op::Create, req).await?)?;
     }
     Ok(())
 }
@@ -283,7 +284,7 @@
     for (name, revision) in gone {
         if let Ok(req) = daemon.dialect.remove(Kind::Nodes, &name, revision) {
             // One that is not removed now is tried with the next list.
-            let _ = store::ask(daemon, Kind::Nodes, req).await;
+            let _ = store::ask(daemon, Kind::Nodes, Op::Remove, req).await;
         }
     }
 }
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -228,6 +228,8 @@
         attempt: number,
         waited: now.saturating_sub(job.came).as_millis() as u64,
         left: left.as_millis() as u64,
+        aim: job.route.aim.as_millis() as u64,
+        gap: job.route.gap.map(|gap| gap.as_millis() as u64),
         load,
         version: job.version,
     });
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -23,6 +23,9 @@
 use crate::daemon::link::Executor;
 use crate::daemon::link::Link;
 use crate::daemon::seat;
+use crate::daemon::tally::Op;
+use crate::daemon::tally::Outcome;
+use crate::daemon::tally::Tally;
 use crate::edge::dialect;
 use crate::edge::dialect::Change;
 use crate::edge::dialect::Kind;
@@ -92,7 +95,7 @@
     /// When it was last found away.
     lost: Cell<Duration>,
     returned: Cell<Option<Duration>>,
-    calls: Cell<u64>,
+    tally: Tally,
 }
 
 impl Client {
@@ -108,7 +111,7 @@
             up: Cell::new(true),
             lost: Cell::new(Duration::ZERO),
             returned: Cell::new(None),
-            calls: Cell::new(0),
+            tally: Tally::default(),
         }
     }
 
@@ -128,8 +131,8 @@
     }
 
     /// Calls made so far.
-    pub fn calls(&self) -> u64 {
-        self.calls.get()
+    pub fn tally(&self) -> &Tally {
+        &self.tally
     }
 
     /// Makes one call. A connection that lost an answer is not used again.
@@ -154,7 +157,6 @@
         if let Ok(host) = host {
             req.headers_mut().insert(http::header::HOST, host);
         }
-        self.calls.set(self.calls.get() + 1);
         let res = link.call(req, ANSWER_MAX, limit).await?;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < Self::IDLE_MAX {
@@ -173,16 +175,20 @@
 pub async fn call(
     daemon: &Daemon,
     kind: Kind,
+    op: Op,
     req: Request<Bytes>,
     limit: Duration,
 ) -> Result<Response<Bytes>, Error> {
     let client = &daemon.store;
     let res = client.call(req, limit).await;
-    let problem = match &res {
-        Ok(res) if away(res.status()) => Some(format!("status {}", res.status().as_u16())),
-        Ok(_) => None,
-        Err(err) => Some(err.to_string()),
+    let (outcome, problem) = match &res {
+        Ok(res) if away(res.status()) => {
+            (Outcome::Refused, Some(format!("status {}", res.status().as_u16())))
+        }
+        Ok(_) => (Outcome::Answered, None),
+        Err(err) => (Outcome::Lost, Some(err.to_string())),
     };
+    client.tally.add(kind, op, outcome);
     let up = problem.is_none();
     let now = clock::now();
     let was_away = client.away(now);
@@ -208,9 +214,10 @@
 pub async fn ask(
     daemon: &Daemon,
     kind: Kind,
+    op: Op,
     req: Request<Bytes>,
 ) -> Result<Response<Bytes>, Error> {
-    call(daemon, kind, req, CALL).await
+    call(daemon, kind, op, req, CALL).await
 }
 
 /// Reads all objects of a kind, with the store's revision at the first page.
@@ -220,7 +227,7 @@
     let mut revision = None;
     loop {
         let req = daemon.dialect.list(kind, after.as_deref(), read)?;
-        let page = daemon.dialect.listed(&ask(daemon, kind, req).await?)?;
+        let page = daemon.dialect.listed(&ask(daemon, kind, Op::list(read), req).await?)?;
         let first = *revision.get_or_insert(page.revision);
         if page.skipped > 0 {
             daemon.note(&Event::Skipped {
@@ -282,7 +289,7 @@
 
 async fn watch(daemon: &Daemon, kind: Kind, since: u64) -> Result<Watched, Error> {
     let req = daemon.dialect.watch(kind, since, WAIT)?;
-    let res = call(daemon, kind, req, WAIT + WATCH).await?;
+    let res = call(daemon, kind, Op::Watch, req, WAIT + WATCH).await?;
     Ok(daemon.dialect.watched(&res)?)
 }
 
