End quietly when the reader of the table of losses has seen enough

poplarmux-trace losses LOG | head ended in a panic on the closed pipe. Seen on the first log that was longer than a screen; the write of each line is checked now and a closed pipe ends the command.

--- a/src/cmd/losses/mod.rs
+++ b/src/cmd/losses/mod.rs
@@ -6,6 +6,8 @@
 use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
+use std::io::Write;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -45,29 +47,35 @@
         }
     }
     account.close();
-    print(&account);
+    match print(&account, &mut std::io::stdout().lock()) {
+        // Who reads has seen enough, such as `head`.
+        Err(err) if err.kind() == ErrorKind::BrokenPipe => return Ok(true),
+        printed => printed?,
+    }
     if let Some(path) = &args.svg {
         plot::draw(&account, path)?;
     }
     Ok(!account.is_empty())
 }
 
-fn print(account: &Account) {
-    println!("requests, by their end");
+fn print(account: &Account, out: &mut impl Write) -> std::io::Result<()> {
+    writeln!(out, "requests, by their end")?;
     for ((route, cause), count) in account.totals() {
-        println!("  {route:<24} {:<20} {count}", cause.to_string());
+        writeln!(out, "  {route:<24} {:<20} {count}", cause.to_string())?;
     }
-    println!("\nrequests not in time, by seconds since the first line");
+    writeln!(out, "\nrequests not in time, by seconds since the first line")?;
     for (at, causes) in account.windows() {
         let causes: Vec<String> =
             causes.iter().map(|(cause, count)| format!("{cause} {count}")).collect();
-        println!("  {:>5} {}", at.as_secs(), causes.join(", "));
+        writeln!(out, "  {:>5} {}", at.as_secs(), causes.join(", "))?;
     }
-    println!(
+    writeln!(
+        out,
         "\nengines: requests there, the busiest, how many hold 3 times the mean, how many none"
-    );
+    )?;
     for (at, row) in account.occupancy() {
-        println!(
+        writeln!(
+            out,
             "  {:>5} {} at {} engines, busiest {}, crowded {}, idle {}",
             at.as_secs(),
             row.requests,
@@ -75,17 +83,18 @@
             row.busiest,
             row.crowded,
             row.idle
-        );
+        )?;
     }
-    println!("\ncalls to the store, by object, kind and outcome");
+    writeln!(out, "\ncalls to the store, by object, kind and outcome")?;
     for ((object, op, outcome), count) in account.calls() {
-        println!("  {object:<10} {op:<11} {outcome:<9} {count}");
+        writeln!(out, "  {object:<10} {op:<11} {outcome:<9} {count}")?;
     }
-    println!("\ncalls to the store, by seconds since the first line");
+    writeln!(out, "\ncalls to the store, by seconds since the first line")?;
     for (at, objects) in account.calls_by_window() {
         let objects: Vec<String> =
             objects.iter().map(|(object, count)| format!("{object} {count}")).collect();
-        println!("  {:>5} {}", at.as_secs(), objects.join(", "));
+        writeln!(out, "  {:>5} {}", at.as_secs(), objects.join(", "))?;
     }
-    println!("\nlines left out by daemons: {}", account.omitted());
+    writeln!(out, "\nlines left out by daemons: {}", account.omitted())?;
+    Ok(())
 }
