Bring models that nobody asks for last, and only to free room

Cause: the plan took models without a copy before all others, asked for or not, and looked at sixteen of them.

Change: Need says for how long callers have asked for a model in vain, if they have. Asked for and nowhere comes first as before, then what is short of copies, then, into free room alone, the rest.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -42,6 +42,7 @@
 use crate::table::instance::holds;
 use crate::table::routing::Config;
 use crate::table::routing::Engines;
+use crate::table::routing::Model;
 
 /// Requests a second for each copy of an adapter. Daemons that ask at the same moment each name the
 /// engine that is best for them; loaded at all of these, one adapter pushed out several others.
@@ -85,7 +86,7 @@
     pub demand: Demand,
     /// Adapters that were wanted and are at no engine, and since when.
     unmet: HashMap<(ModelId, AdapterId), Duration>,
-    /// Models that no engine holds, and since when.
+    /// Models that callers ask for and no engine holds, and since when.
     missing: HashMap<ModelId, Duration>,
     /// When loads from the weight store began.
     loads: VecDeque<Duration>,
@@ -215,19 +216,29 @@
         self.desks.iter().filter(|(_, desk)| holds(desk)).map(|(key, _)| key.clone()).collect()
     }
 
-    /// Looks which models no engine holds.
+    /// Looks which models are asked for that no engine holds.
     fn look_for(&mut self, now: Duration, engines: &Engines) {
         let resident = self.desks.values().flat_map(|desk| &desk.resident);
         let held: HashSet<&ModelId> = resident.map(|row| &row.model).collect();
-        self.missing.retain(|model, _| !held.contains(model));
-        for model in engines.models.iter().filter(|model| !held.contains(&model.name)) {
-            self.missing.entry(model.name.clone()).or_insert(now);
+        let wanted = |model: &ModelId| self.demand.wanted(now, model).is_some();
+        self.missing.retain(|model, _| !held.contains(model) && wanted(model));
+        let models = engines.models.iter().map(|model| &model.name);
+        for model in models.filter(|model| !held.contains(model) && wanted(model)) {
+            self.missing.entry(model.clone()).or_insert(now);
         }
     }
 
-    /// For how long no engine has held a model.
-    fn missing(&self, now: Duration, model: &str) -> Duration {
-        self.missing.get(model).map_or(Duration::ZERO, |since| now.saturating_sub(*since))
+    /// What the plan knows of a model.
+    fn need(&self, now: Duration, model: &Model) -> Need {
+        let name = &model.name;
+        let since = self.missing.get(name);
+        let wanted = since.and_then(|_| self.demand.wanted(now, name));
+        Need {
+            model: name.clone(),
+            weights: model.weights,
+            demand: wanted.unwrap_or_else(|| self.demand.model(now, name)),
+            wanted: since.map(|since| now.saturating_sub(*since)),
+        }
     }
 
     /// Loads from the weight store that may begin now.
@@ -362,16 +373,7 @@
         let mut placer = daemon.placer.borrow_mut();
         let cold = placer.cold(now, engines.loads, daemon.settings.ceiling.window);
         placer.look_for(now, engines);
-        let needs: Vec<Need> = engines
-            .models
-            .iter()
-            .map(|model| Need {
-                model: model.name.clone(),
-                weights: model.weights,
-                demand: placer.demand.model(now, &model.name),
-                missing: placer.missing(now, &model.name),
-            })
-            .collect();
+        let needs: Vec<Need> = engines.models.iter().map(|model| placer.need(now, model)).collect();
         let room = desk::room(engines);
         let rows = fleet.rows().filter(|row| row.instance.service == service && row.usable(now));
         let mut hosts: Vec<Host> = rows
--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -19,6 +19,12 @@
 /// So long the number of engines must stand before models are placed: at a start they register one
 /// after the other, up to a heartbeat apart, and a model that seems to be nowhere is on the next one.
 const SETTLE: Duration = Duration::from_millis(1_500);
+/// A model that was asked for counts as wanted for so long after: longer than its load takes and than
+/// callers who were refused take to come back.
+const WANTED: Duration = Duration::from_secs(15);
+/// The least that a model without a copy is taken to be asked for while it is wanted: its callers are
+/// few, and each is refused.
+const RARE: f64 = 0.5;
 /// Over how long the use of adapters is smoothed.
 const SMOOTH: Duration = Duration::from_millis(1_500);
 
@@ -26,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     models: HashMap<ModelId, Trend>,
+    /// When each model was last asked for.
+    asked: HashMap<ModelId, Duration>,
     adapters: HashMap<(ModelId, AdapterId), Rate>,
     /// How many engines held each model when placement began.
     first: HashMap<ModelId, usize>,
@@ -43,8 +51,9 @@
         adapters: Vec<(ModelId, AdapterId, u32)>,
     ) {
         for (model, millis) in models {
-            let trend = self.models.entry(model).or_insert(Trend::new(now));
+            let trend = self.models.entry(model.clone()).or_insert(Trend::new(now));
             trend.add(now, f64::from(millis) / 1000.0);
+            self.asked.insert(model, now);
         }
         for (model, adapter, count) in adapters {
             let fresh = Rate::new(now, SMOOTH);
@@ -80,6 +89,12 @@
         }
     }
 
+    /// The same for a model that no engine holds; none when nobody has asked for it lately.
+    pub fn wanted(&self, now: Duration, model: &str) -> Option<f64> {
+        let at = self.asked.get(model)?;
+        (now < *at + WANTED).then(|| self.model(now, model).max(RARE))
+    }
+
     /// How much an adapter was asked for lately.
     pub fn adapter(&self, now: Duration, model: &str, adapter: &str) -> f64 {
         self.uses(model, adapter).map_or(0.0, |rate| rate.now(now))
@@ -129,6 +144,6 @@
         if self.begun() {
             return 0.0;
         }
-        PRIOR * self.first.get(model).copied().unwrap_or(0).max(1) as f64
+        PRIOR * self.first.get(model).copied().unwrap_or(0) as f64
     }
 }
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -9,13 +9,19 @@
 //! these loads the most: that takes load from the fullest engines first, and sees an engine that
 //! is idle as well as a model that is short. A step is a copy more, in free room or in the place of
 //! one or two models that have other copies. It must lower the sum by a part of what it is now,
-//! more for slower loads. The last copy of a model never goes; a model without a copy comes first.
-//! Where only last copies are in the way, one of them is first brought to another engine, after
-//! which it may go. An engine does one step at a time.
+//! more for slower loads. The last copy of a model never goes. Where only last copies are in the way,
+//! one of them is first brought to another engine, after which it may go. An engine does one step at
+//! a time.
+//!
+//! A model without a copy comes first if callers ask for it. One that nobody asks for comes last, and
+//! only to free room: there are more models than places, so those without a copy would else take the
+//! place of copies that serve, one after the other.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use strum::IntoEnumIterator;
+
 use crate::table::ModelId;
 use crate::table::RegionId;
 use crate::table::instance::Key;
@@ -38,16 +44,16 @@
 /// first: after a crash its engine comes back empty, and a busy copy that goes for a rare model
 /// costs more requests than the rare model gets. A place for it is taken anywhere after `PATIENCE`,
 /// somewhat longer than engines take to start again.
-const CALM: f64 = 0.5;
+const LIGHT: f64 = 0.5;
 const PATIENCE: Duration = Duration::from_secs(5);
 /// What is left of a cold load's gain at an engine that has another model at hand which is short of
 /// copies: that one would have to load from the store elsewhere.
 const TAKEN: f64 = 0.5;
 /// A model is short of copies when each carries this part of an even load.
 const SHORT: f64 = 0.4;
-/// Models that may gain a copy that are looked at in one plan, those with the most demand for each
+/// Models that may gain a copy that are looked at for one step, those with the most demand for each
 /// copy: bounds the work on large fleets.
-const NEEDY: usize = 16;
+const CANDIDATES: usize = 16;
 /// Steps of one plan.
 const STEPS: usize = 8;
 /// What a copy in a region without one is worth, as a part of the gain: requests cross no region.
@@ -62,8 +68,8 @@
     pub weights: f64,
     /// Requests at once that it is asked for.
     pub demand: f64,
-    /// For how long no engine has held it.
-    pub missing: Duration,
+    /// For how long callers have asked for it while no engine held it; none where nobody did.
+    pub wanted: Option<Duration>,
 }
 
 /// An engine as the plan sees it.
@@ -113,12 +119,32 @@
         self.hosts.len() as f64
     }
 
+    /// Why it may gain a copy.
+    fn cause(&self) -> Cause {
+        match (self.hosts.is_empty(), self.need.wanted) {
+            (false, _) => Cause::Short,
+            (true, Some(_)) => Cause::Missing,
+            (true, None) => Cause::Unasked,
+        }
+    }
+
     /// Demand for each copy.
     fn share(&self) -> f64 {
         self.need.demand / self.copies().max(1.0)
     }
 }
 
+/// Why a model may gain a copy, the most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter)]
+enum Cause {
+    /// Callers ask for it and no engine holds it.
+    Missing,
+    /// Its copies carry much.
+    Short,
+    /// No engine holds it, and nobody asks for it.
+    Unasked,
+}
+
 struct Draft<'a> {
     rows: Vec<Row<'a>>,
     index: HashMap<&'a str, usize>,
@@ -157,7 +183,7 @@
     let mut draft = Draft::new(needs, hosts);
     let mut out = Vec::new();
     for _ in 0..STEPS {
-        let Some(step) = draft.best(cold) else {
+        let Some(step) = Cause::iter().find_map(|cause| draft.best(cause, cold)) else {
             return out;
         };
         // Both or neither: planned anew in between, the first could be undone for another.
@@ -200,27 +226,31 @@
         draft
     }
 
-    /// The step that gains the most, if any gains enough.
-    fn best(&self, cold: u32) -> Option<Step> {
+    /// The models that may gain a copy for this cause, those with the most demand for each copy first.
+    fn candidates(&self, cause: Cause, even: f64) -> Vec<usize> {
+        let may =
+            |at: &usize| self.rows[*at].cause() == cause && (cause != Cause::Short || even >= IDLE);
+        let mut rows: Vec<usize> = (0..self.rows.len()).filter(may).collect();
+        rows.sort_by(|a, b| self.rows[*b].share().total_cmp(&self.rows[*a].share()));
+        rows.truncate(CANDIDATES);
+        rows
+    }
+
+    /// The step that gains the most for a cause, if any gains enough.
+    fn best(&self, cause: Cause, cold: u32) -> Option<Step> {
         let even = self.even();
-        let mut needy: Vec<usize> = (0..self.rows.len()).collect();
-        needy.sort_by(|a, b| {
-            let key = |at: usize| (self.rows[at].hosts.is_empty(), self.rows[at].share());
-            let (a, b) = (key(*a), key(*b));
-            b.0.cmp(&a.0).then(b.1.total_cmp(&a.1))
-        });
+        let missing = cause != Cause::Short;
         let mut best: Option<(f64, Step)> = None;
         // Many engines are blocked by the same few models: each is looked at once.
         let mut ways: HashMap<usize, Vec<Step>> = HashMap::new();
-        for model in needy.into_iter().take(NEEDY) {
-            let missing = self.rows[model].hosts.is_empty();
-            if !missing && even < IDLE {
-                break;
-            }
+        for model in self.candidates(cause, even) {
             for host in 0..self.hosts.len() {
                 let Some(step) = self.step(model, host, missing) else {
                     continue;
                 };
+                if cause == Cause::Unasked && !step.victims.is_empty() {
+                    continue;
+                }
                 let ways = step.blocked.map_or(&[] as &[Step], |last| {
                     ways.entry(last).or_insert_with(|| self.ways(last, cold))
                 });
@@ -276,8 +306,8 @@
                 return None;
             }
         }
-        let patient = missing && row.need.missing < PATIENCE;
-        if patient && self.lost(&victims) > CALM * self.even() {
+        let patient = missing && row.need.wanted.is_some_and(|span| span < PATIENCE);
+        if patient && self.lost(&victims) > LIGHT * self.even() {
             return None;
         }
         let cold = !at.at_hand.contains(&row.need.model);
