Count a model's demand from when counting began, not from its first request

Cause: the trend of a model that is asked for the first time took its first request for a rise from nothing, as all models rise when traffic begins: one request of 0.6 s counted as three at once, and two copies were brought for it in the place of others.

--- a/src/decide/demand.rs
+++ b/src/decide/demand.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub struct Demand {
     models: HashMap<ModelId, Trend>,
+    /// When counting began; a model that is not among them was not asked for since then.
+    since: Option<Duration>,
     /// When each model was last asked for.
     asked: HashMap<ModelId, Duration>,
     adapters: HashMap<(ModelId, AdapterId), Rate>,
@@ -50,8 +52,9 @@
         models: Vec<(ModelId, u32)>,
         adapters: Vec<(ModelId, AdapterId, u32)>,
     ) {
+        let since = *self.since.get_or_insert(now);
         for (model, millis) in models {
-            let trend = self.models.entry(model.clone()).or_insert(Trend::new(now));
+            let trend = self.models.entry(model.clone()).or_insert(Trend::new(since));
             trend.add(now, f64::from(millis) / 1000.0);
             self.asked.insert(model, now);
         }
--- a/tests/decide_demand.rs
+++ b/tests/decide_demand.rs
@@ -48,3 +48,19 @@
     assert!((told / steady - 1.0).abs() < 0.25, "{told} {steady}");
     assert!(after.begun());
 }
+
+/// One request for a model that nobody had asked for was taken for a rise from nothing: two copies
+/// were brought for it, in the place of copies that served.
+#[test]
+fn one_request_is_no_rise() {
+    let mut demand = Demand::default();
+    for at in (0..20_000).step_by(250) {
+        demand.add(ms(at), vec![("busy".to_string(), 5_000)], Vec::new());
+    }
+    demand.add(ms(20_000), vec![("rare".to_string(), 600)], Vec::new());
+    let rare = demand.model(ms(20_000), "rare");
+    assert!(rare < 2.0, "a request of 0.6 s counts as {rare} at once");
+    assert!(demand.wanted(ms(20_000), "rare").is_some_and(|most| most >= rare));
+    assert_eq!(demand.wanted(ms(20_000), "other"), None);
+    assert_eq!(demand.wanted(ms(40_000), "rare"), None, "its callers have given up");
+}
