--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -37,11 +37,11 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::daemon::Daemon;
+use crate::daemon::admission;
+use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
-use crate::daemon::seat;
-use crate::daemon::seat::Refusal;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Flow;
@@ -416,7 +416,7 @@
         if clock::now() >= job.deadline {
             return give_up(daemon, job, &mut open, trail, "timeout", SPENT);
         }
-        let place = match seat::find(daemon, job, &trail.tried).await {
+        let place = match admission::find(daemon, job, &trail.tried).await {
             Ok(place) => place,
             Err(refusal) => {
                 return give_up(daemon, job, &mut open, trail, refusal.reason, refusal.after);
@@ -533,7 +533,7 @@
 fn stream(
     daemon: &Rc<Daemon>,
     job: &Rc<Job>,
-    place: seat::Place,
+    place: admission::Place,
     head: Box<send::Head>,
     attempts: u32,
     open: Open,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 //! while it holds the lease (`placer`). One thread runs all of it, so state lies in cells: nothing
 //! is borrowed across an await.
 
+pub mod admission;
 pub mod clock;
 pub mod directory;
 pub mod engine;
@@ -17,7 +18,6 @@
 pub mod node;
 pub mod peer;
 pub mod placer;
-pub mod seat;
 pub mod send;
 pub mod settings;
 pub mod store;
@@ -68,7 +68,7 @@
     /// The endpoints.
     pub fleet: RefCell<Fleet>,
     /// Requests that wait for an endpoint.
-    pub line: RefCell<Line<seat::Waiter>>,
+    pub line: RefCell<Line<admission::Waiter>>,
     /// What may be sent again.
     pub allowance: RefCell<Allowance>,
     /// Other daemons.
@@ -199,7 +199,7 @@
         }
         let gone = daemon.fleet.borrow_mut().tick(now);
         if gone || !daemon.line.borrow().is_empty() {
-            seat::pump(&daemon);
+            admission::pump(&daemon);
         }
         if now >= swept + SWEEP {
             swept = now;
--- a/src/daemon/news.rs
+++ b/src/daemon/news.rs
@@ -8,9 +8,9 @@
 use smol::Timer;
 
 use crate::daemon::Daemon;
+use crate::daemon::admission;
 use crate::daemon::clock;
 use crate::daemon::peer;
-use crate::daemon::seat;
 
 /// News is told at most this often: callers wait for what it is of.
 const GATHER: Duration = Duration::from_millis(20);
@@ -40,7 +40,7 @@
         daemon.fleet.borrow_mut().hold(now, key, held.clone());
     }
     if !rows.is_empty() {
-        seat::pump(daemon);
+        admission::pump(daemon);
     }
     for (from, rows) in answers {
         peer::say_holding(daemon, &[from], rows).await;
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -20,11 +20,11 @@
 use smol::net::UdpSocket;
 
 use crate::daemon::Daemon;
+use crate::daemon::admission;
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
 use crate::daemon::placer;
-use crate::daemon::seat;
 use crate::decide::demand;
 use crate::decide::news;
 use crate::table::AdapterId;
@@ -340,7 +340,7 @@
             for (key, held) in rows {
                 daemon.fleet.borrow_mut().hold(now, &key, held);
             }
-            seat::pump(daemon);
+            admission::pump(daemon);
         }
     }
 }
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -15,13 +15,13 @@
 use smol::future::FutureExt;
 
 use crate::daemon::Daemon;
+use crate::daemon::admission;
+use crate::daemon::admission::Place;
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
-use crate::daemon::seat;
-use crate::daemon::seat::Place;
 use crate::edge::dialect::Answer;
 use crate::edge::dialect::Attempt;
 use crate::table::instance::Key;
@@ -158,7 +158,7 @@
 fn elsewhere(daemon: &Daemon, job: &Job, key: &Key) -> bool {
     let now = clock::now();
     let paid = daemon.allowance.borrow_mut().left(now, &job.service) >= 1.0;
-    paid && seat::takes(daemon, now, job, key)
+    paid && admission::takes(daemon, now, job, key)
 }
 
 /// How long an idempotent request may take at one endpoint while another try is left.
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -17,12 +17,12 @@
 use smol::Timer;
 
 use crate::daemon::Daemon;
+use crate::daemon::admission;
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Executor;
 use crate::daemon::link::Link;
-use crate::daemon::seat;
 use crate::daemon::tally::Op;
 use crate::daemon::tally::Outcome;
 use crate::daemon::tally::Tally;
@@ -344,7 +344,7 @@
         let (now, returned) = (clock::now(), daemon.store.returned());
         daemon.fleet.borrow_mut().retain(now, &ids, returned);
         daemon.listed.set(true);
-        seat::pump(&daemon);
+        admission::pump(&daemon);
     };
     let change = |change: Change| {
         if change.removed {
@@ -362,7 +362,7 @@
         } else {
             put(&daemon, &change.object);
         }
-        seat::pump(&daemon);
+        admission::pump(&daemon);
     };
     follow(&daemon, Kind::Instances, whole, change).await;
 }
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -15,13 +15,13 @@
 use smol::future::FutureExt;
 
 use crate::daemon::Daemon;
+use crate::daemon::admission;
+use crate::daemon::admission::Place;
 use crate::daemon::clock;
 use crate::daemon::front::Broken;
 use crate::daemon::front::Job;
 use crate::daemon::front::Open;
 use crate::daemon::journal::Event;
-use crate::daemon::seat;
-use crate::daemon::seat::Place;
 use crate::daemon::send;
 use crate::daemon::send::Head;
 use crate::daemon::send::Outcome;
@@ -177,7 +177,7 @@
             if !self.daemon.allowance.borrow_mut().repeat(now, &self.job.service) {
                 return false;
             }
-            let Ok(place) = seat::find(&self.daemon, &self.job, &self.tried).await else {
+            let Ok(place) = admission::find(&self.daemon, &self.job, &self.tried).await else {
                 return false;
             };
             self.attempts += 1;
