Keep half of the engines free of rare models, and bring no copies to idle ones

Cause: in a burst of rare models each engine was given one of them to load, which takes four to ten seconds with what has to go first; a model with 113 requests at once had two copies meanwhile. And in the first second of traffic, with three requests at each engine, copies were brought for that.

Change: of the engines half at most load models that no other holds; a model is short of copies only where an engine that has it carries over a fifth of its slots.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -374,7 +374,6 @@
         let cold = placer.cold(now, engines.loads, daemon.settings.ceiling.window);
         placer.look_for(now, engines);
         let needs: Vec<Need> = engines.models.iter().map(|model| placer.need(now, model)).collect();
-        let room = desk::room(engines);
         let rows = fleet.rows().filter(|row| row.instance.service == service && row.usable(now));
         let mut hosts: Vec<Host> = rows
             .filter_map(|row| {
@@ -383,7 +382,7 @@
                     desk,
                     row.instance.key.clone(),
                     fleet.region_of(&row.instance.data_center),
-                    room,
+                    engines,
                 ))
             })
             .collect();
--- a/src/decide/desk.rs
+++ b/src/decide/desk.rs
@@ -276,7 +276,7 @@
 }
 
 /// An engine as the plan sees it.
-pub fn host(desk: &Desk, key: Key, region: RegionId, room: f64) -> Host {
+pub fn host(desk: &Desk, key: Key, region: RegionId, engines: &Engines) -> Host {
     let mut resident: Vec<ModelId> = desk.resident.iter().map(|row| row.model.clone()).collect();
     let mut outgoing = Vec::new();
     if let Some(goal) = &desk.goal {
@@ -289,7 +289,8 @@
     at_hand.extend(desk.copies.disk.iter().cloned());
     let busy = desk.goal.is_some() || desk.orders.is_none() || desk.look.is_some();
     let coming = desk.goal.as_ref().map(|goal| goal.model.clone());
-    Host { key, region, room, resident, outgoing, coming, busy, at_hand }
+    let (slots, room) = (f64::from(engines.slots), room(engines));
+    Host { key, region, slots, room, resident, outgoing, coming, busy, at_hand }
 }
 
 /// The next adapter order at an engine.
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -34,6 +34,12 @@
 const GAIN_COLD: f64 = 0.45;
 /// Demand of each engine below which all is well: no step is worth its load.
 const IDLE: f64 = 1.0;
+/// An engine that carries less than this part of its slots serves in time what it has: copies that take
+/// from it are worth nothing, and demand that is that small is mostly noise.
+const EASY: f64 = 0.2;
+/// Of all engines, so many may load models that nobody else holds at a time: many models that are each
+/// asked for once would else keep every engine from taking a copy of one that is asked for by all.
+const RARE: f64 = 0.5;
 /// What is left of a gain that takes a load from the store, an unload or a move of another model
 /// first: each takes up to half of the time for which demand stays where it is.
 const SLOW: f64 = 0.6;
@@ -79,6 +85,8 @@
     pub key: Key,
     /// Its region.
     pub region: RegionId,
+    /// Requests that it runs at once.
+    pub slots: f64,
     /// Room for weights, in MB, adapters left out.
     pub room: f64,
     /// What it holds, and what is on its way there; an order without an answer counts.
@@ -228,8 +236,16 @@
 
     /// The models that may gain a copy for this cause, those with the most demand for each copy first.
     fn candidates(&self, cause: Cause, even: f64) -> Vec<usize> {
-        let may =
-            |at: &usize| self.rows[*at].cause() == cause && (cause != Cause::Short || even >= IDLE);
+        let pressed = |host: &usize| self.loads[*host] > self.hosts[*host].slots * EASY;
+        let may = |at: &usize| {
+            let row = &self.rows[*at];
+            let due = match cause {
+                Cause::Missing => self.rare() < (self.hosts.len() as f64 * RARE).ceil(),
+                Cause::Short => even >= IDLE && row.hosts.iter().any(pressed),
+                Cause::Unasked => true,
+            };
+            row.cause() == cause && due
+        };
         let mut rows: Vec<usize> = (0..self.rows.len()).filter(may).collect();
         rows.sort_by(|a, b| self.rows[*b].share().total_cmp(&self.rows[*a].share()));
         rows.truncate(CANDIDATES);
@@ -364,6 +380,11 @@
         steps
     }
 
+    /// Engines that load a model which no other engine holds.
+    fn rare(&self) -> f64 {
+        self.rows.iter().filter(|row| row.coming && row.hosts.len() == 1).count() as f64
+    }
+
     /// What the copies that go carry.
     fn lost(&self, victims: &[usize]) -> f64 {
         victims.iter().map(|row| self.rows[*row].share()).sum()
--- a/tests/decide_shift.rs
+++ b/tests/decide_shift.rs
@@ -276,9 +276,10 @@
                 wanted: Some(ms(self.absent(&model.name, at))),
             })
             .collect();
-        let room = desk::room(&self.published);
         let hosts: Vec<spread::Host> = (self.engines.iter().filter(|engine| engine.down.is_none()))
-            .map(|engine| desk::host(&engine.desk, engine.key.clone(), "r".to_string(), room))
+            .map(|engine| {
+                desk::host(&engine.desk, engine.key.clone(), "r".to_string(), &self.published)
+            })
             .collect();
         for step in spread::plan(&needs, &hosts, cold) {
             let engine =
--- a/tests/decide_spread.rs
+++ b/tests/decide_spread.rs
@@ -15,6 +15,7 @@
 const SIZES: [f64; 13] =
     [42.7, 72.7, 72.7, 65.1, 72.7, 65.1, 65.1, 65.1, 72.7, 72.7, 65.1, 42.7, 72.7];
 const ROOM: f64 = 199.0;
+const SLOTS: f64 = 64.0;
 
 fn name(model: usize) -> String {
     format!("m{model}")
@@ -35,6 +36,7 @@
     Host {
         key: Key { id: format!("e{at}"), born: 1 },
         region: format!("r{}", at / 3),
+        slots: SLOTS,
         room: ROOM,
         resident: models.iter().copied().map(name).collect(),
         outgoing: Vec::new(),
@@ -200,6 +202,33 @@
     }
 }
 
+/// A burst of rare models: each engine was given one of them to load, and for as long as that took a
+/// model that most callers asked for had one copy.
+#[test]
+fn rare_models_do_not_take_all_engines() {
+    let mut hosts: Vec<Host> = (0..9).map(|at| host(at, &[at])).collect();
+    hosts.iter_mut().for_each(|host| host.at_hand.clear());
+    let mut needs = needs(&[(0, 90.0)]);
+    needs.extend((13..30).map(|model| Need {
+        model: name(model),
+        weights: 65.0,
+        demand: 0.5,
+        wanted: Some(Duration::ZERO),
+    }));
+    let steps = plan(&needs, &hosts, 100);
+    let rare = steps.iter().filter(|step| step.model[1..].parse::<usize>().is_ok_and(|at| at > 12));
+    assert!((1..=5).contains(&rare.count()), "{steps:?}");
+    assert!(steps.iter().any(|step| step.model == "m0"), "{steps:?}");
+}
+
+/// In the first second of traffic three requests at once were the most that any engine had, of twelve
+/// slots, and copies were loaded for them in the place of models that were asked for next.
+#[test]
+fn engines_with_little_to_do_get_no_copies() {
+    let demand: Vec<(usize, f64)> = vec![(0, 20.0), (1, 9.0), (2, 3.0)];
+    assert_eq!(plan(&needs(&demand), &fleet(), 7), []);
+}
+
 proptest! {
     /// No plan ever fills an engine beyond its room or drops the last copy of a model, and all rest.
     #[test]
