Let one daemon of each region decide where a model's requests go

Cause: each daemon chose engines by its own requests and by what engines said of their load in its own answers.

Change: a model's requests of a region are granted by its broker, a daemon chosen by weighted rendezvous hashing. What it has granted and has not ended is the load; who waits stands in its line. Ends that are lost are made good by lists, a broker that does not answer twice within 60 ms is done without, and a new one takes grants from the lists.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -13,6 +13,7 @@
 
 use crate::daemon;
 use crate::daemon::Daemon;
+use crate::daemon::broker;
 use crate::daemon::clock;
 use crate::daemon::directory;
 use crate::daemon::front;
@@ -94,6 +95,7 @@
     ex.spawn(node::follow(daemon.clone())).detach();
     ex.spawn(peer::rounds(daemon.clone())).detach();
     ex.spawn(peer::hear(daemon.clone())).detach();
+    ex.spawn(broker::lists(daemon.clone())).detach();
     ex.spawn(lease::follow(daemon.clone())).detach();
     ex.spawn(placer::steps(daemon.clone())).detach();
     ex.spawn(news::announce(daemon.clone())).detach();
--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -1,6 +1,12 @@
 //! Finds an endpoint for a request, and lets it wait for one.
+//!
+//! A request of an engine's model goes by the word of the model's broker (`broker`), which holds it in
+//! this daemon's line if that is the broker. Where the broker does not answer, and for plain services,
+//! the daemon decides by itself.
 
+use std::cell::Cell;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,18 +14,31 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::future::FutureExt;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::daemon::Daemon;
+use crate::daemon::broker;
+use crate::daemon::broker::Broken;
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
 use crate::daemon::peer;
+use crate::decide::broker::Ticket;
 use crate::decide::endpoint::Ask;
+use crate::decide::endpoint::End;
 use crate::decide::fleet::Choice;
+use crate::decide::line::Group;
 use crate::decide::patience;
 use crate::decide::patience::Cause;
 use crate::decide::patience::Held;
 use crate::decide::patience::Verdict;
+use crate::decide::speed::Reading;
+use crate::edge::dialect::Load;
+use crate::edge::dialect::Part;
+use crate::table::AdapterId;
+use crate::table::ModelId;
+use crate::table::RequestId;
+use crate::table::ServiceId;
 use crate::table::instance::Key;
 
 /// What an order for a model takes beside the load itself: until the placer sees the demand, and
@@ -29,12 +48,108 @@
 /// When a caller comes back that has waited here in vain: by then a round of orders is over.
 const WAITED: Duration = Duration::from_millis(500);
 
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Need {
+    /// The service that the route's split gave it.
+    pub service: ServiceId,
+    /// The model, where one is named.
+    pub model: Option<ModelId>,
+    /// The adapter of that model.
+    pub adapter: Option<AdapterId>,
+    /// Whether the service is one of engines.
+    pub engines: bool,
+    /// Adapters that one of these has places for.
+    pub places: u32,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// The beginnings of its prompt.
+    pub parts: Vec<Part>,
+    /// The longest pause that its stream may have.
+    pub gap: Option<Duration>,
+    /// An answer within this time is on time.
+    pub aim: Duration,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// The same for all that need the same.
+    pub group: Group,
+}
+
+impl Need {
+    /// The question for an endpoint, those left out at which it failed.
+    pub fn ask<'a>(&'a self, tried: &'a [Key]) -> Ask<'a> {
+        Ask {
+            service: &self.service,
+            model: self.model.as_deref(),
+            adapter: self.adapter.as_deref(),
+            places: self.places,
+            prompt: self.prompt,
+            parts: &self.parts,
+            gap: self.gap,
+            tried,
+        }
+    }
+}
+
+/// The hash of what requests of a group need.
+pub fn group(service: &str, model: Option<&str>, adapter: Option<&str>) -> Xxh3 {
+    let mut hash = Xxh3::new();
+    hash.update(service.as_bytes());
+    for text in [model, adapter].into_iter().flatten() {
+        hash.update(&[0]);
+        hash.update(text.as_bytes());
+    }
+    hash
+}
+
+/// A request that needs a place.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Unlike that of any other request in this daemon's line.
+    pub number: RequestId,
+    /// What it needs.
+    pub need: Rc<Need>,
+    /// When it came.
+    pub came: Duration,
+    /// When it must be answered.
+    pub deadline: Duration,
+    /// Endpoints that it failed at.
+    pub tried: Vec<Key>,
+}
+
+/// Who gets the place that an arrival waits for.
+#[derive(Clone)]
+pub enum Taker {
+    /// A request of this daemon.
+    Own(Sender<(Key, Reading)>),
+    /// One of another daemon.
+    Other(SocketAddr, Ticket),
+}
+
 /// A request that waits.
 #[derive(Clone)]
 pub struct Waiter {
-    job: Rc<Job>,
-    tried: Vec<Key>,
-    give: Sender<Key>,
+    arrival: Rc<Arrival>,
+    taker: Taker,
+}
+
+/// What becomes of an arrival.
+pub enum Decision {
+    /// It goes there.
+    Go(Key),
+    /// It waits until then at most, for this, with so many before it.
+    Wait(Duration, Cause, usize),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// Why no endpoint was found.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refusal {
+    /// Why, in a word.
+    pub reason: &'static str,
+    /// When coming back makes sense.
+    pub after: Duration,
 }
 
 /// A request's place at an endpoint; freed when dropped.
@@ -42,150 +157,208 @@
     daemon: Rc<Daemon>,
     /// The endpoint.
     pub key: Key,
+    /// What the prompt is expected to take there.
+    pub reading: Reading,
+    /// Whom to tell, where a broker gave it.
+    broker: Option<(SocketAddr, Ticket)>,
+    load: Cell<Option<Load>>,
+    end: Cell<End>,
+}
+
+impl Place {
+    /// The endpoint has told its load.
+    pub fn told(&self, load: Load) {
+        self.load.set(Some(load));
+    }
+
+    /// The first byte of an answer came after this time.
+    pub fn answered(&self, took: Duration) {
+        if let Some((broker, ticket)) = self.broker {
+            broker::answered(&self.daemon, broker, ticket, took, self.load.get());
+        }
+    }
+
+    /// The request ends so, unless well.
+    pub fn ends(&self, end: End) {
+        self.end.set(end);
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
         self.daemon.fleet.borrow_mut().end(&self.key);
+        if let Some((broker, ticket)) = self.broker {
+            broker::done(&self.daemon, broker, ticket, &self.key, self.end.get());
+        }
         if !self.daemon.line.borrow().is_empty() {
             pump(&self.daemon);
         }
     }
 }
 
-/// Why no endpoint was found.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Refusal {
-    /// Why, in a word.
-    pub reason: &'static str,
-    /// When coming back makes sense.
-    pub after: Duration,
-}
-
 /// A waiting row; what it was given meanwhile is freed when dropped.
 struct Row {
     daemon: Rc<Daemon>,
-    job: Rc<Job>,
-    given: Receiver<Key>,
+    arrival: Rc<Arrival>,
+    given: Receiver<(Key, Reading)>,
 }
 
 impl Drop for Row {
     fn drop(&mut self) {
-        let job = &self.job;
-        self.daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
-        if let Ok(key) = self.given.try_recv() {
-            drop(Place { daemon: self.daemon.clone(), key });
+        leave(&self.daemon, &self.arrival);
+        if let Ok((key, reading)) = self.given.try_recv() {
+            drop(place(&self.daemon, key, reading, None));
         }
     }
 }
 
-impl Job {
-    fn ask<'a>(&'a self, tried: &'a [Key]) -> Ask<'a> {
-        Ask {
-            service: &self.service,
-            model: self.caller.model.as_deref(),
-            adapter: self.caller.adapter.as_deref(),
-            places: self.places,
-            prompt: self.caller.prompt,
-            parts: &self.parts,
-            gap: self.route.gap,
-            tried,
-        }
+fn place(
+    daemon: &Rc<Daemon>,
+    key: Key,
+    reading: Reading,
+    broker: Option<(SocketAddr, Ticket)>,
+) -> Place {
+    Place {
+        daemon: daemon.clone(),
+        key,
+        reading,
+        broker,
+        load: Cell::default(),
+        end: Cell::default(),
     }
 }
 
-fn pick(daemon: &Daemon, now: Duration, job: &Job, ask: &Ask<'_>) -> Choice {
-    daemon.fleet.borrow().choose(now, ask, job.engines, &mut daemon.rng.borrow_mut())
+fn pick(daemon: &Daemon, now: Duration, need: &Need, tried: &[Key]) -> Choice {
+    let mut rng = daemon.rng.borrow_mut();
+    daemon.fleet.borrow().choose(now, &need.ask(tried), need.engines, &mut rng)
 }
 
-fn choose(daemon: &Daemon, now: Duration, job: &Job, tried: &[Key]) -> Choice {
-    match pick(daemon, now, job, &job.ask(tried)) {
+fn choose(daemon: &Daemon, now: Duration, arrival: &Arrival) -> Choice {
+    match pick(daemon, now, &arrival.need, &arrival.tried) {
         // Everything was tried: again is better than not at all, where it may run again.
-        Choice::Full if !tried.is_empty() => pick(daemon, now, job, &job.ask(&[])),
+        Choice::Full if !arrival.tried.is_empty() => pick(daemon, now, &arrival.need, &[]),
         choice => choice,
     }
 }
 
 /// Whether any endpoint but one takes a job now.
 pub fn takes(daemon: &Daemon, now: Duration, job: &Job, not: &Key) -> bool {
-    matches!(pick(daemon, now, job, &job.ask(std::slice::from_ref(not))), Choice::Go(_))
+    matches!(pick(daemon, now, &job.need, std::slice::from_ref(not)), Choice::Go(_))
 }
 
-fn start(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: &Key) {
-    let reading = {
-        let mut fleet = daemon.fleet.borrow_mut();
-        let reading = fleet.reading(now, key, &job.ask(&[]));
-        fleet.start(now, key, &job.parts, reading.own);
-        reading
+/// A request of this daemon goes there.
+fn start(daemon: &Daemon, now: Duration, need: &Need, key: &Key) -> Reading {
+    let mut fleet = daemon.fleet.borrow_mut();
+    let reading = fleet.reading(now, key, &need.ask(&[]));
+    fleet.start(now, key, &need.parts, reading.own);
+    reading
+}
+
+/// Decides on an arrival, and sets about what it waits for.
+pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
+    let need = &arrival.need;
+    let ahead = daemon.line.borrow().ahead(need.priority, arrival.came, need.group);
+    let choice = match choose(daemon, now, arrival) {
+        Choice::Go(key) if ahead == 0 => return Decision::Go(key),
+        choice => choice,
     };
-    job.reading.set(reading);
-    if job.engines {
-        peer::say_sent(daemon, key, reading.own);
+    let cause = cause(daemon, now, need, &choice, ahead);
+    let held = Held { came: arrival.came, aim: need.aim, deadline: arrival.deadline };
+    let verdict = patience::judge(now, &held, cause, &mut daemon.rng.borrow_mut());
+    if let Choice::Pace(span) = choice {
+        pump_after(daemon, now, span);
+    }
+    match verdict {
+        Verdict::Refuse(after) => Decision::Refuse(Refusal { reason: reason(&choice), after }),
+        Verdict::Wait(until) => {
+            if let Choice::Fetch(key) = &choice {
+                peer::want(daemon, key, need);
+            }
+            Decision::Wait(until.min(arrival.deadline), cause, ahead)
+        }
     }
 }
 
-/// Takes a place for a request.
-fn take(daemon: &Rc<Daemon>, now: Duration, job: &Job, key: Key) -> Place {
-    start(daemon, now, job, &key);
-    Place { daemon: daemon.clone(), key }
+/// Puts an arrival in the line.
+pub fn join(daemon: &Daemon, arrival: &Rc<Arrival>, taker: Taker) {
+    let need = &arrival.need;
+    let waiter = Waiter { arrival: arrival.clone(), taker };
+    let mut line = daemon.line.borrow_mut();
+    line.push(arrival.number, need.priority, arrival.came, need.group, waiter);
+}
+
+/// Takes an arrival out of the line; whether it still stood there.
+pub fn leave(daemon: &Daemon, arrival: &Arrival) -> bool {
+    let mut line = daemon.line.borrow_mut();
+    line.remove(arrival.number, arrival.need.priority, arrival.came).is_some()
+}
+
+/// The refusal of an arrival that has waited in vain.
+pub fn waited(daemon: &Daemon, arrival: &Arrival) -> Refusal {
+    let left = arrival.deadline.saturating_sub(clock::now());
+    let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
+    Refusal { reason: "waited", after }
 }
 
 /// Finds an endpoint, waiting while that can help.
 pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Place, Refusal> {
+    let arrival = Rc::new(Arrival {
+        number: daemon.number(),
+        need: job.need.clone(),
+        came: job.came,
+        deadline: job.deadline,
+        tried: tried.to_vec(),
+    });
+    if let Some(to) = broker::of(daemon, &job.need) {
+        match broker::ask(daemon, to, &arrival).await {
+            Ok((ticket, key, reading)) => {
+                let now = clock::now();
+                daemon.fleet.borrow_mut().start(now, &key, &job.need.parts, reading.own);
+                return Ok(place(daemon, key, reading, Some((to, ticket))));
+            }
+            Err(Broken::Refused(refusal)) => return Err(refusal),
+            Err(Broken::Silent) => {}
+        }
+    }
     let now = clock::now();
-    let ahead = daemon.line.borrow().ahead(job.route.priority, job.came, job.group);
-    match choose(daemon, now, job, tried) {
-        Choice::Go(key) if ahead == 0 => Ok(take(daemon, now, job, key)),
-        other => wait(daemon, job, tried, other, ahead).await,
+    match decide(daemon, now, &arrival) {
+        Decision::Go(key) => {
+            let reading = start(daemon, now, &arrival.need, &key);
+            Ok(place(daemon, key, reading, None))
+        }
+        Decision::Refuse(refusal) => Err(refusal),
+        Decision::Wait(until, cause, ahead) => {
+            daemon.note(&Event::Waits {
+                request: job.caller.id.clone(),
+                cause: format!("{cause:?}"),
+                until: until.saturating_sub(now).as_millis() as u64,
+                ahead,
+            });
+            wait(daemon, &arrival, until).await
+        }
     }
 }
 
 async fn wait(
     daemon: &Rc<Daemon>,
-    job: &Rc<Job>,
-    tried: &[Key],
-    choice: Choice,
-    ahead: usize,
+    arrival: &Rc<Arrival>,
+    until: Duration,
 ) -> Result<Place, Refusal> {
-    let now = clock::now();
-    let cause = cause(daemon, now, job, &choice, ahead);
-    let held = Held { came: job.came, aim: job.route.aim, deadline: job.deadline };
-    let verdict = patience::judge(now, &held, cause, &mut daemon.rng.borrow_mut());
-    if let Choice::Pace(span) = choice {
-        pump_after(daemon, now, span);
-    }
-    let until = match verdict {
-        Verdict::Refuse(after) => return Err(Refusal { reason: reason(&choice), after }),
-        Verdict::Wait(until) => until.min(job.deadline),
-    };
-    daemon.note(&Event::Waits {
-        request: job.caller.id.clone(),
-        cause: format!("{cause:?}"),
-        until: until.saturating_sub(now).as_millis() as u64,
-        ahead,
-    });
+    let span = until.saturating_sub(clock::now());
     let (give, given) = smol::channel::bounded(1);
-    let waiter = Waiter { job: job.clone(), tried: tried.to_vec(), give };
-    daemon.line.borrow_mut().push(job.number, job.route.priority, job.came, job.group, waiter);
-    let row = Row { daemon: daemon.clone(), job: job.clone(), given };
-    if let Choice::Fetch(key) = &choice {
-        peer::want(daemon, key, job);
-    }
+    join(daemon, arrival, Taker::Own(give));
+    let row = Row { daemon: daemon.clone(), arrival: arrival.clone(), given };
     let come = async { row.given.recv().await.ok() };
     let over = async {
-        Timer::after(until.saturating_sub(now)).await;
+        Timer::after(span).await;
         None
     };
     // One that waits for prompts to be read is refused as well. Sent after all, it would be answered soon
     // itself and hold up every stream there, each caller in turn for as long as the crowd lasts: 0.583
     // against 0.562 of the worth of a fleet's days with trouble (four runs of five days each).
     match come.or(over).await {
-        Some(key) => Ok(Place { daemon: daemon.clone(), key }),
-        None => {
-            let left = job.deadline.saturating_sub(clock::now());
-            let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
-            Err(Refusal { reason: "waited", after })
-        }
+        Some((key, reading)) => Ok(place(daemon, key, reading, None)),
+        None => Err(waited(daemon, arrival)),
     }
 }
 
@@ -216,14 +389,14 @@
     }
 }
 
-fn cause(daemon: &Daemon, now: Duration, job: &Job, choice: &Choice, ahead: usize) -> Cause {
+fn cause(daemon: &Daemon, now: Duration, need: &Need, choice: &Choice, ahead: usize) -> Cause {
     match choice {
         Choice::Go(_) | Choice::Full => {
-            Cause::Full { ahead, rate: daemon.gauges.rate(now, job.group) }
+            Cause::Full { ahead, rate: daemon.gauges.rate(now, need.group) }
         }
         Choice::Pace(wait) => Cause::Paced(*wait),
         Choice::Fetch(key) => Cause::Loading(daemon.fleet.borrow().busy(now, key) + ORDER / 4),
-        Choice::Absent => match load_time(daemon, job) {
+        Choice::Absent => match load_time(daemon, need) {
             Some(time) => Cause::Loading(time + ORDER),
             None => Cause::Nothing,
         },
@@ -232,19 +405,19 @@
 }
 
 /// How long the model's quickest load would take; none when it is not published.
-fn load_time(daemon: &Daemon, job: &Job) -> Option<Duration> {
+fn load_time(daemon: &Daemon, need: &Need) -> Option<Duration> {
     let config = daemon.config.borrow().clone()?;
-    let name = job.caller.model.as_deref()?;
-    let model = config.services.get(&job.service)?.engines.as_ref()?.model(name)?.clone();
+    let name = need.model.as_deref()?;
+    let model = config.services.get(&need.service)?.engines.as_ref()?.model(name)?.clone();
     let fleet = daemon.fleet.borrow();
-    let rows = fleet.rows().filter(|row| row.instance.service == job.service);
+    let rows = fleet.rows().filter(|row| row.instance.service == need.service);
     rows.map(|row| model.load(&row.instance.copies)).min()
 }
 
 /// Gives places to requests that wait, in order.
 pub fn pump(daemon: &Rc<Daemon>) {
     let now = clock::now();
-    let rows: Vec<(u64, Waiter)> = {
+    let rows: Vec<(Group, Waiter)> = {
         let line = daemon.line.borrow();
         line.rows().map(|(_, group, waiter)| (group, waiter.clone())).collect()
     };
@@ -253,20 +426,10 @@
         if stuck.contains(&group) {
             continue;
         }
-        let job = &waiter.job;
-        match choose(daemon, now, job, &waiter.tried) {
-            Choice::Go(key) => {
-                let waits =
-                    daemon.line.borrow_mut().remove(job.number, job.route.priority, job.came);
-                if waits.is_some() {
-                    start(daemon, now, job, &key);
-                    if waiter.give.try_send(key.clone()).is_err() {
-                        daemon.fleet.borrow_mut().end(&key);
-                    }
-                }
-            }
+        match choose(daemon, now, &waiter.arrival) {
+            Choice::Go(key) => give(daemon, now, &waiter, key),
             Choice::Fetch(key) => {
-                peer::want(daemon, &key, job);
+                peer::want(daemon, &key, &waiter.arrival.need);
                 stuck.insert(group);
             }
             Choice::Pace(span) => {
@@ -279,3 +442,21 @@
         }
     }
 }
+
+/// Gives a place to one that waits.
+fn give(daemon: &Rc<Daemon>, now: Duration, waiter: &Waiter, key: Key) {
+    if !leave(daemon, &waiter.arrival) {
+        return;
+    }
+    match &waiter.taker {
+        Taker::Other(from, ticket) => {
+            broker::grant(daemon, now, *from, *ticket, &waiter.arrival, key);
+        }
+        Taker::Own(give) => {
+            let reading = start(daemon, now, &waiter.arrival.need, &key);
+            if give.try_send((key.clone(), reading)).is_err() {
+                daemon.fleet.borrow_mut().end(&key);
+            }
+        }
+    }
+}
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -34,10 +34,10 @@
 use smol::stream::Stream;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::daemon::Daemon;
 use crate::daemon::admission;
+use crate::daemon::admission::Need;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
@@ -45,13 +45,10 @@
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Flow;
-use crate::decide::line::Group;
-use crate::decide::speed::Reading;
 use crate::decide::stop;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
 use crate::table::RequestId;
-use crate::table::ServiceId;
 use crate::table::instance::Key;
 use crate::table::routing::Config;
 use crate::table::routing::Kind;
@@ -134,18 +131,8 @@
     pub caller: Caller,
     /// Its route.
     pub route: Rc<Route>,
-    /// The service that the route's split gave it.
-    pub service: ServiceId,
-    /// Whether that is one of engines.
-    pub engines: bool,
-    /// Adapters that one of these has places for.
-    pub places: u32,
     /// What it needs of an endpoint.
-    pub group: Group,
-    /// The beginnings of its prompt.
-    pub parts: Vec<Part>,
-    /// What its prompt is expected to take at the endpoint that it goes to.
-    pub reading: Cell<Reading>,
+    pub need: Rc<Need>,
     /// The version of the configuration that decided.
     pub version: u64,
     /// When it came.
@@ -321,7 +308,7 @@
     }
     let deadline = came + patience;
     let job = Rc::new(job(daemon, &config, route, caller, head, body, came, deadline));
-    daemon.allowance.borrow_mut().request(came, &job.service);
+    daemon.allowance.borrow_mut().request(came, &job.need.service);
     if let Some(model) = &job.caller.model {
         daemon.demand.borrow_mut().asked(model, job.caller.adapter.as_deref());
     }
@@ -362,30 +349,33 @@
     let published = config.services.get(&service).and_then(|row| row.engines.as_ref());
     let engines = published.is_some();
     let places = published.map_or(0, |engines| engines.adapters);
-    let mut hash = Xxh3::new();
-    hash.update(service.as_bytes());
-    for text in [&caller.model, &caller.adapter].into_iter().flatten() {
-        hash.update(&[0]);
-        hash.update(text.as_bytes());
-    }
+    let mut hash = admission::group(&service, caller.model.as_deref(), caller.adapter.as_deref());
     let group = hash.digest();
     let parts = caller.parts.iter().map(|part| {
         // What is kept of a part is of use only after all parts before it, for the same weights.
         hash.update(&part.id.to_le_bytes());
         Part { id: hash.digest(), tokens: part.tokens }
     });
+    let need = Need {
+        service,
+        model: caller.model.clone(),
+        adapter: caller.adapter.clone(),
+        engines,
+        places,
+        prompt: caller.prompt,
+        parts: parts.collect(),
+        gap: route.gap,
+        aim: route.aim,
+        priority: route.priority,
+        group,
+    };
     Job {
         number: daemon.number(),
-        parts: parts.collect(),
+        need: Rc::new(need),
         headers: daemon.dialect.pass(&head.headers),
         method: head.method.clone(),
         uri: head.uri.clone(),
         version: config.version,
-        reading: Cell::default(),
-        service,
-        engines,
-        places,
-        group,
         route,
         caller,
         came,
@@ -422,7 +412,8 @@
                 return give_up(daemon, job, &mut open, trail, refusal.reason, refusal.after);
             }
         };
-        if trail.sends > 0 && !daemon.allowance.borrow_mut().repeat(clock::now(), &job.service) {
+        if trail.sends > 0 && !daemon.allowance.borrow_mut().repeat(clock::now(), &job.need.service)
+        {
             return give_up(daemon, job, &mut open, trail, "no_allowance", SPENT);
         }
         trail.asked += 1;
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -176,6 +176,10 @@
         until: u64,
         ahead: usize,
     },
+    Broker {
+        address: String,
+        silent: bool,
+    },
     Refused {
         request: String,
         route: String,
@@ -234,6 +238,7 @@
             Event::Ended { .. } => "ended",
             Event::Failed { .. } => "failed",
             Event::Waits { .. } => "waits",
+            Event::Broker { .. } => "broker",
             Event::Refused { .. } => "refused",
             Event::Resumed { .. } => "resumed",
             Event::Cut { .. } => "cut",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 //! is borrowed across an await.
 
 pub mod admission;
+pub mod broker;
 pub mod clock;
 pub mod directory;
 pub mod engine;
@@ -69,6 +70,8 @@
     pub fleet: RefCell<Fleet>,
     /// Requests that wait for an endpoint.
     pub line: RefCell<Line<admission::Waiter>>,
+    /// Questions to brokers, and what this one has given to others.
+    pub broker: RefCell<broker::Broker>,
     /// What may be sent again.
     pub allowance: RefCell<Allowance>,
     /// Other daemons.
@@ -128,6 +131,7 @@
             config: RefCell::default(),
             fleet: RefCell::new(fleet),
             line: RefCell::default(),
+            broker: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
             nodes: RefCell::default(),
             demand: RefCell::default(),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -130,6 +130,11 @@
         self.rows.values().filter(move |row| row.alive(now)).map(|row| &row.node)
     }
 
+    /// Daemons whose registration was renewed lately, so that all daemons name about the same.
+    pub fn registered(&self) -> impl Iterator<Item = &Node> {
+        self.rows.values().filter(|row| row.quiet < READS).map(|row| &row.node)
+    }
+
     /// Whether another daemon that lives has more processor than this.
     pub fn larger(&self, now: Duration, millicores: u32) -> bool {
         self.live(now).any(|node| node.millicores > millicores)
@@ -140,14 +145,6 @@
         self.rows.values().map(|row| row.node.peer).collect()
     }
 
-    /// The same, those of a region apart from the others.
-    pub fn peers_by(&self, region: Option<&RegionId>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let (near, far): (Vec<&Row>, Vec<&Row>) =
-            self.rows.values().partition(|row| Some(&row.node.region) == region);
-        let peer = |rows: Vec<&Row>| rows.into_iter().map(|row| row.node.peer).collect();
-        (peer(near), peer(far))
-    }
-
     /// A daemon by its name.
     pub fn get(&self, name: &str) -> Option<&Node> {
         self.rows.get(name).map(|row| &row.node)
@@ -219,10 +216,10 @@
     }
 }
 
-/// Writes this daemon's registration.
-pub async fn write(daemon: &Daemon, beat: u64) -> Result<(), store::Error> {
+/// This daemon, as it registers itself.
+pub fn own(daemon: &Daemon, beat: u64) -> Node {
     let settings = &daemon.settings;
-    let node = Node {
+    Node {
         name: settings.name.clone(),
         front: settings.front,
         peer: settings.peer,
@@ -232,7 +229,12 @@
         millicores: settings.millicores,
         beat,
         ready: daemon.ready(),
-    };
+    }
+}
+
+/// Writes this daemon's registration.
+pub async fn write(daemon: &Daemon, beat: u64) -> Result<(), store::Error> {
+    let node = own(daemon, beat);
     let spec = serde_json::json!(node);
     let req = daemon.dialect.replace(Kind::Nodes, &node.name, None, &spec)?;
     let res = store::ask(daemon, Kind::Nodes, Op::Replace, req).await?;
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -21,8 +21,9 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::admission;
+use crate::daemon::admission::Need;
+use crate::daemon::broker;
 use crate::daemon::clock;
-use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
 use crate::daemon::placer;
 use crate::decide::demand;
@@ -37,9 +38,6 @@
 /// Daemons told in a round: with more, each hears the others every few rounds, so that what a
 /// daemon sends does not grow with their number.
 const TOLD: usize = 24;
-/// Daemons told of each send, those near its engine first: they send there most. One datagram of 40
-/// bytes for each request and daemon told; with more than these, each sees a part of the clump.
-const TOLD_SENT: usize = 8;
 /// An adapter is asked for again after this long: the way to the placer and back, the order and
 /// the load.
 const AGAIN: Duration = Duration::from_millis(180);
@@ -94,13 +92,8 @@
         /// The adapter.
         adapter: AdapterId,
     },
-    /// Prompts were sent to an engine.
-    Sent {
-        /// The engine.
-        key: Key,
-        /// How long it reads them, in microseconds.
-        micros: u32,
-    },
+    /// Between a daemon and the broker of a model.
+    Broker(broker::Message),
     /// What engines hold, by the placer's knowledge.
     Holding(Vec<(Key, Stock)>),
 }
@@ -204,9 +197,9 @@
     }
 }
 
-/// Asks the placer for a job's adapter at an engine, unless it was asked just now.
-pub fn want(daemon: &Rc<Daemon>, key: &Key, job: &Job) {
-    let (Some(model), Some(adapter)) = (&job.caller.model, &job.caller.adapter) else {
+/// Asks the placer for the adapter that a request needs at an engine, unless it was asked just now.
+pub fn want(daemon: &Rc<Daemon>, key: &Key, need: &Need) {
+    let (Some(model), Some(adapter)) = (&need.model, &need.adapter) else {
         return;
     };
     let now = clock::now();
@@ -271,21 +264,6 @@
     tell(daemon, told, message);
 }
 
-/// Tells others what an engine has to read, so that all together send it no more than it reads in
-/// the pause that its streams may have.
-pub fn say_sent(daemon: &Rc<Daemon>, key: &Key, read: Duration) {
-    let region = {
-        let fleet = daemon.fleet.borrow();
-        fleet.get(key).map(|row| fleet.region_of(&row.instance.data_center))
-    };
-    let (near, far) = daemon.nodes.borrow().peers_by(region.as_ref());
-    let mut rng = daemon.rng.borrow_mut();
-    let mut told = near.into_iter().choose_multiple(&mut *rng, TOLD_SENT);
-    let left = TOLD_SENT - told.len();
-    told.extend(far.into_iter().choose_multiple(&mut *rng, left));
-    tell(daemon, told, Message::Sent { key: key.clone(), micros: read.as_micros() as u32 });
-}
-
 /// Hears other daemons.
 pub async fn hear(daemon: Rc<Daemon>) {
     let mut buf = vec![0_u8; 2 * LARGEST];
@@ -329,9 +307,10 @@
         Message::History { models } => {
             daemon.placer.borrow_mut().demand.merge(now, models);
         }
-        Message::Sent { key, micros } => {
-            let read = Duration::from_micros(micros.into());
-            daemon.fleet.borrow_mut().sent(now, &key, read);
+        Message::Broker(message) => {
+            if let Some(from) = from {
+                broker::take(daemon, message, from);
+            }
         }
         Message::Want { key, model, adapter } => {
             placer::want(daemon, &key, &model, &adapter, from);
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -22,6 +22,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
+use crate::decide::endpoint::End;
 use crate::edge::dialect::Answer;
 use crate::edge::dialect::Attempt;
 use crate::table::instance::Key;
@@ -77,7 +78,7 @@
     let began = clock::now();
     let outcome = exchange(daemon, job, place, number, last_event, again).await;
     let took = clock::now().saturating_sub(began);
-    learn(daemon, job, &place.key, &outcome, took);
+    learn(daemon, job, place, &outcome, took);
     outcome
 }
 
@@ -114,7 +115,7 @@
             Ok(req) => req,
             Err(_) => return Outcome::Unsent("unencodable"),
         };
-        note_sent(daemon, job, &place.key, number, now, left);
+        note_sent(daemon, job, place, number, now, left);
         let head = first_bytes(daemon, job, place, &mut link, req, left, again).await;
         match head {
             Ok(res) => return judge(daemon, job, place, link, res, left).await,
@@ -157,7 +158,7 @@
 /// Whether another endpoint would take a job now.
 fn elsewhere(daemon: &Daemon, job: &Job, key: &Key) -> bool {
     let now = clock::now();
-    let paid = daemon.allowance.borrow_mut().left(now, &job.service) >= 1.0;
+    let paid = daemon.allowance.borrow_mut().left(now, &job.need.service) >= 1.0;
     paid && admission::takes(daemon, now, job, key)
 }
 
@@ -202,7 +203,7 @@
     let attempt = Attempt {
         endpoint: &key.id,
         left: Some(left),
-        priority: job.engines.then_some(job.route.priority),
+        priority: job.need.engines.then_some(job.route.priority),
         last_event,
     };
     daemon.dialect.attempt(&mut headers, &attempt)?;
@@ -213,7 +214,15 @@
     Ok(req)
 }
 
-fn note_sent(daemon: &Daemon, job: &Job, key: &Key, number: u32, now: Duration, left: Duration) {
+fn note_sent(
+    daemon: &Daemon,
+    job: &Job,
+    place: &Place,
+    number: u32,
+    now: Duration,
+    left: Duration,
+) {
+    let (key, reading) = (&place.key, &place.reading);
     let load = daemon.fleet.borrow().get(key).map_or(0, |row| row.load(now));
     daemon.note(&Event::Sent {
         request: job.caller.id.clone(),
@@ -222,9 +231,9 @@
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
         prompt: job.caller.prompt,
-        unread: job.reading.get().tokens,
-        read: job.reading.get().own.as_millis() as u64,
-        ahead: job.reading.get().ahead.as_millis() as u64,
+        unread: reading.tokens,
+        read: reading.own.as_millis() as u64,
+        ahead: reading.ahead.as_millis() as u64,
         attempt: number,
         waited: now.saturating_sub(job.came).as_millis() as u64,
         left: left.as_millis() as u64,
@@ -248,6 +257,7 @@
     let answer = daemon.dialect.answer(&parts);
     if let Some(load) = answer.load {
         daemon.fleet.borrow_mut().told(clock::now(), &place.key, load);
+        place.told(load);
     }
     if answer.not_run {
         return not_run(daemon, job, place, link, body, &parts, &answer).await;
@@ -299,22 +309,12 @@
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun("shed");
     }
+    let lacks = job.caller.model.is_some() && !other;
+    let end = if lacks { End::Lacks } else { End::Replaced };
+    place.ends(end);
     let mut fleet = daemon.fleet.borrow_mut();
-    match job.caller.model.as_deref() {
-        _ if other => {
-            fleet.replaced(&place.key);
-            Outcome::NotRun("other_instance")
-        }
-        Some(model) => {
-            let adapter = job.caller.adapter.as_deref();
-            fleet.lacks(clock::now(), &place.key, model, adapter);
-            Outcome::NotRun("not_held")
-        }
-        None => {
-            fleet.replaced(&place.key);
-            Outcome::NotRun("other_instance")
-        }
-    }
+    fleet.ended_as(clock::now(), &place.key, end, &job.need.ask(&[]));
+    Outcome::NotRun(if lacks { "not_held" } else { "other_instance" })
 }
 
 /// Keeps a connection once its answer is over.
@@ -343,12 +343,13 @@
 }
 
 /// Takes what an attempt tells of its endpoint.
-fn learn(daemon: &Daemon, job: &Job, key: &Key, outcome: &Outcome, took: Duration) {
+fn learn(daemon: &Daemon, job: &Job, place: &Place, outcome: &Outcome, took: Duration) {
+    let key = &place.key;
     let now = clock::now();
     let millis = took.as_millis() as u64;
     let mut fleet = daemon.fleet.borrow_mut();
     let running = fleet.get(key).map_or(0, |row| row.running);
-    let (model, reading) = (job.caller.model.as_deref(), job.reading.get());
+    let (model, reading) = (job.caller.model.as_deref(), place.reading);
     let failed = |error: &'static str, why: &'static str| Event::Failed {
         request: job.caller.id.clone(),
         endpoint: key.id.clone(),
@@ -361,8 +362,9 @@
     match outcome {
         Outcome::Whole(res) => {
             fleet.answered(now, key, took, model, &reading);
+            place.answered(took);
             daemon.gauges.answered(job.route.kind, took);
-            daemon.gauges.ended(now, job.group);
+            daemon.gauges.ended(now, job.need.group);
             daemon.note(&Event::Answered {
                 request: job.caller.id.clone(),
                 endpoint: key.id.clone(),
@@ -373,6 +375,7 @@
         }
         Outcome::Stream(head) => {
             fleet.answered(now, key, took, model, &reading);
+            place.answered(took);
             daemon.gauges.answered(job.route.kind, took);
             daemon.note(&Event::Answered {
                 request: job.caller.id.clone(),
@@ -385,18 +388,24 @@
         Outcome::Failure(_) => {
             fleet.heard(now, key);
             fleet.failed(now, key);
+            place.ends(End::Failed);
             daemon.note(&failed("endpoint_failure", "ran"));
         }
         Outcome::NotRun(error) => {
             fleet.heard(now, key);
             if *error == "shed" {
                 fleet.failed(now, key);
+                place.ends(End::Failed);
             }
             daemon.note(&failed(error, "not_run"));
         }
-        Outcome::Unsent(error) => daemon.note(&failed(error, "unsent")),
+        Outcome::Unsent(error) => {
+            place.ends(if *error == "connect" { End::Unreachable } else { End::Unused });
+            daemon.note(&failed(error, "unsent"));
+        }
         Outcome::Lost(error) => {
             fleet.failed(now, key);
+            place.ends(End::Failed);
             daemon.note(&failed(error, "may_have_run"));
         }
     }
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -25,6 +25,7 @@
 use crate::daemon::send;
 use crate::daemon::send::Head;
 use crate::daemon::send::Outcome;
+use crate::decide::endpoint::End;
 use crate::table::instance::Key;
 
 /// A stream on its way.
@@ -169,12 +170,13 @@
             return false;
         }
         self.daemon.fleet.borrow_mut().failed(clock::now(), &self.place.key);
+        self.place.ends(End::Failed);
         self.rest.clear();
         self.tried.push(self.place.key.clone());
         // Each pass either ends in an answer or uses up an attempt or an allowance.
         while self.attempts < route.attempts {
             let now = clock::now();
-            if !self.daemon.allowance.borrow_mut().repeat(now, &self.job.service) {
+            if !self.daemon.allowance.borrow_mut().repeat(now, &self.job.need.service) {
                 return false;
             }
             let Ok(place) = admission::find(&self.daemon, &self.job, &self.tried).await else {
@@ -210,7 +212,7 @@
     fn finish(&mut self) {
         let now = clock::now();
         self.open.done = true;
-        self.daemon.gauges.ended(now, self.job.group);
+        self.daemon.gauges.ended(now, self.job.need.group);
         if let Some(model) = &self.job.caller.model {
             let span = now.saturating_sub(self.began);
             self.daemon.demand.borrow_mut().took(model, span);
@@ -235,6 +237,7 @@
         let now = clock::now();
         self.open.done = true;
         self.daemon.fleet.borrow_mut().failed(now, &self.place.key);
+        self.place.ends(End::Failed);
         self.daemon.note(&Event::Cut {
             request: self.job.caller.id.clone(),
             endpoint: self.place.key.id.clone(),
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -7,6 +7,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::decide::prefill;
 use crate::decide::prefill::Window;
 use crate::decide::speed::Beat;
@@ -110,6 +113,24 @@
     Far,
 }
 
+/// How a request has ended at an endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// Well, or by its caller.
+    #[default]
+    Over,
+    /// It failed there.
+    Failed,
+    /// The endpoint does not hold what it needs.
+    Lacks,
+    /// Another endpoint stands at its address.
+    Replaced,
+    /// The endpoint could not be reached.
+    Unreachable,
+    /// It was not sent there.
+    Unused,
+}
+
 /// An endpoint and what is known of it.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -119,7 +140,9 @@
     pub distance: Distance,
     /// Requests of this daemon there.
     pub running: u32,
-    /// Requests of other daemons there, when it last said so.
+    /// Requests there whose daemons this one gave their places.
+    pub granted: u32,
+    /// Requests there of which nothing else is known, when it last told its load.
     others: u32,
     /// Of these and its own, how many waited for a place.
     waiting: u32,
@@ -171,6 +194,7 @@
             instance,
             distance,
             running: 0,
+            granted: 0,
             others: 0,
             waiting: 0,
             told: None,
@@ -209,7 +233,7 @@
 
     /// Requests there by all that is known.
     pub fn load(&self, now: Duration) -> u32 {
-        self.running + if self.fresh(now) { self.others } else { 0 }
+        self.running + self.granted + if self.fresh(now) { self.others } else { 0 }
     }
 
     /// Whether its own word on its load still counts.
@@ -349,6 +373,16 @@
             self.heard = now;
         }
         self.running += 1;
+        self.sent(now, parts, read);
+    }
+
+    /// Another daemon was given a place here, for a prompt that takes so long to read.
+    pub fn grant(&mut self, now: Duration, parts: &[Part], read: Duration) {
+        self.granted += 1;
+        self.sent(now, parts, read);
+    }
+
+    fn sent(&mut self, now: Duration, parts: &[Part], read: Duration) {
         self.prompts.add(now, read);
         if self.parts.len() > PARTS {
             let mut times: Vec<Duration> = self.parts.values().copied().collect();
@@ -361,11 +395,6 @@
         }
     }
 
-    /// Another daemon sent a prompt there that takes so long to read.
-    pub fn sent(&mut self, now: Duration, read: Duration) {
-        self.prompts.add(now, read);
-    }
-
     /// An adapter is asked for there.
     pub fn want(&mut self, now: Duration, adapter: &str) {
         self.wanted.retain(|_, at| now < *at + WANTED);
@@ -427,7 +456,7 @@
 
     /// It told its load.
     pub fn told(&mut self, now: Duration, load: Load) {
-        self.others = (load.running + load.waiting).saturating_sub(self.running);
+        self.others = (load.running + load.waiting).saturating_sub(self.running + self.granted);
         self.waiting = load.waiting;
         self.told = Some(now);
     }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -22,6 +22,7 @@
 
 use crate::decide::endpoint::Ask;
 use crate::decide::endpoint::Distance;
+use crate::decide::endpoint::End;
 use crate::decide::endpoint::Endpoint;
 use crate::decide::speed::Reading;
 use crate::decide::speed::Speeds;
@@ -232,10 +233,38 @@
         }
     }
 
-    /// Another daemon sent a prompt there that takes so long to read.
-    pub fn sent(&mut self, now: Duration, key: &Key, read: Duration) {
+    /// Another daemon was given a place there, for a prompt that takes so long to read.
+    pub fn grant(&mut self, now: Duration, key: &Key, parts: &[Part], read: Duration) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.sent(now, read);
+            row.grant(now, parts, read);
+        }
+    }
+
+    /// Another daemon has a place there that was not known.
+    pub fn adopt(&mut self, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.granted += 1;
+        }
+    }
+
+    /// Another daemon's place there is free again.
+    pub fn release(&mut self, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.granted = row.granted.saturating_sub(1);
+        }
+    }
+
+    /// A request that came there for what `ask` says has ended so.
+    pub fn ended_as(&mut self, now: Duration, key: &Key, end: End, ask: &Ask<'_>) {
+        let Some(row) = self.rows.get_mut(key) else {
+            return;
+        };
+        match (end, ask.model) {
+            (End::Over | End::Unused, _) => {}
+            (End::Failed, _) => row.failed(now),
+            (End::Unreachable, _) => row.unreachable(now),
+            (End::Lacks, Some(model)) => row.lacks(now, model, ask.adapter),
+            (End::Lacks, None) | (End::Replaced, _) => row.replaced(),
         }
     }
 
@@ -295,13 +324,6 @@
         }
     }
 
-    /// It refused a model or adapter as not held.
-    pub fn lacks(&mut self, now: Duration, key: &Key, model: &str, adapter: Option<&str>) {
-        if let Some(row) = self.rows.get_mut(key) {
-            row.lacks(now, model, adapter);
-        }
-    }
-
     /// Another start of an endpoint answers at its address.
     pub fn replaced(&mut self, key: &Key) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/src/decide/owner.rs
+++ b/src/decide/owner.rs
@@ -6,8 +6,7 @@
 //!
 //! A wrong or second owner costs conflicts and nothing else: the conditional update is the guard.
 
-use xxhash_rust::xxh3::xxh3_64;
-
+use crate::decide::rendezvous;
 use crate::table::EntryId;
 
 /// The owner of a shard among the live entries; none when there are none.
@@ -15,9 +14,6 @@
 where
     I: IntoIterator<Item = &'a EntryId>,
 {
-    live.into_iter().copied().max_by_key(|entry| (weight(shard, entry), *entry))
-}
-
-fn weight(shard: u32, entry: &EntryId) -> u64 {
-    xxh3_64(format!("{shard} {entry}").as_bytes())
+    let members = live.into_iter().map(|entry| (*entry, entry.to_string(), 1.0));
+    rendezvous::pick(&[&shard.to_string()], members)
 }
--- /dev/null
+++ b/tests/decide_broker.rs
@@ -0,0 +1,125 @@
+//! Which daemon decides for a model, and what it counts at engines.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplarmux::decide::broker;
+use poplarmux::decide::broker::Change;
+use poplarmux::decide::broker::Grants;
+use poplarmux::decide::broker::Suspects;
+use poplarmux::table::instance::Key;
+use poplarmux::table::instance::Node;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn addr(at: usize) -> SocketAddr {
+    ([10, 0, (at / 200) as u8, (at % 200) as u8], 7_000).into()
+}
+
+fn key(id: &str) -> Key {
+    Key { id: id.to_string(), born: 1 }
+}
+
+fn nodes(count: usize) -> Vec<Node> {
+    let node = |at: usize| Node {
+        name: format!("n{at}"),
+        front: addr(at),
+        peer: addr(at),
+        region: format!("r{}", at % 3),
+        data_center: format!("d{}", at % 6),
+        born: 1,
+        millicores: if at.is_multiple_of(10) { 500 } else { 120 },
+        beat: 1,
+        ready: true,
+    };
+    (0..count).map(node).collect()
+}
+
+fn brokers(nodes: &[Node]) -> Vec<String> {
+    let region = "r1".to_string();
+    let pick = |model| broker::pick(nodes.iter(), &region, "s", &format!("m{model}"));
+    (0..260).map(|model| pick(model).expect("a broker").name.clone()).collect()
+}
+
+/// Models move to a daemon that comes and from one that goes; all others stay where their grants are.
+#[test]
+fn a_daemon_that_comes_or_goes_moves_no_other_models() {
+    let all = nodes(195);
+    let before = brokers(&all);
+    let mut left = all.clone();
+    left.retain(|node| node.name != before[0]);
+    for (before, after) in before.iter().zip(brokers(&left)) {
+        assert!(*before == after || *before == brokers(&all)[0]);
+    }
+    let mut seen: HashMap<&String, usize> = HashMap::new();
+    for name in &before {
+        *seen.entry(name).or_default() += 1;
+    }
+    let most = seen.values().max().expect("some");
+    assert!(*most <= 30, "one daemon of 65 decides for {most} of 260 models");
+    assert!(
+        all.iter().filter(|node| seen.contains_key(&node.name)).all(|node| node.region == "r1")
+    );
+}
+
+/// One that is stopping takes no new callers, and goes on deciding for nobody.
+#[test]
+fn a_daemon_that_leaves_is_no_broker() {
+    let mut all = nodes(9);
+    let name = brokers(&all)[0].clone();
+    all.iter_mut().filter(|node| node.name == name).for_each(|node| node.ready = false);
+    assert!(!brokers(&all).contains(&name));
+    all.iter_mut().for_each(|node| node.ready = false);
+    assert_eq!(broker::pick(all.iter(), &"r1".to_string(), "s", "m"), None);
+}
+
+/// The end of a request is told by a datagram. One that is lost must not keep a slot taken for ever.
+#[test]
+fn a_grant_whose_end_was_lost_is_given_up() {
+    let mut grants = Grants::<()>::default();
+    for ticket in 1..=2 {
+        grants.give(ms(0), addr(1), ticket, key("e"), 7, ());
+    }
+    let listed = [(2, 7, key("e"))];
+    assert_eq!(grants.list(ms(100), addr(1), &listed), Change::default(), "it may have crossed");
+    let change = grants.list(ms(600), addr(1), &listed);
+    assert_eq!(change.ended, [key("e")]);
+    assert_eq!(grants.list(ms(700), addr(2), &[]), Change::default(), "of another daemon");
+    assert!(grants.get(addr(1), 2).is_some());
+}
+
+/// A daemon is killed with requests at an engine: its slots are free again.
+#[test]
+fn grants_of_a_silent_daemon_are_given_up() {
+    let mut grants = Grants::<()>::default();
+    grants.give(ms(0), addr(1), 1, key("e"), 7, ());
+    assert!(grants.sweep(ms(1_000)).is_empty());
+    grants.list(ms(1_000), addr(1), &[(1, 7, key("e"))]);
+    assert!(grants.sweep(ms(2_000)).is_empty());
+    assert_eq!(grants.sweep(ms(3_000)), [key("e")]);
+    assert!(grants.is_empty());
+}
+
+/// A broker that has just become one would take engines for idle that are full.
+#[test]
+fn a_new_broker_takes_grants_from_lists() {
+    let mut grants = Grants::<()>::default();
+    let listed = [(1, 7, key("e")), (2, 7, key("f"))];
+    assert_eq!(grants.list(ms(0), addr(1), &listed).taken, [key("e"), key("f")]);
+    assert!(grants.list(ms(10), addr(1), &listed).taken.is_empty());
+    let grant = grants.end(addr(1), 1).expect("known now");
+    assert_eq!((grant.key, grant.what), (key("e"), None));
+}
+
+/// Callers waited for a broker that was killed, one after the other.
+#[test]
+fn a_broker_that_did_not_answer_is_left_alone_for_a_while() {
+    let mut suspects = Suspects::default();
+    suspects.add(ms(0), addr(1));
+    assert!(suspects.has(ms(1_900), addr(1)));
+    assert!(!suspects.has(ms(1_900), addr(2)));
+    assert!(!suspects.has(ms(2_100), addr(1)));
+}
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -11,6 +11,7 @@
 use poplarmux::daemon::settings::Retries;
 use poplarmux::decide::allowance::Allowance;
 use poplarmux::decide::endpoint::Ask;
+use poplarmux::decide::endpoint::End;
 use poplarmux::decide::fleet::Choice;
 use poplarmux::decide::fleet::Fleet;
 use poplarmux::decide::line::Line;
@@ -197,7 +198,7 @@
 #[test]
 fn an_engine_that_lacks_a_model_is_left_alone() {
     let mut fleet = fleet(&[instance("x", 1, "a1", &[("m", &[])])]);
-    fleet.lacks(ms(0), &key("x", 1), "m", None);
+    fleet.ended_as(ms(0), &key("x", 1), End::Lacks, &ask("m", None, &[]));
     assert_eq!(choose(&fleet, ms(100), &ask("m", None, &[])), Choice::Absent);
     assert_eq!(choose(&fleet, ms(2_000), &ask("m", None, &[])), go("x"));
 }
