Let a few daemons of each region follow the store, and the others take it from them

Cause: every daemon watched configuration and endpoints, read the list of daemons twice in three seconds and renewed its registration each three (each half second until ready).

Change: two readers a region (one where there are fewer than six daemons), by rendezvous hashing, follow the store and answer the others over a connection as soon as something has changed, with the revision, their start and how old their word is. Who hears nothing, or that the word is old, goes to the next reader and then to the store. A registration is written when it changes and each seven seconds. While the store fails its followers try one after the other, later and later, and all are woken when it is back; where its history is gone it is listed at most each 0.7 s.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -25,6 +25,7 @@
 use crate::daemon::node;
 use crate::daemon::peer;
 use crate::daemon::placer;
+use crate::daemon::relay;
 use crate::daemon::settings::Settings;
 use crate::daemon::store;
 use crate::daemon::tally;
@@ -73,6 +74,7 @@
     let front = listen(settings.front).await?;
     let ready = listen(settings.ready).await?;
     let directory = listen(settings.directory).await?;
+    let relay = listen(settings.peer).await?;
     let peers =
         peer::Sender::bind(settings.peer).await.map_err(|err| Error::Listen(settings.peer, err))?;
     let metrics = match settings.metrics {
@@ -89,10 +91,12 @@
     for listener in [Some(ready), Some(directory), metrics].into_iter().flatten() {
         ex.spawn(directory::serve(daemon.clone(), listener)).detach();
     }
+    ex.spawn(relay::serve(daemon.clone(), relay)).detach();
     ex.spawn(store::config(daemon.clone())).detach();
     ex.spawn(store::instances(daemon.clone())).detach();
     ex.spawn(node::register(daemon.clone())).detach();
     ex.spawn(node::follow(daemon.clone())).detach();
+    ex.spawn(node::reads(daemon.clone())).detach();
     ex.spawn(peer::rounds(daemon.clone())).detach();
     ex.spawn(peer::hear(daemon.clone())).detach();
     ex.spawn(broker::lists(daemon.clone())).detach();
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -176,6 +176,11 @@
         until: u64,
         ahead: usize,
     },
+    Reader {
+        address: String,
+        kind: &'static str,
+        problem: String,
+    },
     Broker {
         address: String,
         silent: bool,
@@ -238,6 +243,7 @@
             Event::Ended { .. } => "ended",
             Event::Failed { .. } => "failed",
             Event::Waits { .. } => "waits",
+            Event::Reader { .. } => "reader",
             Event::Broker { .. } => "broker",
             Event::Refused { .. } => "refused",
             Event::Resumed { .. } => "resumed",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 pub mod node;
 pub mod peer;
 pub mod placer;
+pub mod relay;
 pub mod send;
 pub mod settings;
 pub mod store;
@@ -84,6 +85,8 @@
     pub orders: engine::Orders,
     /// Connections to endpoints.
     pub pool: RefCell<Pool>,
+    /// What this daemon hands on of what it reads there.
+    pub relay: relay::Relay,
     /// The store.
     pub store: store::Client,
     /// Sends to other daemons.
@@ -139,6 +142,7 @@
             orders: engine::Orders::default(),
             pool: RefCell::default(),
             store: store::Client::new(ex.clone(), settings.store),
+            relay: relay::Relay::default(),
             peers,
             journal: RefCell::default(),
             gauges: Gauges::default(),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -4,6 +4,7 @@
 //! that; one that never was, by whether its heartbeat in the store still rises. While the store is
 //! away nothing is learnt from it, and nobody is dropped over its silence.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,21 +18,23 @@
 use crate::daemon::peer::Here;
 use crate::daemon::store;
 use crate::daemon::tally::Op;
+use crate::edge::dialect::Change;
 use crate::edge::dialect::Kind;
 use crate::edge::dialect::Object;
-use crate::edge::dialect::Read;
 use crate::edge::dialect::Written;
 use crate::table::RegionId;
 use crate::table::instance::Node;
 
 /// Time between two heartbeats in the store: each is a priced write, and daemons hear each other
 /// directly as well.
-const BEAT: Duration = Duration::from_secs(3);
-/// The same, and between two reads of the list, until the daemon is ready: others learn from the list that it
-/// is, and who may place is settled then.
-const STARTING: Duration = Duration::from_millis(500);
-/// Time between two reads of the list, which cost a tenth of a read each.
-const READ: Duration = Duration::from_millis(1_500);
+const BEAT: Duration = Duration::from_secs(7);
+/// Time between two looks whether the registration has changed: others learn from it who is ready, and
+/// with that who may place.
+const CHANGED: Duration = Duration::from_millis(200);
+/// Time between two looks at whose heartbeat has risen.
+const READ: Duration = Duration::from_secs(2);
+/// What is known of registrations counts as read if the store has answered for it within this time.
+const FRESH: Duration = Duration::from_secs(3);
 /// Reads in a row that find no heartbeat before a daemon counts as dead: two heartbeats and a
 /// stale read.
 const READS: u32 = 6;
@@ -62,6 +65,8 @@
 /// All daemons but this one.
 #[derive(Debug, Default)]
 pub struct Table {
+    /// Registrations as they stand in the store.
+    listed: BTreeMap<String, (u64, Node)>,
     rows: HashMap<String, Row>,
     /// When one was heard that is not known.
     stranger: Option<Duration>,
@@ -72,27 +77,41 @@
 impl Table {
     /// Takes a whole list.
     pub fn list(&mut self, me: &str, list: Vec<(u64, Node)>) {
-        let names: Vec<String> = list.iter().map(|(_, node)| node.name.clone()).collect();
-        self.rows.retain(|name, _| names.contains(name));
-        for (revision, node) in list.into_iter().filter(|(_, node)| node.name != me) {
+        self.listed = list.into_iter().map(|row| (row.1.name.clone(), row)).collect();
+        self.listed.remove(me);
+        self.rows.retain(|name, _| self.listed.contains_key(name));
+        self.count_quiet();
+    }
+
+    /// The list has been read again as it stands: those whose heartbeat has not risen are quiet for one
+    /// more read.
+    pub fn count_quiet(&mut self) {
+        for (revision, node) in self.listed.values() {
+            // Reads may be older than what is known.
             match self.rows.get_mut(&node.name) {
-                // Reads may be older than what is known.
-                Some(row) if revision <= row.revision => row.quiet += 1,
-                Some(row) => {
-                    if row.node.born != node.born {
-                        (row.heard, row.away) = (None, None);
-                    }
-                    (row.node, row.revision, row.quiet) = (node, revision, 0);
-                }
-                None => {
-                    let name = node.name.clone();
-                    self.rows
-                        .insert(name, Row { node, revision, quiet: 0, heard: None, away: None });
-                }
+                Some(row) if *revision <= row.revision => row.quiet += 1,
+                _ => put(&mut self.rows, *revision, node),
             }
         }
     }
 
+    /// A registration was made or renewed.
+    pub fn put(&mut self, me: &str, revision: u64, node: Node) {
+        if node.name == me {
+            return;
+        }
+        if self.rows.get(&node.name).is_none_or(|row| revision > row.revision) {
+            put(&mut self.rows, revision, &node);
+        }
+        self.listed.insert(node.name.clone(), (revision, node));
+    }
+
+    /// A registration was removed.
+    pub fn remove(&mut self, name: &str) {
+        self.listed.remove(name);
+        self.rows.remove(name);
+    }
+
     /// All that has come is read. What is read next may have lain there since: a loop that stood still
     /// for seconds would take an old word for a new one.
     pub fn drained(&mut self, now: Duration) {
@@ -161,6 +180,21 @@
     }
 }
 
+fn put(rows: &mut HashMap<String, Row>, revision: u64, node: &Node) {
+    let row = rows.entry(node.name.clone()).or_insert_with(|| Row {
+        node: node.clone(),
+        revision,
+        quiet: 0,
+        heard: None,
+        away: None,
+    });
+    if row.node.born != node.born {
+        (row.heard, row.away) = (None, None);
+    }
+    (row.revision, row.quiet) = (revision, 0);
+    row.node.clone_from(node);
+}
+
 impl Row {
     /// Whether it was cut off before the store went away: nothing is heard of it, and its heartbeat
     /// stood still while the store still answered, as reads are counted only then. The lease has
@@ -207,12 +241,15 @@
     let mut beat = 0;
     loop {
         beat += 1;
+        let ready = daemon.ready();
         if write(&daemon, beat).await.is_err() {
             store::pause(&daemon).await;
             continue;
         }
-        let wait = if daemon.ready() || daemon.leaving.get() { BEAT } else { STARTING };
-        Timer::after(wait).await;
+        let until = clock::now() + BEAT;
+        while daemon.ready() == ready && clock::now() < until {
+            Timer::after(CHANGED).await;
+        }
     }
 }
 
@@ -245,38 +282,59 @@
     Ok(())
 }
 
-/// Reads the list of daemons again and again.
+/// Follows the registrations of daemons.
 pub async fn follow(daemon: Rc<Daemon>) {
-    loop {
-        match store::list(&daemon, Kind::Nodes, Read::Stale).await {
-            Ok((objects, _)) => {
-                take(&daemon, &objects);
-                forget(&daemon).await;
-            }
-            Err(_) => store::pause(&daemon).await,
+    let whole = |objects: Vec<Object>| {
+        let list = objects.iter().filter_map(|object| parse(&daemon, object)).collect();
+        daemon.nodes.borrow_mut().list(&daemon.settings.name, list);
+        counted(&daemon);
+    };
+    let change = |change: Change| {
+        let parsed = if change.removed { None } else { parse(&daemon, &change.object) };
+        let mut nodes = daemon.nodes.borrow_mut();
+        match parsed {
+            Some((revision, node)) => nodes.put(&daemon.settings.name, revision, node),
+            None if change.removed => nodes.remove(&change.object.name),
+            None => {}
         }
-        Timer::after(if daemon.ready() { READ } else { STARTING }).await;
-    }
+        drop(nodes);
+        counted(&daemon);
+    };
+    store::follow(&daemon, Kind::Nodes, whole, change).await;
 }
 
-fn take(daemon: &Daemon, objects: &[Object]) {
-    let mut list = Vec::new();
-    for object in objects {
-        match serde_json::from_value::<Node>(object.spec.clone()) {
-            Ok(node) => list.push((object.revision, node)),
-            Err(err) => daemon.note(&Event::Skipped {
+fn parse(daemon: &Daemon, object: &Object) -> Option<(u64, Node)> {
+    match serde_json::from_value::<Node>(object.spec.clone()) {
+        Ok(node) => Some((object.revision, node)),
+        Err(err) => {
+            daemon.note(&Event::Skipped {
                 what: "node",
                 name: object.name.clone(),
                 problem: err.to_string(),
                 revision: object.revision,
-            }),
+            });
+            None
         }
     }
-    daemon.nodes.borrow_mut().list(&daemon.settings.name, list);
+}
+
+fn counted(daemon: &Daemon) {
     let count = daemon.nodes.borrow().count(clock::now());
     daemon.allowance.borrow_mut().share(count);
 }
 
+/// Looks again and again whose heartbeat has not risen, while the store answers.
+pub async fn reads(daemon: Rc<Daemon>) {
+    loop {
+        Timer::after(READ).await;
+        if clock::now() < daemon.store.heard_nodes() + FRESH {
+            daemon.nodes.borrow_mut().count_quiet();
+            counted(&daemon);
+            forget(&daemon).await;
+        }
+    }
+}
+
 /// The placer removes registrations of daemons that are long gone.
 async fn forget(daemon: &Daemon) {
     if !daemon.placer.borrow().leads(clock::now()) {
--- /dev/null
+++ b/src/daemon/relay.rs
@@ -0,0 +1,288 @@
+//! Hands on what this daemon reads in the store, and takes it from another: see `decide::relay`.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use event_listener::Event as Bell;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde::Deserialize;
+use serde::Serialize;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::journal::Event;
+use crate::daemon::link;
+use crate::daemon::link::Link;
+use crate::daemon::node;
+use crate::decide::relay;
+use crate::decide::relay::AGE;
+use crate::decide::relay::Feed;
+use crate::decide::relay::News;
+use crate::edge::dialect::Change;
+use crate::edge::dialect::Kind;
+use crate::edge::dialect::Object;
+
+/// How long a reader holds a question that has no news.
+const HOLD: Duration = Duration::from_millis(1_000);
+/// What an answer may take beyond that.
+const SLACK: Duration = Duration::from_millis(500);
+/// How long a connection to a reader may take to open.
+const CONNECT: Duration = Duration::from_millis(300);
+/// How long a reader's connection may stand idle.
+const IDLE: Duration = Duration::from_secs(20);
+/// The most bytes of an answer.
+const ANSWER_MAX: usize = 32 << 20;
+
+/// One kind of objects as this daemon reads it.
+#[derive(Default)]
+struct Slot {
+    feed: RefCell<Feed>,
+    /// Rung when there is something new.
+    news: Bell,
+}
+
+/// What this daemon hands on.
+#[derive(Default)]
+pub struct Relay {
+    config: Slot,
+    instances: Slot,
+    nodes: Slot,
+}
+
+impl Relay {
+    fn slot(&self, kind: Kind) -> Option<&Slot> {
+        match kind {
+            Kind::Config => Some(&self.config),
+            Kind::Instances => Some(&self.instances),
+            Kind::Nodes => Some(&self.nodes),
+            Kind::Leases => None,
+        }
+    }
+
+    /// All objects of a kind were read.
+    pub fn reset(&self, kind: Kind, objects: &[Object], revision: u64) {
+        if let Some(slot) = self.slot(kind) {
+            slot.feed.borrow_mut().reset(clock::now(), objects, revision);
+            slot.news.notify(usize::MAX);
+        }
+    }
+
+    /// The store has answered a watch of a kind.
+    pub fn push(&self, kind: Kind, changes: &[Change], revision: u64) {
+        if let Some(slot) = self.slot(kind) {
+            slot.feed.borrow_mut().push(clock::now(), changes, revision);
+            if !changes.is_empty() {
+                slot.news.notify(usize::MAX);
+            }
+        }
+    }
+
+    /// A kind is not followed at the store any more.
+    pub fn stop(&self, kind: Kind) {
+        if let Some(slot) = self.slot(kind) {
+            slot.feed.borrow_mut().stop();
+        }
+    }
+}
+
+/// An answer of a reader.
+#[derive(Debug, Serialize, Deserialize)]
+struct Update {
+    /// The reader's start: a revision that another start gave is not known to it.
+    born: u64,
+    revision: u64,
+    /// How long ago the store last answered, in milliseconds.
+    age: u64,
+    /// How long ago the store came back after it had been away, in milliseconds.
+    returned: Option<u64>,
+    /// All objects.
+    whole: Option<Vec<Object>>,
+    /// Else what has changed.
+    #[serde(default)]
+    changes: Vec<Change>,
+}
+
+/// The other daemons to ask, the best first; none where this one reads itself.
+pub fn readers(daemon: &Daemon) -> Vec<SocketAddr> {
+    let nodes = daemon.nodes.borrow();
+    let own = node::own(daemon, 0);
+    let all = nodes.registered().chain(Some(&own));
+    let readers = relay::readers(all, &daemon.settings.region);
+    if readers.iter().any(|node| node.name == own.name) {
+        return Vec::new();
+    }
+    readers.into_iter().map(|node| node.peer).collect()
+}
+
+/// Answers other daemons for as long as this one runs.
+pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: accepting again at once would spin.
+            Timer::after(Duration::from_millis(20)).await;
+            continue;
+        };
+        let shared = daemon.clone();
+        let talk = async move {
+            if link::guard(&stream).is_err() {
+                return;
+            }
+            let service = service_fn(move |req: Request<Incoming>| {
+                let shared = shared.clone();
+                async move { Ok::<_, Infallible>(answer(&shared, req.uri().path()).await) }
+            });
+            // Its end concerns nobody but the other side.
+            let _ = http1::Builder::new()
+                .timer(SmolTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(FuturesIo::new(stream), service)
+                .await;
+        };
+        daemon.ex.spawn(talk).detach();
+    }
+}
+
+fn path(kind: Kind, known: Option<(u64, u64)>) -> String {
+    let kind: &'static str = kind.into();
+    match known {
+        Some((born, revision)) => format!("/{kind}/{born}/{revision}"),
+        None => format!("/{kind}"),
+    }
+}
+
+fn parse(path: &str) -> Option<(Kind, Option<(u64, u64)>)> {
+    let mut parts = path.strip_prefix('/')?.split('/');
+    let kind = parts.next()?.parse().ok()?;
+    let known = match (parts.next(), parts.next()) {
+        (Some(born), Some(revision)) => Some((born.parse().ok()?, revision.parse().ok()?)),
+        _ => None,
+    };
+    Some((kind, known))
+}
+
+async fn answer(daemon: &Daemon, path: &str) -> Response<Full<Bytes>> {
+    let asked = parse(path);
+    let slot = asked.and_then(|(kind, known)| Some((daemon.relay.slot(kind)?, known)));
+    let Some((slot, known)) = slot else {
+        return reply(StatusCode::NOT_FOUND, Bytes::new());
+    };
+    let known = known.filter(|(born, _)| *born == daemon.born).map(|(_, revision)| revision);
+    let news = slot.news.listen();
+    if known == Some(slot.feed.borrow().revision()) {
+        let age = slot.feed.borrow().age(clock::now()).unwrap_or(AGE);
+        // As soon as what it knows is too old the other is to learn so.
+        let hold = HOLD.min(AGE.saturating_sub(age));
+        let over = async {
+            Timer::after(hold).await;
+        };
+        news.or(over).await;
+    }
+    let body = update(daemon, &slot.feed.borrow(), known);
+    match body {
+        Some(body) => reply(StatusCode::OK, body),
+        None => reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    }
+}
+
+/// What is answered; none where this daemon reads nothing, or is about to stop.
+fn update(daemon: &Daemon, feed: &Feed, known: Option<u64>) -> Option<Bytes> {
+    let now = clock::now();
+    let age = feed.age(now).filter(|age| *age < AGE && !daemon.leaving.get())?;
+    let (whole, changes) = match feed.since(known) {
+        News::Whole(objects) => (Some(objects), Vec::new()),
+        News::Changes(changes) => (None, changes),
+    };
+    let update = Update {
+        born: daemon.born,
+        revision: feed.revision(),
+        age: age.as_millis() as u64,
+        returned: daemon.store.returned().map(|at| now.saturating_sub(at).as_millis() as u64),
+        whole,
+        changes,
+    };
+    match serde_json::to_vec(&update) {
+        Ok(body) => Some(Bytes::from(body)),
+        Err(err) => {
+            daemon.note(&Event::Skipped {
+                what: "update",
+                name: String::new(),
+                problem: err.to_string(),
+                revision: feed.revision(),
+            });
+            None
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(body));
+    *res.status_mut() = status;
+    res
+}
+
+/// Follows a kind at a reader until it fails; `known` is the highest revision that was taken in.
+pub async fn follow(
+    daemon: &Rc<Daemon>,
+    kind: Kind,
+    reader: SocketAddr,
+    known: &mut u64,
+    whole: &mut impl FnMut(Vec<Object>),
+    change: &mut impl FnMut(Change),
+) {
+    let Ok(mut link) = link::dial(&daemon.ex, reader, CONNECT).await else {
+        return;
+    };
+    let mut last = None;
+    while let Some(update) = ask(daemon, &mut link, reader, kind, last).await {
+        // Another reader may be behind the one before: what was known is not taken back.
+        if update.revision < *known {
+            return;
+        }
+        let now = clock::now();
+        let heard = now.saturating_sub(Duration::from_millis(update.age));
+        daemon.store.told(kind, heard, update.returned.map(Duration::from_millis));
+        *known = update.revision;
+        last = Some((update.born, update.revision));
+        match update.whole {
+            Some(objects) => whole(objects),
+            None => update.changes.into_iter().for_each(&mut *change),
+        }
+    }
+}
+
+async fn ask(
+    daemon: &Daemon,
+    link: &mut Link,
+    reader: SocketAddr,
+    kind: Kind,
+    last: Option<(u64, u64)>,
+) -> Option<Update> {
+    let host = reader.to_string();
+    let req = Request::get(path(kind, last)).header(http::header::HOST, host).body(Bytes::new());
+    let res = link.call(req.ok()?, ANSWER_MAX, HOLD + SLACK).await;
+    let problem = match res {
+        Ok(res) if res.status() == StatusCode::OK => match serde_json::from_slice(res.body()) {
+            Ok(update) => return Some(update),
+            Err(err) => err.to_string(),
+        },
+        Ok(res) => format!("status {}", res.status().as_u16()),
+        Err(err) => err.to_string(),
+    };
+    daemon.note(&Event::Reader { address: reader.to_string(), kind: kind.into(), problem });
+    None
+}
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -10,11 +10,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use event_listener::Event as Bell;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use rand::Rng;
 use smol::Timer;
+use smol::future::FutureExt;
 
 use crate::daemon::Daemon;
 use crate::daemon::admission;
@@ -23,6 +25,7 @@
 use crate::daemon::link;
 use crate::daemon::link::Executor;
 use crate::daemon::link::Link;
+use crate::daemon::relay;
 use crate::daemon::tally::Op;
 use crate::daemon::tally::Outcome;
 use crate::daemon::tally::Tally;
@@ -38,17 +41,29 @@
 const CALL: Duration = Duration::from_millis(1_500);
 /// How long a connection to it may take to open.
 const CONNECT: Duration = Duration::from_millis(700);
-/// How long a watch waits: a connection that went silent shows after this and `CALL`, well within
-/// the time that a configuration has to be in force.
-const WAIT: Duration = Duration::from_millis(3_000);
+/// How long a watch waits: a connection that went silent shows after this and `WATCH`. Others take what
+/// this daemon reads, and have to put a configuration in force in time as well.
+const WAIT: Duration = Duration::from_millis(1_500);
 /// What a watch may take beyond its wait.
 const WATCH: Duration = Duration::from_millis(700);
 /// Between two watches of endpoints' entries: each entry changes by itself, and a watch for each
 /// change would be most of all calls to the store (16 of 23 a second over six daemons, by its
 /// counters). Short against the time in which an endpoint that leaves must get no more work.
 const GATHER: Duration = Duration::from_millis(450);
-/// Between two tries while the store fails, with as much again at random.
-const AGAIN: Duration = Duration::from_millis(150);
+/// The same for daemons' registrations, each of which is renewed every few seconds.
+const GATHER_NODES: Duration = Duration::from_millis(700);
+/// Between two tries while the store fails, with half as much again at random: a part of the time that
+/// it has failed so far, so that hundreds of daemons do not hold down a store that comes back.
+const AGAIN_PART: u32 = 3;
+const AGAIN_LEAST: Duration = Duration::from_millis(150);
+const AGAIN_MOST: Duration = Duration::from_millis(1_200);
+/// Between two lists of a kind whose history is gone: the store may go on dropping it for a while.
+const LIST_AGAIN: Duration = Duration::from_millis(700);
+/// A daemon that its readers have failed follows the store by itself for so long at least, with as much
+/// again at random.
+const ALONE: Duration = Duration::from_secs(3);
+/// A daemon that starts waits so long, with as much again at random, to learn which others read.
+const LEARN: Duration = Duration::from_millis(300);
 /// No call was answered for this long: the store is away. Longer than one call takes that is slow.
 const OUTAGE: Duration = Duration::from_millis(1_000);
 /// The most bytes of an answer.
@@ -95,6 +110,12 @@
     /// When it was last found away.
     lost: Cell<Duration>,
     returned: Cell<Option<Duration>>,
+    /// When the next try is due while it fails.
+    due: Cell<Duration>,
+    /// Rung when it is back.
+    back: Bell,
+    /// When the store last answered for registrations, as far as is known.
+    heard_nodes: Cell<Duration>,
     tally: Tally,
 }
 
@@ -111,6 +132,9 @@
             up: Cell::new(true),
             lost: Cell::new(Duration::ZERO),
             returned: Cell::new(None),
+            due: Cell::new(Duration::ZERO),
+            back: Bell::new(),
+            heard_nodes: Cell::new(Duration::ZERO),
             tally: Tally::default(),
         }
     }
@@ -130,6 +154,29 @@
         self.returned.get()
     }
 
+    /// A reader has told when the store last answered for a kind, and how long ago it came back.
+    pub fn told(&self, kind: Kind, heard: Duration, returned: Option<Duration>) {
+        if kind == Kind::Nodes {
+            self.heard_nodes.set(self.heard_nodes.get().max(heard));
+        }
+        if kind == Kind::Instances
+            && let Some(ago) = returned
+        {
+            let at = clock::now().saturating_sub(ago);
+            self.returned.set(self.returned.get().max(Some(at)));
+        }
+    }
+
+    /// When the store last answered for registrations, as far as is known.
+    pub fn heard_nodes(&self) -> Duration {
+        self.heard_nodes.get()
+    }
+
+    /// For how long it has failed.
+    fn failing(&self, now: Duration) -> Duration {
+        if self.up.get() { Duration::ZERO } else { now.saturating_sub(self.lost.get()) }
+    }
+
     /// Calls made so far.
     pub fn tally(&self) -> &Tally {
         &self.tally
@@ -195,6 +242,7 @@
     if up != client.up.replace(up) {
         if up {
             client.returned.set(Some(now));
+            client.back.notify(usize::MAX);
         } else {
             client.lost.set(now);
         }
@@ -245,46 +293,101 @@
     }
 }
 
-/// Waits a little before the next try.
+/// Waits a little before the next try, or until the store is back. While it fails, the tasks that follow
+/// it try one after the other.
 pub async fn pause(daemon: &Daemon) {
-    let spread = daemon.rng.borrow_mut().random_range(1.0..2.0);
-    Timer::after(AGAIN.mul_f64(spread)).await;
+    let (client, now) = (&daemon.store, clock::now());
+    let spread = daemon.rng.borrow_mut().random_range(1.0..1.5);
+    let span = (client.failing(now) / AGAIN_PART).clamp(AGAIN_LEAST, AGAIN_MOST).mul_f64(spread);
+    let before = if client.up() { Duration::ZERO } else { client.due.get() };
+    let due = before.max(now) + span;
+    client.due.set(due);
+    let back = client.back.listen();
+    let over = async {
+        Timer::after(due - now).await;
+    };
+    back.or(over).await;
 }
 
-/// Follows a kind for as long as the daemon runs: lists, then watches, and lists anew when the
-/// history is gone.
-async fn follow(
+/// Follows a kind for as long as the daemon runs, at a reader or, where this daemon is one or none
+/// answers, at the store.
+pub async fn follow(
     daemon: &Rc<Daemon>,
     kind: Kind,
     mut whole: impl FnMut(Vec<Object>),
     mut change: impl FnMut(Change),
 ) {
+    let spread = daemon.rng.borrow_mut().random_range(1.0..2.0);
+    if kind != Kind::Nodes {
+        Timer::after(LEARN.mul_f64(spread)).await;
+    }
+    let mut known = 0;
     loop {
-        let mut since = match list(daemon, kind, Read::Current).await {
-            Ok((objects, revision)) => {
-                whole(objects);
-                revision
-            }
-            Err(_) => {
-                pause(daemon).await;
-                continue;
-            }
-        };
-        loop {
-            match watch(daemon, kind, since).await {
-                Ok(Watched::Changes(changes, revision)) => {
-                    let some = !changes.is_empty();
-                    changes.into_iter().for_each(&mut change);
-                    since = since.max(revision);
-                    if some && kind == Kind::Instances {
-                        Timer::after(GATHER).await;
-                    }
+        for reader in relay::readers(daemon) {
+            relay::follow(daemon, kind, reader, &mut known, &mut whole, &mut change).await;
+        }
+        direct(daemon, kind, &mut known, &mut whole, &mut change).await;
+        daemon.relay.stop(kind);
+    }
+}
+
+/// Follows a kind at the store: lists, then watches, and lists anew when the history is gone. Returns
+/// once others read for this daemon.
+async fn direct(
+    daemon: &Rc<Daemon>,
+    kind: Kind,
+    known: &mut u64,
+    whole: &mut impl FnMut(Vec<Object>),
+    change: &mut impl FnMut(Change),
+) {
+    let spread = daemon.rng.borrow_mut().random_range(1.0..2.0);
+    let alone = clock::now() + ALONE.mul_f64(spread);
+    // A daemon that starts knows few others yet: their list is all the sooner complete.
+    let stays = |now: Duration| (*known > 0 && now < alone) || relay::readers(daemon).is_empty();
+    let first = *known == 0;
+    let read = if first && kind == Kind::Nodes { Read::Stale } else { Read::Current };
+    let mut since = match list(daemon, kind, read).await {
+        Ok((objects, revision)) => {
+            daemon.relay.reset(kind, &objects, revision);
+            heard(daemon, kind);
+            whole(objects);
+            revision
+        }
+        Err(_) => return pause(daemon).await,
+    };
+    while stays(clock::now()) {
+        match watch(daemon, kind, since).await {
+            Ok(Watched::Changes(changes, revision)) => {
+                daemon.relay.push(kind, &changes, revision);
+                heard(daemon, kind);
+                let some = !changes.is_empty();
+                changes.into_iter().for_each(&mut *change);
+                since = since.max(revision);
+                if some {
+                    gather(kind).await;
                 }
-                Ok(Watched::Gone) => break,
-                Err(_) => pause(daemon).await,
             }
+            Ok(Watched::Gone) => {
+                Timer::after(LIST_AGAIN).await;
+                break;
+            }
+            Err(_) => pause(daemon).await,
         }
     }
+    *known = since;
+}
+
+/// Lets changes gather before the next watch.
+async fn gather(kind: Kind) {
+    match kind {
+        Kind::Instances => Timer::after(GATHER).await,
+        Kind::Nodes => Timer::after(GATHER_NODES).await,
+        Kind::Config | Kind::Leases => return,
+    };
+}
+
+fn heard(daemon: &Daemon, kind: Kind) {
+    daemon.store.told(kind, clock::now(), None);
 }
 
 async fn watch(daemon: &Daemon, kind: Kind, since: u64) -> Result<Watched, Error> {
--- a/src/decide/rendezvous.rs
+++ b/src/decide/rendezvous.rs
@@ -16,7 +16,7 @@
     let mut base = Xxh3::new();
     for part in thing {
         base.update(part.as_bytes());
-        base.update(&[0]);
+        base.update(b" ");
     }
     let scored = members.into_iter().map(|(member, name, weight)| {
         let mut hash = base.clone();
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -15,6 +15,8 @@
 use http::StatusCode;
 use http::request;
 use http::response;
+use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
 
 use crate::table::AdapterId;
@@ -174,7 +176,7 @@
 }
 
 /// Objects of the store, by their use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::EnumString, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Kind {
     /// What operators publish.
@@ -188,7 +190,7 @@
 }
 
 /// An object of the store.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Object {
     /// Its name.
     pub name: String,
@@ -214,7 +216,7 @@
 }
 
 /// A change that a watch saw.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Change {
     /// The object, as it is or was.
     pub object: Object,
--- /dev/null
+++ b/tests/decide_relay.rs
@@ -0,0 +1,104 @@
+//! What a reader of the store hands on, and which daemons read.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use poplarmux::decide::relay;
+use poplarmux::decide::relay::Feed;
+use poplarmux::decide::relay::News;
+use poplarmux::edge::dialect::Change;
+use poplarmux::edge::dialect::Object;
+use poplarmux::table::instance::Node;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn object(name: &str, revision: u64) -> Object {
+    Object { name: name.to_string(), revision, spec: json!({ "revision": revision }) }
+}
+
+fn change(name: &str, revision: u64) -> Change {
+    Change { object: object(name, revision), removed: false }
+}
+
+fn feed() -> Feed {
+    let mut feed = Feed::default();
+    feed.reset(ms(0), &[object("a", 3), object("b", 7)], 10);
+    feed.push(ms(100), &[change("a", 12)], 12);
+    feed.push(ms(200), &[Change { object: object("b", 7), removed: true }], 15);
+    feed
+}
+
+fn nodes(count: usize) -> Vec<Node> {
+    let addr = "10.0.0.1:80".parse().expect("an address");
+    let node = |at: usize| Node {
+        name: format!("n{at}"),
+        front: addr,
+        peer: addr,
+        region: format!("r{}", at % 3),
+        data_center: format!("d{}", at % 6),
+        born: 1,
+        millicores: if at.is_multiple_of(10) { 500 } else { 120 },
+        beat: 1,
+        ready: false,
+    };
+    (0..count).map(node).collect()
+}
+
+/// A daemon that missed nothing gets what is new, one that comes late gets all of it.
+#[test]
+fn what_is_new_follows_what_was_handed_on() {
+    let feed = feed();
+    let News::Changes(changes) = feed.since(Some(10)) else { panic!("10 was handed on") };
+    assert_eq!(changes.iter().map(|row| row.removed).collect::<Vec<_>>(), [false, true]);
+    let News::Changes(changes) = feed.since(Some(12)) else { panic!("12 was handed on") };
+    assert_eq!(changes[0].object.name, "b");
+    assert_eq!(feed.since(Some(15)), News::Changes(Vec::new()));
+    let whole = News::Whole(vec![object("a", 12)]);
+    for unknown in [None, Some(11), Some(9), Some(16)] {
+        assert_eq!(feed.since(unknown), whole, "{unknown:?}");
+    }
+}
+
+/// A daemon that lags by more batches than are kept would miss those that went.
+#[test]
+fn who_lags_too_far_gets_all() {
+    let mut feed = feed();
+    for revision in 16..200 {
+        feed.push(ms(revision), &[change("c", revision)], revision);
+    }
+    assert!(matches!(feed.since(Some(15)), News::Whole(_)));
+    assert_eq!(feed.since(Some(198)), News::Changes(vec![change("c", 199)]));
+}
+
+/// A reader that is cut off from the store would hold back news of leaving endpoints for as long as it
+/// is asked.
+#[test]
+fn a_reader_tells_how_old_its_word_is() {
+    let mut feed = feed();
+    assert_eq!(feed.age(ms(700)), Some(ms(500)));
+    feed.push(ms(800), &[], 15);
+    assert_eq!(feed.age(ms(900)), Some(ms(100)));
+    feed.stop();
+    assert_eq!(feed.age(ms(900)), None);
+}
+
+/// However many daemons there are, few call the store, and all daemons name the same ones.
+#[test]
+fn a_region_has_few_readers() {
+    let region = "r1".to_string();
+    let names = |nodes: &[Node]| -> Vec<String> {
+        relay::readers(nodes.iter(), &region).iter().map(|node| node.name.clone()).collect()
+    };
+    let mut all = nodes(420);
+    let readers = names(&all);
+    assert_eq!(readers.len(), 2);
+    all.reverse();
+    assert_eq!(names(&all), readers);
+    all.retain(|node| node.name != readers[0]);
+    assert_eq!(names(&all)[0], readers[1], "the second one steps in");
+    assert_eq!(names(&nodes(7)).len(), 1);
+    assert!(names(&nodes(1)).is_empty(), "the only daemon is elsewhere");
+}
