--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Whether a kind is followed at the store.
+    pub fn live(&self, kind: Kind) -> bool {
+        self.slot(kind).is_some_and(|slot| slot.feed.borrow().age(clock::now()).is_some())
+    }
+
     /// A kind is not followed at the store any more.
     pub fn stop(&self, kind: Kind) {
         if let Some(slot) = self.slot(kind) {
