--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -24,6 +24,8 @@
 /// Time between two looks of a daemon that does not hold the lease: stale reads, a tenth of the
 /// price of a read.
 const LOOK: Duration = Duration::from_millis(1_000);
+/// The same while a larger daemon lives, to which a lease that is free is left anyway.
+const LOOK_SMALL: Duration = Duration::from_millis(2_500);
 /// A daemon leaves a lease that is free to larger ones for this long: they need a look, a step and a write
 /// to take it. Placing for a large fleet takes more processor than the smallest machines have.
 const DEFER: Duration = Duration::from_millis(1_500);
@@ -50,7 +52,9 @@
             resign(&daemon).await;
             rests = now + daemon.settings.lease * REST;
         } else {
-            if !leads && now >= looked + LOOK {
+            let larger = daemon.nodes.borrow().larger(now, daemon.settings.millicores);
+            let every = if larger { LOOK_SMALL } else { LOOK };
+            if !leads && now >= looked + every {
                 look(&daemon).await;
                 looked = clock::now();
             }
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -61,7 +61,7 @@
 const LIST_AGAIN: Duration = Duration::from_millis(700);
 /// A daemon that its readers have failed follows the store by itself for so long at least, with as much
 /// again at random.
-const ALONE: Duration = Duration::from_secs(3);
+const ALONE: Duration = Duration::from_millis(1_500);
 /// No call was answered for this long: the store is away. Longer than one call takes that is slow.
 const OUTAGE: Duration = Duration::from_millis(1_000);
 /// The most bytes of an answer.
@@ -319,8 +319,12 @@
     let mut known = 0;
     loop {
         direct(daemon, kind, &mut known, &mut whole, &mut change).await;
-        daemon.relay.stop(kind);
-        for reader in relay::readers(daemon) {
+        let readers = relay::readers(daemon);
+        // One that lists anew goes on handing out what it knows.
+        if !readers.is_empty() {
+            daemon.relay.stop(kind);
+        }
+        for reader in readers {
             relay::follow(daemon, kind, reader, &mut known, &mut whole, &mut change).await;
         }
     }
--- a/src/decide/broker.rs
+++ b/src/decide/broker.rs
@@ -30,8 +30,6 @@
 const SILENT: Duration = Duration::from_millis(1_600);
 /// A grant that is younger than this may be missing from a list that left before it came.
 const YOUNG: Duration = Duration::from_millis(400);
-/// The power of a machine's processor by which it is preferred.
-const WEIGHT: i32 = 4;
 /// A broker that did not answer is not asked for so long.
 const SUSPECT: Duration = Duration::from_secs(2);
 
@@ -43,10 +41,7 @@
     suspected: impl Fn(SocketAddr) -> bool,
 ) -> Option<&'a Node> {
     let here = nodes.filter(|node| node.ready && node.region == *region && !suspected(node.peer));
-    // The work of a broker grows with the requests of its region: a machine with a quarter of the
-    // processor takes it only where there is no larger one.
-    let weigh = |node: &Node| f64::from(node.millicores.max(1)).powi(WEIGHT);
-    let members = here.map(|node| (node, node.name.as_str(), weigh(node)));
+    let members = here.map(|node| (node, node.name.as_str(), node.weight()));
     rendezvous::pick(&["broker", service], members)
 }
 
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -35,8 +35,7 @@
     let most = if here.len() < FEW { 1 } else { READERS };
     let mut out: Vec<&Node> = Vec::new();
     while out.len() < most {
-        let weigh = |node: &&'a Node| f64::from(node.millicores.max(1));
-        let members = here.iter().map(|node| (*node, node.name.as_str(), weigh(node)));
+        let members = here.iter().map(|node| (*node, node.name.as_str(), node.weight()));
         let Some(reader) = rendezvous::pick(&["reader"], members) else {
             return out;
         };
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -139,3 +139,14 @@
     /// Whether it takes new callers.
     pub ready: bool,
 }
+
+impl Node {
+    /// The power of a machine's processor by which it is preferred.
+    const POWER: i32 = 4;
+
+    /// How much it is preferred for work that is done for a whole region: a machine with a quarter of
+    /// the processor takes it only where there is no larger one.
+    pub fn weight(&self) -> f64 {
+        f64::from(self.millicores.max(1)).powi(Self::POWER)
+    }
+}
