List grants in parts where one datagram does not hold them, and ask the next broker

Found by reading; the unit test failed to compile before, as lists had no parts. A list that is not whole refreshes what it names and gives up nothing. And a daemon whose broker is silent asks the next in order before it decides by itself.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -46,6 +46,10 @@
 /// its way to the engine.
 const ORDER: Duration = Duration::from_millis(600);
 
+/// Brokers that are asked for one place: the first one, the next one where that is silent, and the one of
+/// the region that it is sent on to.
+const ASKS: u32 = 3;
+
 /// When a caller comes back that has waited here in vain: by then a round of orders is over.
 const WAITED: Duration = Duration::from_millis(500);
 
@@ -360,42 +364,53 @@
         only: None,
     };
     let mut asked = broker::of(daemon, &job.need);
-    // Sent on once: then it waits there or is refused.
-    for _ in 0..2 {
+    for _ in 0..ASKS {
         let Some(to) = asked else {
             break;
         };
-        let region = match broker::ask(daemon, to, &arrival).await {
+        match broker::ask(daemon, to, &arrival).await {
             Ok(broker::Answer::Granted(ticket, key, reading)) => {
-                let now = clock::now();
-                daemon.fleet.borrow_mut().start(now, &key, &job.need.parts, reading.own);
-                return Ok(place(daemon, key, reading, Some((to, ticket))));
+                return Ok(granted(daemon, &job.need, to, ticket, key, reading));
+            }
+            Ok(broker::Answer::Elsewhere(region)) => {
+                asked = broker::at(daemon, &job.need.service, &region);
+                arrival.only = Some(region);
             }
-            Ok(broker::Answer::Elsewhere(region)) => region,
             Err(Broken::Refused(refusal)) => return Err(refusal),
-            Err(Broken::Silent) => break,
-        };
-        asked = broker::at(daemon, &job.need.service, &region);
-        arrival.only = Some(region);
+            Err(Broken::Silent) => {
+                asked = broker::of(daemon, &job.need);
+                arrival.only = None;
+            }
+        }
     }
     here(daemon, job, arrival).await
 }
 
+/// A place that a broker has given.
+fn granted(
+    daemon: &Rc<Daemon>,
+    need: &Need,
+    to: SocketAddr,
+    ticket: Ticket,
+    key: Key,
+    reading: Reading,
+) -> Place {
+    daemon.fleet.borrow_mut().start(clock::now(), &key, &need.parts, reading.own);
+    place(daemon, key, reading, Some((to, ticket)))
+}
+
 /// Finds an endpoint by what this daemon knows itself.
-async fn here(daemon: &Rc<Daemon>, job: &Rc<Job>, mut arrival: Arrival) -> Result<Place, Refusal> {
-    let broker = broker::of(daemon, &job.need).is_none();
-    if !broker {
-        arrival.only = None;
-    }
+async fn here(daemon: &Rc<Daemon>, job: &Job, arrival: Arrival) -> Result<Place, Refusal> {
     let now = clock::now();
-    let arrival = Rc::new(arrival);
+    // Its own choice is among all regions.
+    let arrival = Rc::new(Arrival { only: None, ..arrival });
     match decide(daemon, now, &arrival) {
         Decision::Go(key) => {
             let reading = start(daemon, now, &arrival.need, &key);
             Ok(place(daemon, key, reading, None))
         }
         Decision::Refuse(refusal) => Err(refusal),
-        Decision::Elsewhere(region) => other(daemon, job, &arrival, region).await,
+        Decision::Elsewhere(region) => other(daemon, &arrival, region).await,
         Decision::Wait(until, cause, ahead) => {
             daemon.note(&Event::Waits {
                 request: job.caller.id.clone(),
@@ -403,27 +418,20 @@
                 until: until.saturating_sub(now).as_millis() as u64,
                 ahead,
             });
-            wait(daemon, job, &arrival, until).await
+            wait(daemon, &arrival, until).await
         }
     }
 }
 
 /// Asks the broker of another region, which has room; without its answer there is none.
-async fn other(
-    daemon: &Rc<Daemon>,
-    job: &Job,
-    arrival: &Arrival,
-    region: RegionId,
-) -> Result<Place, Refusal> {
-    let Some(to) = broker::at(daemon, &job.need.service, &region) else {
+async fn other(daemon: &Rc<Daemon>, arrival: &Arrival, region: RegionId) -> Result<Place, Refusal> {
+    let Some(to) = broker::at(daemon, &arrival.need.service, &region) else {
         return Err(waited(daemon, arrival));
     };
     let arrival = Arrival { only: Some(region), ..arrival.clone() };
     match broker::ask(daemon, to, &arrival).await {
         Ok(broker::Answer::Granted(ticket, key, reading)) => {
-            let now = clock::now();
-            daemon.fleet.borrow_mut().start(now, &key, &job.need.parts, reading.own);
-            Ok(place(daemon, key, reading, Some((to, ticket))))
+            Ok(granted(daemon, &arrival.need, to, ticket, key, reading))
         }
         Err(Broken::Refused(refusal)) => Err(refusal),
         Ok(broker::Answer::Elsewhere(_)) | Err(Broken::Silent) => Err(waited(daemon, &arrival)),
@@ -432,7 +440,6 @@
 
 async fn wait(
     daemon: &Rc<Daemon>,
-    job: &Job,
     arrival: &Rc<Arrival>,
     until: Duration,
 ) -> Result<Place, Refusal> {
@@ -450,7 +457,7 @@
     // against 0.562 of the worth of a fleet's days with trouble (four runs of five days each).
     match come.or(over).await {
         Some(Given::Place(key, reading)) => Ok(place(daemon, key, reading, None)),
-        Some(Given::Elsewhere(region)) => other(daemon, job, arrival, region).await,
+        Some(Given::Elsewhere(region)) => other(daemon, arrival, region).await,
         None => Err(waited(daemon, arrival)),
     }
 }
--- a/src/daemon/broker.rs
+++ b/src/daemon/broker.rs
@@ -120,7 +120,12 @@
     /// Requests at the engines of a broker.
     Loads(Vec<(Key, u32)>),
     /// The grants that a daemon holds.
-    Holds(Vec<(Ticket, Group, Key)>),
+    Holds {
+        /// Which.
+        rows: Vec<(Ticket, Group, Key)>,
+        /// Whether these are all.
+        whole: bool,
+    },
 }
 
 /// What a request needs, as the broker is told.
@@ -379,9 +384,9 @@
             lists.entry(*to).or_default().push((*ticket, *group, key.clone()));
         }
         for (to, rows) in lists {
-            // A list that is not whole would give up what it leaves out.
-            if rows.len() <= LISTED {
-                send(&daemon, to, Message::Holds(rows));
+            let whole = rows.len() <= LISTED;
+            for rows in rows.chunks(LISTED) {
+                send(&daemon, to, Message::Holds { rows: rows.to_vec(), whole });
             }
         }
         sweep(&daemon);
@@ -469,7 +474,7 @@
         Message::Done { ticket, end, beat } => {
             ended(daemon, from, ticket, end, Duration::from_micros(beat.into()));
         }
-        Message::Holds(rows) => listed(daemon, from, &rows),
+        Message::Holds { rows, whole } => listed(daemon, from, &rows, whole),
     }
 }
 
@@ -658,8 +663,8 @@
 }
 
 /// A daemon lists the grants that it holds.
-fn listed(daemon: &Rc<Daemon>, from: SocketAddr, rows: &[(Ticket, Group, Key)]) {
-    let change = daemon.broker.borrow_mut().given.list(clock::now(), from, rows);
+fn listed(daemon: &Rc<Daemon>, from: SocketAddr, rows: &[(Ticket, Group, Key)], whole: bool) {
+    let change = daemon.broker.borrow_mut().given.list(clock::now(), from, rows, whole);
     let mut fleet = daemon.fleet.borrow_mut();
     change.taken.iter().for_each(|key| fleet.adopt(key));
     change.ended.iter().for_each(|key| fleet.release(key));
--- a/src/decide/broker.rs
+++ b/src/decide/broker.rs
@@ -125,16 +125,17 @@
         self.rows.remove(&(to, ticket))
     }
 
-    /// A daemon lists the grants that it has.
+    /// A daemon lists the grants that it has, all of them where the list is `whole`.
     pub fn list(
         &mut self,
         now: Duration,
         from: SocketAddr,
         listed: &[(Ticket, Group, Key)],
+        whole: bool,
     ) -> Change {
         let mut change = Change::default();
         self.rows.retain(|(to, ticket), grant| {
-            let mine = *to == from && now >= grant.since + YOUNG;
+            let mine = whole && *to == from && now >= grant.since + YOUNG;
             let lost = mine && !listed.iter().any(|(other, ..)| other == ticket);
             if lost {
                 change.ended.push(grant.key.clone());
--- a/tests/decide_broker.rs
+++ b/tests/decide_broker.rs
@@ -99,20 +99,43 @@
         grants.give(ms(0), addr(1), ticket, key("e"), 7, ());
     }
     let listed = [(2, 7, key("e"))];
-    assert_eq!(grants.list(ms(100), addr(1), &listed), Change::default(), "it may have crossed");
-    let change = grants.list(ms(600), addr(1), &listed);
+    assert_eq!(
+        grants.list(ms(100), addr(1), &listed, true),
+        Change::default(),
+        "it may have crossed"
+    );
+    let change = grants.list(ms(600), addr(1), &listed, true);
     assert_eq!(change.ended, [key("e")]);
-    assert_eq!(grants.list(ms(700), addr(2), &[]), Change::default(), "of another daemon");
+    assert_eq!(grants.list(ms(700), addr(2), &[], true), Change::default(), "of another daemon");
     assert!(grants.get(addr(1), 2).is_some());
 }
 
+/// A daemon with more streams than one datagram lists told of none: its grants were given up while they
+/// ran, and the engines that it filled were taken for idle.
+#[test]
+fn a_list_in_parts_gives_up_nothing() {
+    let mut grants = Grants::<()>::default();
+    for ticket in 1..=2 {
+        grants.give(ms(0), addr(1), ticket, key("e"), 7, ());
+    }
+    for ticket in 1..=2 {
+        let change = grants.list(ms(1_000), addr(1), &[(ticket, 7, key("e"))], false);
+        assert_eq!(change, Change::default());
+    }
+    assert!(grants.sweep(ms(2_000)).is_empty());
+    // One whose end was lost is in no part.
+    grants.list(ms(2_000), addr(1), &[(1, 7, key("e"))], false);
+    assert_eq!(grants.sweep(ms(3_000)), [key("e")]);
+    assert_eq!(grants.len(), 1);
+}
+
 /// A daemon is killed with requests at an engine: its slots are free again.
 #[test]
 fn grants_of_a_silent_daemon_are_given_up() {
     let mut grants = Grants::<()>::default();
     grants.give(ms(0), addr(1), 1, key("e"), 7, ());
     assert!(grants.sweep(ms(1_000)).is_empty());
-    grants.list(ms(1_000), addr(1), &[(1, 7, key("e"))]);
+    grants.list(ms(1_000), addr(1), &[(1, 7, key("e"))], true);
     assert!(grants.sweep(ms(2_000)).is_empty());
     assert_eq!(grants.sweep(ms(3_000)), [key("e")]);
     assert!(grants.is_empty());
@@ -123,8 +146,8 @@
 fn a_new_broker_takes_grants_from_lists() {
     let mut grants = Grants::<()>::default();
     let listed = [(1, 7, key("e")), (2, 7, key("f"))];
-    assert_eq!(grants.list(ms(0), addr(1), &listed).taken, [key("e"), key("f")]);
-    assert!(grants.list(ms(10), addr(1), &listed).taken.is_empty());
+    assert_eq!(grants.list(ms(0), addr(1), &listed, true).taken, [key("e"), key("f")]);
+    assert!(grants.list(ms(10), addr(1), &listed, true).taken.is_empty());
     let grant = grants.end(addr(1), 1).expect("known now");
     assert_eq!((grant.key, grant.what), (key("e"), None));
 }
