Split the broker into its two sides and its messages; one loop for short answers

Readers and the directory answered requests by the same loop, which stands once now. New gauges: grants given and requests of others in line, and which objects are read at the store.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -1,6 +1,6 @@
 //! Finds an endpoint for a request, and lets it wait for one.
 //!
-//! A request of an engine's model goes by the word of the model's broker (`broker`), which holds it in
+//! A request of an engine's model goes by the word of its region's broker (`broker`), which holds it in
 //! this daemon's line if that is the broker. Where the broker does not answer, and for plain services,
 //! the daemon decides by itself.
 
--- /dev/null
+++ b/src/daemon/broker/give.rs
@@ -0,0 +1,302 @@
+//! The broker's side: places for requests of other daemons.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use super::Message;
+use super::Question;
+use super::Reason;
+use super::at;
+use super::message::micros;
+use super::message::millis;
+use super::send;
+use crate::daemon::Daemon;
+use crate::daemon::admission;
+use crate::daemon::admission::Arrival;
+use crate::daemon::admission::Decision;
+use crate::daemon::admission::Need;
+use crate::daemon::admission::Refusal;
+use crate::daemon::admission::Taker;
+use crate::daemon::clock;
+use crate::daemon::peer;
+use crate::decide::broker::Ticket;
+use crate::decide::endpoint::End;
+use crate::decide::line::Group;
+use crate::decide::speed::Reading;
+use crate::edge::dialect::Load;
+use crate::edge::dialect::Part;
+use crate::table::RegionId;
+use crate::table::instance::Key;
+
+/// Time between two tellings of a broker's loads to the others, and of the same look where another
+/// daemon is the broker.
+const TELL: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(400);
+/// Engines of one such message: what one datagram holds.
+const TOLD: usize = 40;
+/// One whose daemon does not ask again for so long has left the line.
+const GONE: Duration = Duration::from_millis(800);
+
+/// What a broker keeps of a grant.
+pub(super) struct Given {
+    need: Rc<Need>,
+    reading: Reading,
+}
+
+/// One of another daemon that stands in this one's line.
+pub(super) struct Standing {
+    arrival: Rc<Arrival>,
+    /// When its daemon last asked.
+    asked: Duration,
+}
+
+/// Tells the brokers of other regions the load of this one's engines, for as long as the daemon runs.
+pub async fn loads(daemon: Rc<Daemon>) {
+    loop {
+        Timer::after(TELL).await;
+        let config = daemon.config.borrow().clone();
+        for (service, _) in config.iter().flat_map(|config| config.engines()) {
+            // Where another daemon is the broker this one has nothing to tell.
+            if at(&daemon, &service.name, &daemon.settings.region).is_none() && daemon.ready() {
+                tell_loads(&daemon, &service.name);
+            } else {
+                Timer::after(LOOK).await;
+            }
+        }
+    }
+}
+
+fn tell_loads(daemon: &Rc<Daemon>, service: &str) {
+    let (now, own) = (clock::now(), &daemon.settings.region);
+    let regions: BTreeSet<&RegionId> = daemon.settings.data_centers.values().collect();
+    let others = regions.into_iter().filter(|region| *region != own);
+    let to: Vec<SocketAddr> = others.filter_map(|region| at(daemon, service, region)).collect();
+    let rows: Vec<(Key, u32)> = {
+        let fleet = daemon.fleet.borrow();
+        let here = fleet.rows().filter(|row| {
+            row.instance.service == service && fleet.region_of(&row.instance.data_center) == *own
+        });
+        here.map(|row| (row.instance.key.clone(), row.load(now))).collect()
+    };
+    for rows in rows.chunks(TOLD) {
+        let message = Message::Loads(rows.to_vec());
+        peer::tell(daemon, to.clone(), peer::Message::Broker(message));
+    }
+}
+
+/// Gives up the grants of daemons that are gone, and those in line that do not ask again.
+pub(super) fn sweep(daemon: &Rc<Daemon>) {
+    let now = clock::now();
+    let gone = daemon.broker.borrow_mut().given.sweep(now);
+    for key in &gone {
+        daemon.fleet.borrow_mut().release(key);
+    }
+    daemon.broker.borrow_mut().standing.retain(|_, row| {
+        let stays = now < row.asked + GONE;
+        if !stays {
+            admission::leave(daemon, &row.arrival);
+        }
+        stays
+    });
+    if !gone.is_empty() {
+        admission::pump(daemon);
+    }
+}
+
+/// A daemon asks for a place.
+pub(super) fn asked(daemon: &Rc<Daemon>, from: SocketAddr, question: Question) {
+    let now = clock::now();
+    let ticket = question.ticket;
+    {
+        let mut state = daemon.broker.borrow_mut();
+        if let Some(row) = state.standing.get_mut(&(from, ticket)) {
+            row.asked = now;
+            drop(state);
+            return send(daemon, from, Message::Waits(ticket));
+        }
+        let grant = state.given.get(from, ticket);
+        if let Some((key, what)) = grant.and_then(|row| Some((row.key.clone(), row.what.as_ref()?)))
+        {
+            let message = granted(ticket, key, &what.reading);
+            drop(state);
+            return send(daemon, from, message);
+        }
+    }
+    let arrival = Rc::new(arrival(daemon, now, question));
+    match admission::decide(daemon, now, &arrival) {
+        Decision::Go(key) => grant(daemon, now, from, ticket, &arrival, key),
+        Decision::Elsewhere(region) => send_on(daemon, from, ticket, region),
+        Decision::Refuse(refusal) => refuse(daemon, from, ticket, &refusal),
+        Decision::Wait(until, ..) => {
+            stand(daemon, from, ticket, arrival, until.saturating_sub(now));
+        }
+    }
+}
+
+fn arrival(daemon: &Daemon, now: Duration, question: Question) -> Arrival {
+    let time = |millis: u32| Duration::from_millis(millis.into());
+    let model = Some(question.model);
+    let group =
+        admission::group(&question.service, model.as_deref(), question.adapter.as_deref()).digest();
+    let parts = question.parts.into_iter().map(|(id, tokens)| Part { id, tokens });
+    let need = Need {
+        service: question.service,
+        model,
+        adapter: question.adapter,
+        engines: true,
+        places: question.places,
+        prompt: question.prompt,
+        parts: parts.collect(),
+        gap: question.gap.map(time),
+        aim: time(question.aim),
+        priority: question.priority,
+        group,
+    };
+    Arrival {
+        number: daemon.number(),
+        need: Rc::new(need),
+        came: now.saturating_sub(time(question.waited)),
+        deadline: now + time(question.left),
+        tried: question.tried,
+        only: question.only,
+    }
+}
+
+/// Puts a request of another daemon in line, for so long.
+fn stand(
+    daemon: &Rc<Daemon>,
+    from: SocketAddr,
+    ticket: Ticket,
+    arrival: Rc<Arrival>,
+    span: Duration,
+) {
+    admission::join(daemon, &arrival, Taker::Other(from, ticket));
+    let row = Standing { arrival: arrival.clone(), asked: clock::now() };
+    daemon.broker.borrow_mut().standing.insert((from, ticket), row);
+    send(daemon, from, Message::Waits(ticket));
+    let shared = daemon.clone();
+    let over = async move {
+        Timer::after(span).await;
+        if admission::leave(&shared, &arrival) {
+            shared.broker.borrow_mut().standing.remove(&(from, ticket));
+            refuse(&shared, from, ticket, &admission::waited(&shared, &arrival));
+        }
+    };
+    daemon.ex.spawn(over).detach();
+}
+
+fn refuse(daemon: &Rc<Daemon>, to: SocketAddr, ticket: Ticket, refusal: &Refusal) {
+    // All refusals of `admission` have a name here.
+    let reason = refusal.reason.parse().unwrap_or(Reason::Full);
+    send(daemon, to, Message::Refused { ticket, reason, after: millis(refusal.after) });
+}
+
+/// Sends a request on to the broker of another region.
+pub fn send_on(daemon: &Rc<Daemon>, to: SocketAddr, ticket: Ticket, region: RegionId) {
+    daemon.broker.borrow_mut().standing.remove(&(to, ticket));
+    send(daemon, to, Message::Elsewhere { ticket, region });
+}
+
+fn granted(ticket: Ticket, key: Key, reading: &Reading) -> Message {
+    let (own, ahead) = (micros(reading.own), micros(reading.ahead));
+    Message::Granted { ticket, key, tokens: reading.tokens, own, ahead }
+}
+
+/// Gives a place to a request of another daemon.
+pub fn grant(
+    daemon: &Rc<Daemon>,
+    now: Duration,
+    to: SocketAddr,
+    ticket: Ticket,
+    arrival: &Arrival,
+    key: Key,
+) {
+    let need = arrival.need.clone();
+    let reading = {
+        let mut fleet = daemon.fleet.borrow_mut();
+        let reading = fleet.reading(now, &key, &need.ask(&[]));
+        fleet.grant(now, &key, &need.parts, reading.own);
+        reading
+    };
+    let message = granted(ticket, key.clone(), &reading);
+    let group = need.group;
+    let mut state = daemon.broker.borrow_mut();
+    state.standing.remove(&(to, ticket));
+    state.given.give(now, to, ticket, key, group, Given { need, reading });
+    drop(state);
+    send(daemon, to, message);
+}
+
+/// The first byte of a granted request's answer came.
+pub(super) fn first_byte(
+    daemon: &Daemon,
+    from: SocketAddr,
+    ticket: Ticket,
+    took: Duration,
+    load: Option<(u32, u32)>,
+) {
+    let state = daemon.broker.borrow();
+    let Some(grant) = state.given.get(from, ticket) else {
+        return;
+    };
+    let (now, mut fleet) = (clock::now(), daemon.fleet.borrow_mut());
+    if let Some((running, waiting)) = load {
+        fleet.told(now, &grant.key, Load { running, waiting });
+    }
+    if let Some(Given { need, reading }) = &grant.what {
+        fleet.answered(now, &grant.key, took, need.model.as_deref(), reading);
+    }
+}
+
+/// A granted request has ended, or one in line has left.
+pub(super) fn ended(
+    daemon: &Rc<Daemon>,
+    from: SocketAddr,
+    ticket: Ticket,
+    end: End,
+    beat: Duration,
+) {
+    let now = clock::now();
+    let standing = daemon.broker.borrow_mut().standing.remove(&(from, ticket));
+    if let Some(row) = standing {
+        admission::leave(daemon, &row.arrival);
+    }
+    let Some(grant) = daemon.broker.borrow_mut().given.end(from, ticket) else {
+        return;
+    };
+    {
+        let mut fleet = daemon.fleet.borrow_mut();
+        fleet.release(&grant.key);
+        fleet.event(now, &grant.key, beat);
+        if let Some(Given { need, .. }) = &grant.what {
+            fleet.ended_as(now, &grant.key, end, &need.ask(&[]));
+        }
+    }
+    if end == End::Over {
+        daemon.gauges.ended(now, grant.group);
+    }
+    if !daemon.line.borrow().is_empty() {
+        admission::pump(daemon);
+    }
+}
+
+/// A daemon lists the grants that it holds.
+pub(super) fn listed(
+    daemon: &Rc<Daemon>,
+    from: SocketAddr,
+    rows: &[(Ticket, Group, Key)],
+    whole: bool,
+) {
+    let change = daemon.broker.borrow_mut().given.list(clock::now(), from, rows, whole);
+    let mut fleet = daemon.fleet.borrow_mut();
+    change.taken.iter().for_each(|key| fleet.adopt(key));
+    change.ended.iter().for_each(|key| fleet.release(key));
+    drop(fleet);
+    if !change.ended.is_empty() {
+        admission::pump(daemon);
+    }
+}
--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -33,8 +33,17 @@
 /// The path of the counters.
 const METRICS: &str = "/metrics";
 
-/// Accepts connections for as long as the daemon runs.
+/// Answers callers, the platform and operators for as long as the daemon runs.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
+    answer_all(daemon, listener, async |daemon, head| answer(daemon, &head)).await;
+}
+
+/// Answers requests without a body for as long as the daemon runs.
+pub async fn answer_all(
+    daemon: Rc<Daemon>,
+    listener: TcpListener,
+    answer: impl AsyncFn(&Daemon, request::Parts) -> Response<Full<Bytes>> + Copy + 'static,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Out of descriptors: accepting again at once would spin.
@@ -47,9 +56,8 @@
                 return;
             }
             let service = service_fn(move |req: Request<Incoming>| {
-                let (head, _) = req.into_parts();
-                let res = answer(&shared, &head);
-                async move { Ok::<_, Infallible>(res) }
+                let shared = shared.clone();
+                async move { Ok::<_, Infallible>(answer(&shared, req.into_parts().0).await) }
             });
             // Its end concerns nobody but the other side.
             let _ = http1::Builder::new()
@@ -82,7 +90,8 @@
     reply(StatusCode::NOT_FOUND, Bytes::new())
 }
 
-fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+/// An answer.
+pub fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
     let json = HeaderValue::from_static("application/json");
     let mut res = Response::new(Full::new(body));
     *res.status_mut() = status;
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -10,7 +10,8 @@
 use crate::daemon::clock;
 use crate::decide::line::Group;
 use crate::decide::trend::Rate;
-use crate::table::routing::Kind;
+use crate::edge::dialect::Kind;
+use crate::table::routing;
 
 /// Upper bounds of the latency buckets, in milliseconds.
 const BUCKETS: [u64; 12] = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
@@ -27,7 +28,7 @@
 /// What is counted beside the log's events.
 #[derive(Debug, Default)]
 pub struct Gauges {
-    firsts: RefCell<HashMap<Kind, Histogram>>,
+    firsts: RefCell<HashMap<routing::Kind, Histogram>>,
     ends: RefCell<HashMap<Group, Rate>>,
     connections: Cell<u64>,
     late: Cell<Duration>,
@@ -36,7 +37,7 @@
 
 impl Gauges {
     /// The first byte of an answer came after this time.
-    pub fn answered(&self, kind: Kind, took: Duration) {
+    pub fn answered(&self, kind: routing::Kind, took: Duration) {
         let mut firsts = self.firsts.borrow_mut();
         let row = firsts.entry(kind).or_default();
         let ms = took.as_millis() as u64;
@@ -86,6 +87,7 @@
         }
         let version = daemon.config.borrow().as_ref().map_or(0, |config| config.version);
         let fleet = daemon.fleet.borrow();
+        let (grants, standing) = daemon.broker.borrow().counts();
         let figures = [
             ("poplarmux_open_requests", daemon.open.get() as u64),
             ("poplarmux_waiting_requests", daemon.line.borrow().len() as u64),
@@ -96,11 +98,17 @@
             ("poplarmux_nodes", daemon.nodes.borrow().count(now) as u64),
             ("poplarmux_loop_late_ms_total", self.late.get().as_millis() as u64),
             ("poplarmux_loop_late_ms_max", self.latest.get().as_millis() as u64),
+            ("poplarmux_broker_grants", grants as u64),
+            ("poplarmux_broker_waiting", standing as u64),
             ("poplarmux_leads", u64::from(daemon.placer.borrow().leads(now))),
         ];
         for (name, value) in figures {
             writeln!(out, "{name} {value}")?;
         }
+        for kind in [Kind::Config, Kind::Instances, Kind::Nodes] {
+            let (name, live): (&str, _) = (kind.into(), daemon.relay.live(kind));
+            writeln!(out, "poplarmux_reads_store{{object=\"{name}\"}} {}", u8::from(live))?;
+        }
         for ((object, op, outcome), count) in daemon.store.tally().rows() {
             let (op, outcome): (&str, &str) = (op.into(), outcome.into());
             let labels = format!("object=\"{object}\",op=\"{op}\",outcome=\"{outcome}\"");
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -1,7 +1,6 @@
 //! Hands on what this daemon reads in the store, and takes it from another: see `decide::relay`.
 
 use std::cell::RefCell;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,19 +11,16 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use serde::Deserialize;
 use serde::Serialize;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
-use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::directory::answer_all;
+use crate::daemon::directory::reply;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
@@ -43,8 +39,6 @@
 const SLACK: Duration = Duration::from_millis(500);
 /// How long a connection to a reader may take to open.
 const CONNECT: Duration = Duration::from_millis(300);
-/// How long a reader's connection may stand idle.
-const IDLE: Duration = Duration::from_secs(20);
 /// Answers of a reader that is behind what is known, after which it is done without: it has read the
 /// store anew by then.
 const BEHIND: u32 = 3;
@@ -137,30 +131,7 @@
 
 /// Answers other daemons for as long as this one runs.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of descriptors: accepting again at once would spin.
-            Timer::after(Duration::from_millis(20)).await;
-            continue;
-        };
-        let shared = daemon.clone();
-        let talk = async move {
-            if link::guard(&stream).is_err() {
-                return;
-            }
-            let service = service_fn(move |req: Request<Incoming>| {
-                let shared = shared.clone();
-                async move { Ok::<_, Infallible>(answer(&shared, req.uri().path()).await) }
-            });
-            // Its end concerns nobody but the other side.
-            let _ = http1::Builder::new()
-                .timer(SmolTimer::new())
-                .header_read_timeout(IDLE)
-                .serve_connection(FuturesIo::new(stream), service)
-                .await;
-        };
-        daemon.ex.spawn(talk).detach();
-    }
+    answer_all(daemon, listener, async |daemon, head| answer(daemon, head.uri.path()).await).await;
 }
 
 /// What a daemon has taken in of a kind.
@@ -244,12 +215,6 @@
     }
 }
 
-fn reply(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::new(body));
-    *res.status_mut() = status;
-    res
-}
-
 /// Follows a kind at a reader until it fails; `known` is the highest revision that was taken in.
 pub async fn follow(
     daemon: &Rc<Daemon>,
