--- a/tests/decide_broker.rs
+++ b/tests/decide_broker.rs
@@ -4,12 +4,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use poplarmux::decide::broker;
 use poplarmux::decide::broker::Change;
 use poplarmux::decide::broker::Grants;
 use poplarmux::decide::broker::Suspects;
+use poplarmux::decide::endpoint::Ask;
+use poplarmux::decide::fleet::Choice;
+use poplarmux::decide::fleet::Fleet;
+use poplarmux::edge::dialect::Load;
+use poplarmux::table::instance::Copies;
+use poplarmux::table::instance::Instance;
 use poplarmux::table::instance::Key;
 use poplarmux::table::instance::Node;
+use poplarmux::table::instance::Resident;
+use poplarmux::table::instance::State;
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -161,3 +172,89 @@
     assert!(!suspects.has(ms(1_900), addr(2)));
     assert!(!suspects.has(ms(2_100), addr(1)));
 }
+
+const SLOTS: u32 = 12;
+
+/// Engines of one region that hold a model.
+fn fleet(engines: usize) -> Fleet {
+    let regions = [("a1".to_string(), "a".to_string())];
+    let mut fleet = Fleet::new("a".to_string(), "a1".to_string(), regions.into());
+    for at in 0..engines {
+        let instance = Instance {
+            key: key(&format!("e{at}")),
+            service: "llm".to_string(),
+            address: addr(at),
+            data_center: "a1".to_string(),
+            slots: SLOTS,
+            state: State::Live,
+            cold: Duration::ZERO,
+            remaining: None,
+            resident: vec![Resident { model: "m".to_string(), adapters: Vec::new() }],
+            copies: Copies::default(),
+            beat: 1,
+        };
+        assert!(fleet.put(ms(0), instance));
+    }
+    fleet
+}
+
+const ASK: Ask<'static> = Ask {
+    service: "llm",
+    model: Some("m"),
+    adapter: None,
+    places: 8,
+    prompt: 700,
+    parts: &[],
+    gap: None,
+    tried: &[],
+    only: None,
+};
+
+/// Two hundred daemons send three requests each within a second. Each by itself filled the engines that
+/// looked best to all of them, up to five times their slots, beside engines that had room.
+#[test]
+fn a_burst_is_spread_over_the_engines_that_hold_its_model() {
+    const ENGINES: usize = 33;
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut fleet = fleet(ENGINES);
+    let mut loads: HashMap<String, u32> = HashMap::new();
+    let mut full = 0;
+    for at in 0..600 {
+        match fleet.choose(ms(at), &ASK, true, &mut rng) {
+            Choice::Go(key) => {
+                fleet.grant(ms(at), &key, &[], ms(18));
+                *loads.entry(key.id).or_default() += 1;
+            }
+            Choice::Full => full += 1,
+            other => panic!("{other:?}"),
+        }
+        if at == 200 {
+            let most = loads.values().max().expect("some");
+            let mean = 201.0 / ENGINES as f64;
+            assert!(f64::from(*most) < mean * 1.5, "the busiest has {most}, the mean is {mean}");
+        }
+    }
+    assert!(loads.values().all(|load| *load <= SLOTS * 5 / 4), "{loads:?}");
+    assert_eq!(loads.values().sum::<u32>() + full, 600);
+    // A place that is given back is given to the next.
+    fleet.release(&key("e3"));
+    let next = fleet.choose(ms(700), &ASK, true, &mut rng);
+    assert_eq!(next, Choice::Go(key("e3")));
+}
+
+/// Another region's broker told that an engine there has room: until it tells again, not all who wait
+/// are sent to it.
+#[test]
+fn who_is_sent_on_counts_before_the_next_word() {
+    let mut fleet = fleet(1);
+    let key = key("e0");
+    fleet.told(ms(0), &key, Load { running: SLOTS, waiting: 0 });
+    for _ in 0..3 {
+        assert_eq!(
+            fleet.choose(ms(10), &ASK, true, &mut SmallRng::seed_from_u64(7)),
+            Choice::Go(key.clone())
+        );
+        fleet.expect(&key);
+    }
+    assert_eq!(fleet.choose(ms(10), &ASK, true, &mut SmallRng::seed_from_u64(7)), Choice::Full);
+}
