Count a daemon that was never heard as dead after two looks

After a loss of power on all machines the daemons that came back had heard nobody, so a registration of one that did not was taken for a live daemon until its heartbeat had stood still for six looks; these had become two seconds apart instead of 1.5.

Change: a daemon that was never heard directly and whose heartbeat does not rise for two looks is dead to callers.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -38,6 +38,9 @@
 /// Reads in a row that find no heartbeat before a daemon counts as dead: two heartbeats and a
 /// stale read.
 const READS: u32 = 6;
+/// Looks that find no heartbeat before a daemon counts as dead that was never heard directly: one that
+/// lives is heard sooner, and after a loss of power the registrations of those that are gone still stand.
+const UNHEARD: u32 = 2;
 /// A daemon that was heard directly and is not any more counts as dead after this: several rounds
 /// of news.
 const SILENT: Duration = Duration::from_millis(2_500);
@@ -211,7 +214,7 @@
     fn alive(&self, now: Duration) -> bool {
         match self.heard {
             Some(at) => now < at + SILENT,
-            None => self.quiet < READS,
+            None => self.quiet < UNHEARD,
         }
     }
 }
--- a/tests/daemon_node.rs
+++ b/tests/daemon_node.rs
@@ -94,6 +94,22 @@
     assert_eq!(Table::default().away(ms(100), LEASE), None);
 }
 
+/// All machines lose power and one never comes back. The others, which start anew and have heard nobody,
+/// sent callers to it for twelve seconds, as its registration stood.
+#[test]
+fn a_daemon_that_was_never_heard_is_dead_soon() {
+    let mut table = table();
+    assert_eq!(table.live(ms(0)).count(), 2);
+    table.heard(ms(100), &here("b", false));
+    table.count_quiet();
+    table.heard(ms(2_100), &here("b", false));
+    table.count_quiet();
+    table.heard(ms(4_100), &here("b", false));
+    let live: Vec<&str> = table.live(ms(4_200)).map(|node| node.name.as_str()).collect();
+    assert_eq!(live, ["b"]);
+    assert_eq!(table.registered().count(), 2, "all daemons still name the same brokers");
+}
+
 /// A daemon of a small machine places for a whole fleet though larger ones live, and runs seconds late. A
 /// larger one that is gone holds up nobody.
 #[test]
