Let daemons decide by themselves where they are few enough to be told of each send

And an engine of 64 slots was left without a second copy up to a fifth of them.

Change: brokers give out places where there are more than eight other daemons; with fewer, each send is told to all others as before. A model is short of copies from an eighth of the slots of its engine on.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -1,8 +1,8 @@
 //! Finds an endpoint for a request, and lets it wait for one.
 //!
 //! A request of an engine's model goes by the word of its region's broker (`broker`), which holds it in
-//! this daemon's line if that is the broker. Where the broker does not answer, and for plain services,
-//! the daemon decides by itself.
+//! this daemon's line if that is the broker. Where the broker does not answer, for plain services, and
+//! where there are so few daemons that each can be told of each send, the daemon decides by itself.
 
 use std::cell::Cell;
 use std::collections::HashSet;
@@ -294,10 +294,16 @@
 }
 
 /// A request of this daemon goes there.
-fn start(daemon: &Daemon, now: Duration, need: &Need, key: &Key) -> Reading {
-    let mut fleet = daemon.fleet.borrow_mut();
-    let reading = fleet.reading(now, key, &need.ask(&[]));
-    fleet.start(now, key, &need.parts, reading.own);
+fn start(daemon: &Rc<Daemon>, now: Duration, need: &Need, key: &Key) -> Reading {
+    let reading = {
+        let mut fleet = daemon.fleet.borrow_mut();
+        let reading = fleet.reading(now, key, &need.ask(&[]));
+        fleet.start(now, key, &need.parts, reading.own);
+        reading
+    };
+    if need.engines {
+        peer::say_sent(daemon, key, reading.own);
+    }
     reading
 }
 
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -111,6 +111,9 @@
 /// Where the broker of a service in a region hears; none where that is this daemon, or there is none.
 pub fn at(daemon: &Daemon, service: &str, region: &RegionId) -> Option<SocketAddr> {
     let (now, nodes, state) = (clock::now(), daemon.nodes.borrow(), daemon.broker.borrow());
+    if nodes.peers().len() <= peer::TOLD_SENT {
+        return None;
+    }
     let own = node::own(daemon, 0);
     let all = nodes.registered().chain(Some(&own));
     let to = broker::pick(all, region, service, |addr| state.suspects.has(now, addr))?.peer;
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -38,6 +38,9 @@
 /// Daemons told in a round: with more, each hears the others every few rounds, so that what a
 /// daemon sends does not grow with their number.
 const TOLD: usize = 24;
+/// As long as there are no more others than these, each is told of each send: a datagram of 40 bytes for
+/// each request and daemon. With more, brokers give out places.
+pub const TOLD_SENT: usize = 8;
 /// An adapter is asked for again after this long: the way to the placer and back, the order and
 /// the load.
 const AGAIN: Duration = Duration::from_millis(180);
@@ -92,7 +95,14 @@
         /// The adapter.
         adapter: AdapterId,
     },
-    /// Between a daemon and the broker of a model.
+    /// Prompts were sent to an engine.
+    Sent {
+        /// The engine.
+        key: Key,
+        /// How long it reads them, in microseconds.
+        micros: u32,
+    },
+    /// Between a daemon and the broker of a region.
     Broker(broker::Message),
     /// What engines hold, by the placer's knowledge.
     Holding(Vec<(Key, Stock)>),
@@ -264,6 +274,15 @@
     tell(daemon, told, message);
 }
 
+/// Tells others what an engine has to read, so that all together send it no more than it reads in
+/// the pause that its streams may have. Where a broker gives out places, it knows.
+pub fn say_sent(daemon: &Rc<Daemon>, key: &Key, read: Duration) {
+    let peers = daemon.nodes.borrow().peers();
+    if peers.len() <= TOLD_SENT {
+        tell(daemon, peers, Message::Sent { key: key.clone(), micros: read.as_micros() as u32 });
+    }
+}
+
 /// Hears other daemons.
 pub async fn hear(daemon: Rc<Daemon>) {
     let mut buf = vec![0_u8; 2 * LARGEST];
@@ -307,6 +326,10 @@
         Message::History { models } => {
             daemon.placer.borrow_mut().demand.merge(now, models);
         }
+        Message::Sent { key, micros } => {
+            let read = Duration::from_micros(micros.into());
+            daemon.fleet.borrow_mut().sent(now, &key, read);
+        }
         Message::Broker(message) => {
             if let Some(from) = from {
                 broker::take(daemon, message, from);
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -379,6 +379,11 @@
         self.sent(now, parts, read);
     }
 
+    /// Another daemon sent a prompt here that takes so long to read.
+    pub fn heard_of(&mut self, now: Duration, read: Duration) {
+        self.prompts.add(now, read);
+    }
+
     /// Another daemon was given a place here, for a prompt that takes so long to read.
     pub fn grant(&mut self, now: Duration, parts: &[Part], read: Duration) {
         self.granted += 1;
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -239,6 +239,13 @@
         }
     }
 
+    /// Another daemon sent a prompt there that takes so long to read.
+    pub fn sent(&mut self, now: Duration, key: &Key, read: Duration) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.heard_of(now, read);
+        }
+    }
+
     /// Another daemon was given a place there, for a prompt that takes so long to read.
     pub fn grant(&mut self, now: Duration, key: &Key, parts: &[Part], read: Duration) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -36,7 +36,7 @@
 const IDLE: f64 = 1.0;
 /// An engine that carries less than this part of its slots serves in time what it has: copies that take
 /// from it are worth nothing, and demand that is that small is mostly noise.
-const EASY: f64 = 0.2;
+const EASY: f64 = 0.125;
 /// Of all engines, so many may load models that nobody else holds at a time: many models that are each
 /// asked for once would else keep every engine from taking a copy of one that is asked for by all.
 const RARE: f64 = 0.5;
