--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -459,8 +459,7 @@
         None
     };
     // One that waits for prompts to be read is refused as well. Sent after all, it would be answered soon
-    // itself and hold up every stream there, each caller in turn for as long as the crowd lasts: 0.583
-    // against 0.562 of the worth of a fleet's days with trouble (four runs of five days each).
+    // itself and hold up every stream there, each caller in turn for as long as the crowd lasts.
     match come.or(over).await {
         Some(Given::Place(key, reading)) => Ok(place(daemon, key, reading, None)),
         Some(Given::Elsewhere(region)) => other(daemon, arrival, region).await,
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -173,7 +173,7 @@
         }
     }
     daemon.broker.borrow_mut().suspects.add(clock::now(), to);
-    daemon.note(&Event::Broker { address: to.to_string(), silent: true });
+    daemon.note(&Event::Broker { address: to.to_string() });
     Err(Broken::Silent)
 }
 
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -183,7 +183,6 @@
     },
     Broker {
         address: String,
-        silent: bool,
     },
     Refused {
         request: String,
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -51,8 +51,7 @@
 const NOTE: Duration = Duration::from_secs(2);
 /// Time between two steps of the placer.
 const STEP: Duration = Duration::from_millis(100);
-/// Moves that are planned in one step: the loop that plans also renews the lease, and a plan of eight
-/// took 37 ms for 99 engines and 260 models where one of two takes 7 (`benches/spread.rs`).
+/// Moves that are planned in one step: the loop that plans also renews the lease and passes streams on.
 const STEPS: usize = 2;
 /// Of the loads that the weight store allows, so many are begun.
 const CEILING: f64 = 1.0;
