Ask whether brokers are needed before the work that they take

Read through the whole change: where brokers are not needed, each request still looked at all endpoints for the regions that hold its model, each daemon gathered the loads of its engines ten times a second to tell them to nobody, and a list of addresses was built to count it. One question, asked first, serves all three. What is sent and decided is the same.

--- a/src/daemon/broker/give.rs
+++ b/src/daemon/broker/give.rs
@@ -13,6 +13,7 @@
 use super::at;
 use super::message::micros;
 use super::message::millis;
+use super::needed;
 use super::send;
 use crate::daemon::Daemon;
 use crate::daemon::admission;
@@ -61,7 +62,8 @@
         let config = daemon.config.borrow().clone();
         for (service, _) in config.iter().flat_map(|config| config.engines()) {
             // Where another daemon is the broker this one has nothing to tell.
-            if at(&daemon, &service.name, &daemon.settings.region).is_none() && daemon.ready() {
+            let other = at(&daemon, &service.name, &daemon.settings.region).is_some();
+            if needed(&daemon) && !other && daemon.ready() {
                 tell_loads(&daemon, &service.name);
             } else {
                 Timer::after(LOOK).await;
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -108,12 +108,17 @@
     peer::tell(daemon, vec![to], peer::Message::Broker(message));
 }
 
+/// Whether brokers give out places: there are too many daemons for each to be told of each send.
+fn needed(daemon: &Daemon) -> bool {
+    daemon.nodes.borrow().others() > peer::TOLD_SENT
+}
+
 /// Where the broker of a service in a region hears; none where that is this daemon, or there is none.
 pub fn at(daemon: &Daemon, service: &str, region: &RegionId) -> Option<SocketAddr> {
-    let (now, nodes, state) = (clock::now(), daemon.nodes.borrow(), daemon.broker.borrow());
-    if nodes.peers().len() <= peer::TOLD_SENT {
+    if !needed(daemon) {
         return None;
     }
+    let (now, nodes, state) = (clock::now(), daemon.nodes.borrow(), daemon.broker.borrow());
     let own = node::own(daemon, 0);
     let all = nodes.registered().chain(Some(&own));
     let to = broker::pick(all, region, service, |addr| state.suspects.has(now, addr))?.peer;
@@ -122,7 +127,8 @@
 
 /// Where the broker of what a request needs hears; none where this daemon decides itself.
 pub fn of(daemon: &Daemon, need: &Need) -> Option<SocketAddr> {
-    let model = need.model.as_ref().filter(|_| need.brokered())?;
+    // Asked first: which regions hold the model takes a look at every endpoint.
+    let model = need.model.as_ref().filter(|_| need.brokered() && needed(daemon))?;
     let own = &daemon.settings.region;
     let held = daemon.fleet.borrow().regions_of(clock::now(), &need.service, model);
     let most = held.iter().max_by_key(|(_, copies)| **copies).map(|(region, _)| region);
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -167,6 +167,11 @@
         self.rows.values().map(|row| row.node.peer).collect()
     }
 
+    /// How many others are registered.
+    pub fn others(&self) -> usize {
+        self.rows.len()
+    }
+
     /// The region of the daemon that hears there.
     pub fn region_of(&self, peer: SocketAddr) -> Option<&RegionId> {
         self.rows.values().find(|row| row.node.peer == peer).map(|row| &row.node.region)
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -277,9 +277,10 @@
 /// Tells others what an engine has to read, so that all together send it no more than it reads in
 /// the pause that its streams may have. Where a broker gives out places, it knows.
 pub fn say_sent(daemon: &Rc<Daemon>, key: &Key, read: Duration) {
-    let peers = daemon.nodes.borrow().peers();
-    if peers.len() <= TOLD_SENT {
-        tell(daemon, peers, Message::Sent { key: key.clone(), micros: read.as_micros() as u32 });
+    let nodes = daemon.nodes.borrow();
+    if nodes.others() <= TOLD_SENT {
+        let sent = Message::Sent { key: key.clone(), micros: read.as_micros() as u32 };
+        tell(daemon, nodes.peers(), sent);
     }
 }
 
