Tell callers by their keys, and keep teams to their quotas over all daemons

Cause: keys, tenants and quotas were not built.

Change: a configuration with teams asks for a key on each route that is not public; a missing, unknown or doubled one is answered 401 before the body is read. The endpoint gets the team and never the key. The key is looked up once more by the configuration in force when the request is sent, as it may have waited. The team's urgency goes before the route's.

Quotas: one daemon counts for each team (rendezvous hashing). A daemon that reaches no counter takes an even share. What did not run is given back.

Even shares alone give a daemon of 59 a seventh of one request a second of the small team.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -25,6 +25,7 @@
 use crate::daemon::node;
 use crate::daemon::peer;
 use crate::daemon::placer;
+use crate::daemon::quota;
 use crate::daemon::relay;
 use crate::daemon::settings::Settings;
 use crate::daemon::store;
@@ -99,6 +100,7 @@
     ex.spawn(node::reads(daemon.clone())).detach();
     ex.spawn(peer::rounds(daemon.clone())).detach();
     ex.spawn(peer::hear(daemon.clone())).detach();
+    ex.spawn(quota::rounds(daemon.clone())).detach();
     ex.spawn(broker::lists(daemon.clone())).detach();
     ex.spawn(broker::loads(daemon.clone())).detach();
     ex.spawn(lease::follow(daemon.clone())).detach();
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -40,8 +40,11 @@
 use crate::daemon::admission::Need;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
+use crate::daemon::gauge::Admission;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
+use crate::daemon::quota;
+use crate::daemon::quota::Charge;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Flow;
@@ -49,10 +52,12 @@
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
 use crate::table::RequestId;
-use crate::table::instance::Key;
+use crate::table::instance;
 use crate::table::routing::Config;
 use crate::table::routing::Kind;
 use crate::table::routing::Route;
+use crate::table::team::Key;
+use crate::table::team::Team;
 
 /// Connections of callers open at once: what is left of the descriptors serves endpoints.
 const CONNECTIONS: usize = 2_500;
@@ -135,6 +140,10 @@
     pub need: Rc<Need>,
     /// The version of the configuration that decided.
     pub version: u64,
+    /// The team that asks, where the route needs a key.
+    pub team: Option<Rc<Team>>,
+    /// What counts for its quota.
+    pub charge: Option<Charge>,
     /// When it came.
     pub came: Duration,
     /// When it gets its final answer at the latest.
@@ -248,8 +257,8 @@
 }
 
 /// A refusal: the request has not run and will not.
-fn refuse(reason: &str, after: Duration) -> Response<Answer> {
-    let mut res = own(StatusCode::SERVICE_UNAVAILABLE, reason);
+fn refuse(status: StatusCode, reason: &str, after: Duration) -> Response<Answer> {
+    let mut res = own(status, reason);
     let text = format!("{:.2}", after.as_secs_f64().max(0.01));
     if let Ok(value) = HeaderValue::from_str(&text) {
         res.headers_mut().insert(header::RETRY_AFTER, value);
@@ -298,7 +307,14 @@
         });
         return Err(own(StatusCode::NOT_FOUND, "no_route"));
     };
+    let Ok(team) = config.team(&route, caller.key.as_ref()) else {
+        return Err(unknown_key(daemon, &caller, &route.name, config.version));
+    };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let charge = quota::charge(daemon, team.as_ref(), caller.tokens).await;
+    let charge = charge.map_err(|after| {
+        over_quota(daemon, &caller, &route.name, config.version, came, team.as_deref(), after)
+    })?;
     let body = whole(body, config.limits.body, patience).await?;
     if let Some((began, end)) = daemon.ends.get()
         && !stop::takes(clock::now(), began, end, caller.output)
@@ -307,14 +323,52 @@
         return Err(refused(daemon, &caller, &route.name, config.version, came, &refusal));
     }
     let deadline = came + patience;
-    let job = Rc::new(job(daemon, &config, route, caller, head, body, came, deadline));
+    let asks = Asks { caller, team, charge };
+    let job = Rc::new(job(daemon, &config, route, asks, head, body, came, deadline));
     daemon.allowance.borrow_mut().request(came, &job.need.service);
+    daemon.gauges.asked(job.team.as_ref().map(|team| team.name.as_str()), Admission::Taken);
     if let Some(model) = &job.caller.model {
         daemon.demand.borrow_mut().asked(model, job.caller.adapter.as_deref());
     }
     Ok(job)
 }
 
+/// The answer to a caller whose key is missing, unknown or withdrawn.
+fn unknown_key(daemon: &Daemon, caller: &Caller, route: &str, version: u64) -> Response<Answer> {
+    daemon.note(&Event::Unknown {
+        request: caller.id.clone(),
+        route: route.to_string(),
+        key: caller.key.as_ref().map(Key::mark),
+        version,
+    });
+    daemon.gauges.asked(None, Admission::UnknownKey);
+    own(StatusCode::UNAUTHORIZED, "unknown_key")
+}
+
+/// The answer to a caller whose team has used its quota up.
+fn over_quota(
+    daemon: &Daemon,
+    caller: &Caller,
+    route: &str,
+    version: u64,
+    came: Duration,
+    team: Option<&Team>,
+    after: Duration,
+) -> Response<Answer> {
+    let team = team.map(|team| team.name.as_str());
+    daemon.note(&Event::OverQuota {
+        request: caller.id.clone(),
+        route: route.to_string(),
+        team: team.unwrap_or_default().to_string(),
+        tokens: caller.tokens,
+        retry_after: after.as_millis() as u64,
+        waited: clock::now().saturating_sub(came).as_millis() as u64,
+        version,
+    });
+    daemon.gauges.asked(team, Admission::OverQuota);
+    refuse(StatusCode::TOO_MANY_REQUESTS, "over_quota", after)
+}
+
 /// Reads a body of at most `max` bytes within `limit`.
 async fn whole(body: Incoming, max: usize, limit: Duration) -> Result<Bytes, Response<Answer>> {
     let read = async {
@@ -333,17 +387,25 @@
     read.or(late).await
 }
 
+/// Who asks, and what for.
+struct Asks {
+    caller: Caller,
+    team: Option<Rc<Team>>,
+    charge: Option<Charge>,
+}
+
 #[expect(clippy::too_many_arguments, reason = "all parts of a request come together here, once")]
 fn job(
     daemon: &Daemon,
     config: &Config,
     route: Rc<Route>,
-    caller: Caller,
+    asks: Asks,
     head: &http::request::Parts,
     body: Bytes,
     came: Duration,
     deadline: Duration,
 ) -> Job {
+    let Asks { caller, team, charge } = asks;
     let draw = rand::Rng::random(&mut *daemon.rng.borrow_mut());
     let service = route.service(draw).clone();
     let published = config.services.get(&service).and_then(|row| row.engines.as_ref());
@@ -366,16 +428,18 @@
         parts: parts.collect(),
         gap: route.gap,
         aim: route.aim,
-        priority: route.priority,
+        priority: team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority),
         group,
     };
     Job {
         number: daemon.number(),
         need: Rc::new(need),
-        headers: daemon.dialect.pass(&head.headers),
+        headers: daemon.dialect.pass(&head.headers, config.teams.is_some()),
         method: head.method.clone(),
         uri: head.uri.clone(),
         version: config.version,
+        team,
+        charge,
         route,
         caller,
         came,
@@ -393,7 +457,7 @@
     sends: u32,
     /// Endpoints asked, reached or not.
     asked: u32,
-    tried: Vec<Key>,
+    tried: Vec<instance::Key>,
     /// A failure of an endpoint's own, to pass on if nothing better comes.
     failure: Option<Response<Bytes>>,
     /// Why the last attempt came to nothing.
@@ -434,6 +498,13 @@
                 trail.last = "endpoint_failure";
                 trail.failure = Some(res);
             }
+            Outcome::Forbidden if trail.ran == 0 => {
+                open.done = true;
+                return unknown_key(daemon, &job.caller, &job.route.name, job.version);
+            }
+            Outcome::Forbidden => {
+                return give_up(daemon, job, &mut open, trail, "key_withdrawn", SPENT);
+            }
             Outcome::NotRun(error) => {
                 trail.sends += 1;
                 trail.last = error;
@@ -509,7 +580,7 @@
         waited: clock::now().saturating_sub(came).as_millis() as u64,
         version,
     });
-    refuse(refusal.reason, refusal.after)
+    refuse(StatusCode::SERVICE_UNAVAILABLE, refusal.reason, refusal.after)
 }
 
 /// Passes an endpoint's whole answer on.
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -11,6 +11,7 @@
 use crate::decide::line::Group;
 use crate::decide::trend::Rate;
 use crate::edge::dialect::Kind;
+use crate::table::TeamId;
 use crate::table::routing;
 
 /// Upper bounds of the latency buckets, in milliseconds.
@@ -25,11 +26,28 @@
     sum: u64,
 }
 
+/// What becomes of a request when it comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Admission {
+    /// It is served as far as there is room.
+    Taken,
+    /// Its key is missing, unknown or withdrawn.
+    UnknownKey,
+    /// Its team has used its quota up.
+    OverQuota,
+}
+
+/// Teams that are counted by name; the others are counted together.
+const TEAMS: usize = 64;
+
 /// What is counted beside the log's events.
 #[derive(Debug, Default)]
 pub struct Gauges {
     firsts: RefCell<HashMap<routing::Kind, Histogram>>,
     ends: RefCell<HashMap<Group, Rate>>,
+    /// By team; the empty name stands for all that are not counted by theirs.
+    asked: RefCell<HashMap<(TeamId, Admission), u64>>,
     connections: Cell<u64>,
     late: Cell<Duration>,
     latest: Cell<Duration>,
@@ -48,6 +66,16 @@
         }
     }
 
+    /// A request of a team came.
+    pub fn asked(&self, team: Option<&str>, admission: Admission) {
+        let mut asked = self.asked.borrow_mut();
+        let named = team.unwrap_or_default();
+        let row = (named.to_string(), admission);
+        let known = asked.contains_key(&row) || asked.len() < TEAMS * 2;
+        let row = if known { row } else { (TeamId::new(), admission) };
+        *asked.entry(row).or_default() += 1;
+    }
+
     /// A connection to an endpoint was opened.
     pub fn connected(&self) {
         self.connections.set(self.connections.get() + 1);
@@ -109,6 +137,11 @@
             let (name, live): (&str, _) = (kind.into(), daemon.relay.live(kind));
             writeln!(out, "poplarmux_reads_store{{object=\"{name}\"}} {}", u8::from(live))?;
         }
+        for ((team, admission), count) in self.asked.borrow().iter() {
+            let outcome: &str = admission.into();
+            let labels = format!("team=\"{team}\",outcome=\"{outcome}\"");
+            writeln!(out, "poplarmux_team_requests_total{{{labels}}} {count}")?;
+        }
         for ((object, op, outcome), count) in daemon.store.tally().rows() {
             let (op, outcome): (&str, &str) = (op.into(), outcome.into());
             let labels = format!("object=\"{object}\",op=\"{op}\",outcome=\"{outcome}\"");
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -59,6 +59,7 @@
         version: u64,
         routes: usize,
         services: usize,
+        keys: usize,
         revision: u64,
     },
     Skipped {
@@ -127,6 +128,21 @@
         status: u16,
         version: u64,
     },
+    Unknown {
+        request: String,
+        route: String,
+        key: Option<String>,
+        version: u64,
+    },
+    OverQuota {
+        request: String,
+        route: String,
+        team: String,
+        tokens: Option<u32>,
+        retry_after: u64,
+        waited: u64,
+        version: u64,
+    },
     Sent {
         request: String,
         route: String,
@@ -237,6 +253,8 @@
             Event::Goal { .. } => "goal",
             Event::Order { .. } => "order",
             Event::Absent { .. } => "absent",
+            Event::Unknown { .. } => "unknown",
+            Event::OverQuota { .. } => "over_quota",
             Event::Sent { .. } => "sent",
             Event::Answered { .. } => "answered",
             Event::Ended { .. } => "ended",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 pub mod node;
 pub mod peer;
 pub mod placer;
+pub mod quota;
 pub mod relay;
 pub mod send;
 pub mod settings;
@@ -73,6 +74,8 @@
     pub line: RefCell<Line<admission::Waiter>>,
     /// Questions to brokers, and what this one has given to others.
     pub broker: RefCell<broker::Broker>,
+    /// What teams may still ask for.
+    pub quotas: RefCell<quota::Quotas>,
     /// What may be sent again.
     pub allowance: RefCell<Allowance>,
     /// Other daemons.
@@ -135,6 +138,7 @@
             fleet: RefCell::new(fleet),
             line: RefCell::default(),
             broker: RefCell::default(),
+            quotas: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
             nodes: RefCell::default(),
             demand: RefCell::default(),
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -26,6 +26,7 @@
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
 use crate::daemon::placer;
+use crate::daemon::quota;
 use crate::decide::demand;
 use crate::decide::news;
 use crate::table::AdapterId;
@@ -104,6 +105,8 @@
     },
     /// Between a daemon and the broker of a region.
     Broker(broker::Message),
+    /// Between a daemon and the counter of a team.
+    Quota(quota::Message),
     /// What engines hold, by the placer's knowledge.
     Holding(Vec<(Key, Stock)>),
 }
@@ -336,6 +339,11 @@
                 broker::take(daemon, message, from);
             }
         }
+        Message::Quota(message) => {
+            if let Some(from) = from {
+                quota::take(daemon, message, from);
+            }
+        }
         Message::Want { key, model, adapter } => {
             placer::want(daemon, &key, &model, &adapter, from);
         }
--- /dev/null
+++ b/src/daemon/quota.rs
@@ -0,0 +1,363 @@
+//! Quotas of teams, over all daemons together: see `decide::quota`.
+//!
+//! All messages are datagrams. What one says of spendings that is lost was spent all the same: a few in a
+//! hundred at most, of those on links that lose packets.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use event_listener::Event as Bell;
+use serde::Deserialize;
+use serde::Serialize;
+use smol::Timer;
+use smol::future::FutureExt;
+
+use crate::daemon::Daemon;
+use crate::daemon::clock;
+use crate::daemon::node;
+use crate::daemon::peer;
+use crate::decide::broker::Suspects;
+use crate::decide::quota;
+use crate::decide::quota::Bucket;
+use crate::decide::quota::Count;
+use crate::decide::quota::Meter;
+use crate::decide::quota::Standing;
+use crate::decide::quota::Step;
+use crate::decide::quota::Word;
+use crate::table::TeamId;
+use crate::table::team::Quota;
+use crate::table::team::Team;
+
+/// A counter in another region answers within this time: twice the way there and back.
+const REPLY: Duration = Duration::from_millis(130);
+/// Counters that are asked for one request before it is decided without any.
+const ASKS: usize = 3;
+/// Spendings that were told and not answered for so long show that the counter is silent.
+const UNHEARD: Duration = Duration::from_millis(700);
+/// Answers to questions that are older than this count no more: the tokens were given back, or another
+/// counter has given some since.
+const STALE: Duration = Duration::from_millis(450);
+/// Time between two looks at what is due to be told.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// A message between a daemon and the counter of a team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// What a daemon has spent, and what it needs.
+    Count {
+        /// Which team.
+        team: TeamId,
+        /// When it was sent, in milliseconds of its sender's clock.
+        at: u64,
+        /// Units that were spent without asking.
+        spent: i64,
+        /// Units of the first request in need.
+        least: u32,
+        /// Units that are asked for.
+        want: u32,
+    },
+    /// The counter's answer.
+    Word {
+        /// Which team.
+        team: TeamId,
+        /// The `at` of the question.
+        at: u64,
+        /// Units that may be spent.
+        granted: u32,
+        /// Whether daemons have to ask before they spend.
+        strict: bool,
+        /// When a refused caller comes back, in milliseconds.
+        back: u32,
+    },
+    /// All daemons have to ask before they spend.
+    Strict(TeamId),
+}
+
+/// One team's limit as this daemon knows it.
+struct Row {
+    meter: Meter,
+    /// Rung when the counter has answered.
+    news: Rc<Bell>,
+}
+
+impl Row {
+    fn new(now: Duration) -> Self {
+        Row { meter: Meter::new(now), news: Rc::default() }
+    }
+}
+
+/// What this daemon counts for all, and what others count for it.
+#[derive(Default)]
+pub struct Quotas {
+    rows: HashMap<TeamId, Row>,
+    buckets: HashMap<TeamId, Bucket>,
+    suspects: Suspects,
+}
+
+/// A request that counts for its team; given back when dropped unless it has run.
+pub struct Charge {
+    daemon: Rc<Daemon>,
+    team: Rc<Team>,
+    cost: u32,
+    /// Endpoints that may have run it.
+    runs: Cell<u32>,
+}
+
+impl Charge {
+    /// The request is sent to an endpoint.
+    pub fn sent(&self) {
+        self.runs.set(self.runs.get() + 1);
+    }
+
+    /// It turned out not to have run there.
+    pub fn not_run(&self) {
+        self.runs.set(self.runs.get().saturating_sub(1));
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if self.runs.get() == 0 {
+            give_back(&self.daemon, &self.team, self.cost);
+        }
+    }
+}
+
+/// Where a team is counted.
+enum Counter {
+    Here,
+    There(SocketAddr),
+}
+
+/// Where the daemons that are not suspected have a team counted.
+fn counter(daemon: &Daemon, now: Duration, team: &str) -> Counter {
+    let (nodes, quotas) = (daemon.nodes.borrow(), daemon.quotas.borrow());
+    let own = node::own(daemon, 0);
+    let all = nodes.registered().chain(Some(&own));
+    match quota::pick(all, team, |node| quotas.suspects.has(now, node.peer)) {
+        Some(node) if node.name != own.name => Counter::There(node.peer),
+        _ => Counter::Here,
+    }
+}
+
+/// Counts a request for its team; refused when that is beyond its quota, with when to come back.
+pub async fn charge(
+    daemon: &Rc<Daemon>,
+    team: Option<&Rc<Team>>,
+    tokens: Option<u32>,
+) -> Result<Option<Charge>, Duration> {
+    let Some((team, quota)) = team.and_then(|team| Some((team, team.quota?))) else {
+        return Ok(None);
+    };
+    let cost = quota.unit.cost(tokens).max(1);
+    admit(daemon, team, &quota, cost).await?;
+    Ok(Some(Charge { daemon: daemon.clone(), team: team.clone(), cost, runs: Cell::new(0) }))
+}
+
+async fn admit(daemon: &Rc<Daemon>, team: &Team, quota: &Quota, cost: u32) -> Result<(), Duration> {
+    let mut asked = 0;
+    let mut first = true;
+    loop {
+        let now = clock::now();
+        let to = match counter(daemon, now, &team.name) {
+            Counter::There(to) if asked < ASKS => to,
+            Counter::There(_) => return without(daemon, now, team, quota, cost),
+            Counter::Here => return here(daemon, now, team, quota, cost),
+        };
+        let (step, news) = {
+            let mut quotas = daemon.quotas.borrow_mut();
+            let row = quotas.rows.entry(team.name.clone()).or_insert_with(|| Row::new(now));
+            let news = row.news.listen();
+            let step =
+                if first { row.meter.request(now, cost) } else { row.meter.again(now, cost) };
+            (step, news)
+        };
+        first = false;
+        match step {
+            Step::Go => {
+                tell(daemon, now, &team.name, quota, to);
+                return Ok(());
+            }
+            Step::Refuse(after) => return Err(after),
+            Step::Ask(count) => send(daemon, to, &team.name, now, &count),
+            Step::Wait => {}
+        }
+        let late = async {
+            Timer::after(REPLY).await;
+            false
+        };
+        let heard = async {
+            news.await;
+            true
+        };
+        if !heard.or(late).await {
+            asked += 1;
+            silent(daemon, &team.name, to);
+        }
+    }
+}
+
+/// Decides on a request of a team that this daemon counts for all.
+fn here(
+    daemon: &Rc<Daemon>,
+    now: Duration,
+    team: &Team,
+    quota: &Quota,
+    cost: u32,
+) -> Result<(), Duration> {
+    let count = Count { spent: 0, least: cost, want: cost };
+    let word = count_in(daemon, now, &team.name, quota, &count);
+    if word.granted > 0 { Ok(()) } else { Err(word.back) }
+}
+
+/// Decides on a request whose counter cannot be reached.
+fn without(
+    daemon: &Rc<Daemon>,
+    now: Duration,
+    team: &Team,
+    quota: &Quota,
+    cost: u32,
+) -> Result<(), Duration> {
+    let daemons = daemon.nodes.borrow().count(now);
+    let mut quotas = daemon.quotas.borrow_mut();
+    let row = quotas.rows.entry(team.name.clone()).or_insert_with(|| Row::new(now));
+    row.meter.alone(now, quota, daemons, cost)
+}
+
+fn silent(daemon: &Daemon, team: &str, counter: SocketAddr) {
+    let mut quotas = daemon.quotas.borrow_mut();
+    quotas.suspects.add(clock::now(), counter);
+    if let Some(row) = quotas.rows.get_mut(team) {
+        row.meter.silent();
+    }
+}
+
+fn give_back(daemon: &Rc<Daemon>, team: &Team, cost: u32) {
+    let (Some(quota), now) = (&team.quota, clock::now()) else {
+        return;
+    };
+    match counter(daemon, now, &team.name) {
+        Counter::Here => {
+            let count = Count { spent: -i64::from(cost), ..Count::default() };
+            count_in(daemon, now, &team.name, quota, &count);
+        }
+        Counter::There(to) => {
+            if let Some(row) = daemon.quotas.borrow_mut().rows.get_mut(&team.name) {
+                row.meter.give_back(now, cost);
+            }
+            tell(daemon, now, &team.name, quota, to);
+        }
+    }
+}
+
+/// Tells a counter what was spent, if that is due.
+fn tell(daemon: &Rc<Daemon>, now: Duration, team: &str, quota: &Quota, to: SocketAddr) {
+    let daemons = daemon.nodes.borrow().count(now);
+    let due = {
+        let mut quotas = daemon.quotas.borrow_mut();
+        quotas.rows.get_mut(team).and_then(|row| row.meter.due(now, quota, daemons))
+    };
+    if let Some(count) = due {
+        send(daemon, to, team, now, &count);
+    }
+}
+
+fn send(daemon: &Rc<Daemon>, to: SocketAddr, team: &str, now: Duration, count: &Count) {
+    let message = Message::Count {
+        team: team.to_string(),
+        at: now.as_millis() as u64,
+        spent: count.spent,
+        least: count.least,
+        want: count.want,
+    };
+    peer::tell(daemon, vec![to], peer::Message::Quota(message));
+}
+
+/// Takes in what a daemon, this one or another, has spent or needs.
+fn count_in(daemon: &Rc<Daemon>, now: Duration, team: &str, quota: &Quota, count: &Count) -> Word {
+    let standing = match counter(daemon, now, team) {
+        Counter::Here => Standing::Counter,
+        Counter::There(_) => Standing::Deputy,
+    };
+    let (word, closes) = {
+        let mut quotas = daemon.quotas.borrow_mut();
+        let known = quotas.buckets.contains_key(team);
+        let bucket = quotas
+            .buckets
+            .entry(team.to_string())
+            .or_insert_with(|| Bucket::new(now, quota, standing));
+        let before = known && !bucket.strict();
+        let word = bucket.count(now, quota, standing, count);
+        (word, before && word.strict)
+    };
+    if closes {
+        let peers = daemon.nodes.borrow().peers();
+        let message = Message::Strict(team.to_string());
+        peer::tell(daemon, peers, peer::Message::Quota(message));
+    }
+    word
+}
+
+/// Takes in a message.
+pub fn take(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
+    let now = clock::now();
+    match message {
+        Message::Count { team, at, spent, least, want } => {
+            let Some(quota) = quota_of(daemon, &team) else {
+                return;
+            };
+            let count = Count { spent, least, want: want.max(least) };
+            let word = count_in(daemon, now, &team, &quota, &count);
+            let back = u32::try_from(word.back.as_millis()).unwrap_or(u32::MAX);
+            let (granted, strict) = (word.granted, word.strict);
+            let message = Message::Word { team, at, granted, strict, back };
+            peer::tell(daemon, vec![from], peer::Message::Quota(message));
+        }
+        Message::Word { team, at, granted, strict, back } => {
+            if now > Duration::from_millis(at) + STALE {
+                return;
+            }
+            let word = Word { granted, strict, back: Duration::from_millis(back.into()) };
+            if let Some(row) = daemon.quotas.borrow_mut().rows.get_mut(&team) {
+                row.meter.told(now, &word, &mut daemon.rng.borrow_mut());
+                row.news.notify(usize::MAX);
+            }
+        }
+        Message::Strict(team) => {
+            if let Some(row) = daemon.quotas.borrow_mut().rows.get_mut(&team) {
+                row.meter.warned();
+            }
+        }
+    }
+}
+
+fn quota_of(daemon: &Daemon, team: &str) -> Option<Quota> {
+    daemon.config.borrow().as_ref()?.teams.as_ref()?.get(team)?.quota
+}
+
+/// Tells counters what was spent, for as long as the daemon runs, and leaves those that are silent.
+pub async fn rounds(daemon: Rc<Daemon>) {
+    loop {
+        Timer::after(ROUND).await;
+        let now = clock::now();
+        let teams: Vec<TeamId> = daemon.quotas.borrow().rows.keys().cloned().collect();
+        for team in teams {
+            let Some(quota) = quota_of(&daemon, &team) else {
+                daemon.quotas.borrow_mut().rows.remove(&team);
+                continue;
+            };
+            let Counter::There(to) = counter(&daemon, now, &team) else {
+                continue;
+            };
+            let unheard =
+                daemon.quotas.borrow().rows.get(&team).and_then(|row| row.meter.unheard());
+            if unheard.is_some_and(|since| now >= since + UNHEARD) {
+                silent(&daemon, &team, to);
+            }
+            tell(&daemon, now, &team, &quota, to);
+        }
+    }
+}
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -22,11 +22,14 @@
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
+use crate::daemon::quota::Charge;
 use crate::decide::endpoint::End;
 use crate::edge::dialect::Answer;
 use crate::edge::dialect::Attempt;
 use crate::table::instance::Key;
 use crate::table::routing::Kind;
+use crate::table::routing::Unknown;
+use crate::table::team::Team;
 
 /// How long a connection may take to open: a packet that is lost costs a second, and another
 /// endpoint is nearer than that. Ten times the way there and back between regions.
@@ -64,6 +67,8 @@
     Unsent(&'static str),
     /// It may have run.
     Lost(&'static str),
+    /// Its key is not among those in force any more; it was not sent.
+    Forbidden,
 }
 
 /// Sends a job to the endpoint of a place.
@@ -77,6 +82,9 @@
 ) -> Outcome {
     let began = clock::now();
     let outcome = exchange(daemon, job, place, number, last_event, again).await;
+    if let (Outcome::NotRun(_), Some(charge)) = (&outcome, &job.charge) {
+        charge.not_run();
+    }
     let took = clock::now().saturating_sub(began);
     learn(daemon, job, place, &outcome, took);
     outcome
@@ -111,12 +119,21 @@
         if left.is_zero() {
             return Outcome::Unsent("deadline");
         }
-        let req = match request(daemon, job, &place.key, left, last_event) {
+        let Ok(team) = team(daemon, job) else {
+            return Outcome::Forbidden;
+        };
+        let team = team.as_ref().map(|team| team.name.as_str());
+        let req = match request(daemon, job, &place.key, left, last_event, team) {
             Ok(req) => req,
             Err(_) => return Outcome::Unsent("unencodable"),
         };
         note_sent(daemon, job, place, number, now, left);
+        // Counted before it leaves: a caller that goes away meanwhile ends this function here.
+        job.charge.iter().for_each(Charge::sent);
         let head = first_bytes(daemon, job, place, &mut link, req, left, again).await;
+        if head.as_ref().is_err_and(|err| err.unsent() || link.written().is_none()) {
+            job.charge.iter().for_each(Charge::not_run);
+        }
         match head {
             Ok(res) => return judge(daemon, job, place, link, res, left).await,
             Err(link::Error::Unsent) if reused => fresh = true,
@@ -192,19 +209,31 @@
     link
 }
 
+/// The team that a job is sent for: by the configuration in force now, as it may have waited for long.
+fn team(daemon: &Daemon, job: &Job) -> Result<Option<Rc<Team>>, Unknown> {
+    match &*daemon.config.borrow() {
+        Some(config) if config.version != job.version => {
+            config.team(&job.route, job.caller.key.as_ref())
+        }
+        _ => Ok(job.team.clone()),
+    }
+}
+
 fn request(
     daemon: &Daemon,
     job: &Job,
     key: &Key,
     left: Duration,
     last_event: Option<&str>,
+    team: Option<&str>,
 ) -> Result<Request<Bytes>, crate::edge::dialect::Error> {
     let mut headers = job.headers.clone();
     let attempt = Attempt {
         endpoint: &key.id,
         left: Some(left),
-        priority: job.need.engines.then_some(job.route.priority),
+        priority: job.need.engines.then_some(job.need.priority),
         last_event,
+        team,
     };
     daemon.dialect.attempt(&mut headers, &attempt)?;
     let mut req = Request::new(job.body.clone());
@@ -399,6 +428,10 @@
             }
             daemon.note(&failed(error, "not_run"));
         }
+        Outcome::Forbidden => {
+            place.ends(End::Unused);
+            daemon.note(&failed("key_withdrawn", "unsent"));
+        }
         Outcome::Unsent(error) => {
             place.ends(if *error == "connect" { End::Unreachable } else { End::Unused });
             daemon.note(&failed(error, "unsent"));
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -36,6 +36,7 @@
 use crate::edge::dialect::Read;
 use crate::edge::dialect::Watched;
 use crate::table::instance::State;
+use crate::table::team::Teams;
 
 /// How long one call may take: the store answers in milliseconds, and in a few hundred when slow.
 const CALL: Duration = Duration::from_millis(1_500);
@@ -430,6 +431,7 @@
         version: config.version,
         routes: config.routes(),
         services: config.services.len(),
+        keys: config.teams.as_ref().map_or(0, Teams::keys),
         revision: object.revision,
     });
     *daemon.config.borrow_mut() = Some(Rc::new(config));
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -197,6 +197,7 @@
                     self.head = Some(head);
                     return true;
                 }
+                Outcome::Forbidden => return false,
                 Outcome::NotRun(_) | Outcome::Unsent(_) => {
                     self.attempts -= 1;
                     self.tried.push(place.key.clone());
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -34,6 +34,7 @@
 pub mod pulse;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod relay;
 pub mod rendezvous;
 pub mod retry;
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -25,6 +25,7 @@
 use crate::table::instance::Instance;
 use crate::table::instance::Report;
 use crate::table::routing::Config;
+use crate::table::team::Key;
 
 /// A message that could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -87,6 +88,10 @@
     pub parts: Vec<Part>,
     /// The last event that it has of a stream that broke.
     pub last_event: Option<String>,
+    /// Tokens of prompt and output together, where it names them.
+    pub tokens: Option<u32>,
+    /// Its key; none where it has none or more than one, or one that cannot be read.
+    pub key: Option<Key>,
 }
 
 /// What one send to an endpoint adds to a request.
@@ -100,6 +105,8 @@
     pub priority: Option<u8>,
     /// The last event that came of a stream that goes on.
     pub last_event: Option<&'a str>,
+    /// The team that asks.
+    pub team: Option<&'a str>,
 }
 
 /// What the head of an endpoint's answer says.
@@ -270,8 +277,8 @@
     fn caller(&self, head: &request::Parts) -> Result<Caller, Error>;
 
     /// The headers of a caller that go on to an endpoint: none that concern one connection, none
-    /// that are the system's own to set.
-    fn pass(&self, headers: &HeaderMap) -> HeaderMap;
+    /// that are the system's own to set, and no key where the system checks `keys`.
+    fn pass(&self, headers: &HeaderMap, keys: bool) -> HeaderMap;
 
     /// Adds what one attempt sets.
     fn attempt(&self, headers: &mut HeaderMap, attempt: &Attempt<'_>) -> Result<(), Error>;
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod instance;
 pub mod routing;
+pub mod team;
 
 use std::net::SocketAddr;
 
@@ -23,6 +24,8 @@
 pub type AdapterId = String;
 /// The version of a model or adapter.
 pub type Release = u64;
+/// A team, as the configuration names it.
+pub type TeamId = String;
 /// A caller, as its header names it.
 pub type CallerId = String;
 /// A request within one entry.
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -7,6 +7,9 @@
 use crate::table::ModelId;
 use crate::table::ServiceId;
 use crate::table::instance::Copies;
+use crate::table::team::Key;
+use crate::table::team::Team;
+use crate::table::team::Teams;
 
 /// What may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
@@ -45,6 +48,8 @@
     pub targets: Vec<(ServiceId, f64)>,
     /// Endpoints that one request may run on; at least 1.
     pub attempts: u32,
+    /// Whether it takes requests without a key.
+    pub public: bool,
 }
 
 impl Route {
@@ -160,8 +165,14 @@
     pub services: HashMap<ServiceId, Rc<Service>>,
     /// What callers may send.
     pub limits: Limits,
+    /// Who may call; none where anybody may.
+    pub teams: Option<Teams>,
 }
 
+/// A request bears no key that its route takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unknown;
+
 impl Config {
     /// A version from its parts.
     pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
@@ -173,7 +184,24 @@
             list.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|row| (row.name.clone(), Rc::new(row))).collect();
-        Config { version, routes: hosts, services, limits }
+        Config { version, routes: hosts, services, limits, teams: None }
+    }
+
+    /// The same for callers with the keys of these teams alone.
+    pub fn with_teams(self, teams: Option<Teams>) -> Self {
+        Config { teams, ..self }
+    }
+
+    /// The team of a request with this key; none where the route or the configuration needs no key.
+    pub fn team(&self, route: &Route, key: Option<&Key>) -> Result<Option<Rc<Team>>, Unknown> {
+        let Some(teams) = &self.teams else {
+            return Ok(None);
+        };
+        match key.and_then(|key| teams.find(key)) {
+            Some(team) => Ok(Some(team.clone())),
+            None if route.public => Ok(None),
+            None => Err(Unknown),
+        }
     }
 
     /// The route with the longest prefix that begins the path.
--- /dev/null
+++ b/tests/decide_quota.rs
@@ -0,0 +1,354 @@
+//! The limit of a team over many daemons, in virtual time: each asks the counter of the team by messages that
+//! take a while, and what it lets pass is held against the rule.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use poplarmux::decide::quota;
+use poplarmux::decide::quota::Bucket;
+use poplarmux::decide::quota::Count;
+use poplarmux::decide::quota::Meter;
+use poplarmux::decide::quota::Standing;
+use poplarmux::decide::quota::Step;
+use poplarmux::decide::quota::Word;
+use poplarmux::table::instance::Node;
+use poplarmux::table::team::Quota;
+use poplarmux::table::team::Unit;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const WINDOW: Duration = Duration::from_secs(8);
+/// Of the rule: the part and the units by which the limit may be exceeded in a window.
+const OVER: f64 = 0.1;
+const SLACK: f64 = 7_400.0;
+/// Units of a request.
+const COST: u32 = 800;
+const TICK: Duration = Duration::from_millis(250);
+const REPLY: Duration = Duration::from_millis(130);
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives,
+    Tick(usize),
+    Count(usize, i64, u32, u32),
+    Word(usize, u32, bool, Duration),
+    Late(usize),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    daemons: usize,
+    rate: f64,
+    /// Demand as a part of the limit, before and from `START` on.
+    usual: f64,
+    hot: f64,
+    /// Whether the counter is lost when demand jumps, and another takes over.
+    lost: bool,
+}
+
+/// Demand jumps at this time, and the run ends at the other.
+const START: Duration = Duration::from_secs(5);
+const END: Duration = Duration::from_secs(25);
+
+#[derive(Debug, Default)]
+struct Outcome {
+    passed: Vec<(Duration, u32)>,
+    /// Requests before demand jumped, and how many of them were refused.
+    early: (u32, u32),
+    /// Units let pass from two seconds after the jump on.
+    late: f64,
+    messages: u64,
+}
+
+impl Outcome {
+    /// The most that passed in a window, as a part of what the rule allows.
+    fn worst(&self, quota: &Quota) -> f64 {
+        let allowed = (quota.rate * WINDOW.as_secs_f64() + quota.burst) * (1.0 + OVER) + SLACK;
+        let (mut window, mut sum, mut worst) = (VecDeque::new(), 0.0, 0.0_f64);
+        for (at, cost) in &self.passed {
+            window.push_back((*at, *cost));
+            sum += f64::from(*cost);
+            while window.front().is_some_and(|(first, _)| *at > *first + WINDOW) {
+                sum -= window.pop_front().map_or(0.0, |(_, cost)| f64::from(cost));
+            }
+            worst = worst.max(sum / allowed);
+        }
+        worst
+    }
+}
+
+struct World {
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    number: u64,
+    rng: SmallRng,
+}
+
+impl World {
+    fn push(&mut self, after: Duration, event: Event) {
+        self.number += 1;
+        self.queue.push(Reverse((self.now + after, self.number, event)));
+    }
+
+    fn way(&mut self) -> Duration {
+        let millis = [2, 33, 33][self.rng.random_range(0..3)] + self.rng.random_range(0..20);
+        Duration::from_millis(millis)
+    }
+}
+
+struct Daemon {
+    meter: Meter,
+    waiting: usize,
+}
+
+fn quota(plan: &Plan) -> Quota {
+    Quota { rate: plan.rate, burst: plan.rate, unit: Unit::Tokens { plain: 200 } }
+}
+
+/// Lets a daemon decide on a request, or on those that wait.
+fn decide(world: &mut World, all: &mut [Daemon], at: usize, fresh: bool, out: &mut Outcome) {
+    let now = world.now;
+    let mut left = all[at].waiting + usize::from(fresh);
+    all[at].waiting = 0;
+    while left > 0 {
+        let meter = &mut all[at].meter;
+        let step =
+            if fresh && left == 1 { meter.request(now, COST) } else { meter.again(now, COST) };
+        match step {
+            Step::Go => out.passed.push((now, COST)),
+            Step::Refuse(_) if now < START => out.early.1 += 1,
+            Step::Refuse(_) => {}
+            Step::Wait => all[at].waiting += 1,
+            Step::Ask(count) => {
+                all[at].waiting += 1;
+                let way = world.way();
+                world.push(way, Event::Count(at, count.spent, count.least, count.want));
+                world.push(REPLY, Event::Late(at));
+            }
+        }
+        left -= 1;
+    }
+}
+
+fn tell(world: &mut World, daemon: &mut Daemon, at: usize, quota: &Quota, daemons: usize) {
+    if let Some(count) = daemon.meter.due(world.now, quota, daemons) {
+        let way = world.way();
+        world.push(way, Event::Count(at, count.spent, count.least, count.want));
+    }
+}
+
+fn play(plan: &Plan, seed: u64) -> Outcome {
+    let quota = quota(plan);
+    let mut world = World {
+        now: Duration::ZERO,
+        queue: BinaryHeap::new(),
+        number: 0,
+        rng: SmallRng::seed_from_u64(seed),
+    };
+    let new = |_| Daemon { meter: Meter::new(Duration::ZERO), waiting: 0 };
+    let mut all: Vec<Daemon> = (0..plan.daemons).map(new).collect();
+    let mut bucket = Bucket::new(Duration::ZERO, &quota, Standing::Counter);
+    let mut free = false;
+    let mut moved = false;
+    let mut out = Outcome::default();
+    world.push(Duration::ZERO, Event::Arrives);
+    for at in 0..plan.daemons {
+        let first = TICK.mul_f64(world.rng.random());
+        world.push(first, Event::Tick(at));
+    }
+    while let Some(Reverse((at, _, event))) = world.queue.pop() {
+        world.now = at;
+        if at > END {
+            break;
+        }
+        if plan.lost && at > START && !moved {
+            moved = true;
+            bucket = Bucket::new(at, &quota, Standing::Counter);
+        }
+        match event {
+            Event::Arrives => {
+                let part = if at < START { plan.usual } else { plan.hot };
+                let rate = plan.rate * part / f64::from(COST);
+                let unit: f64 = world.rng.random();
+                world.push(Duration::from_secs_f64(-(1.0 - unit).ln() / rate), Event::Arrives);
+                let to = world.rng.random_range(0..plan.daemons);
+                out.early.0 += u32::from(at < START);
+                decide(&mut world, &mut all, to, true, &mut out);
+                tell(&mut world, &mut all[to], to, &quota, plan.daemons);
+            }
+            Event::Tick(to) => {
+                world.push(TICK, Event::Tick(to));
+                tell(&mut world, &mut all[to], to, &quota, plan.daemons);
+            }
+            Event::Count(from, spent, least, want) => {
+                out.messages += 2;
+                let count = Count { spent, least, want };
+                let word = bucket.count(at, &quota, Standing::Counter, &count);
+                if free && word.strict {
+                    for to in 0..plan.daemons {
+                        out.messages += 1;
+                        let way = world.way();
+                        world.push(way, Event::Word(to, u32::MAX, true, Duration::ZERO));
+                    }
+                }
+                free = !word.strict;
+                let way = world.way();
+                world.push(way, Event::Word(from, word.granted, word.strict, word.back));
+            }
+            Event::Word(to, u32::MAX, ..) => all[to].meter.warned(),
+            Event::Word(to, granted, strict, back) => {
+                let word = Word { granted, strict, back };
+                all[to].meter.told(at, &word, &mut world.rng);
+                decide(&mut world, &mut all, to, false, &mut out);
+            }
+            Event::Late(to) => {
+                if all[to].waiting > 0 {
+                    all[to].meter.silent();
+                    decide(&mut world, &mut all, to, false, &mut out);
+                }
+            }
+        }
+    }
+    let late = out.passed.iter().filter(|(at, _)| *at > START + Duration::from_secs(2));
+    out.late = late.map(|(_, cost)| f64::from(*cost)).sum();
+    out
+}
+
+/// Large and small teams, at the numbers of daemons that are run or planned.
+fn plans() -> Vec<Plan> {
+    let mut out = Vec::new();
+    for daemons in [6, 59, 195, 420] {
+        for rate in [225_000.0, 60_000.0, 9_000.0] {
+            out.push(Plan { daemons, rate, usual: 0.55, hot: 4.2, lost: false });
+        }
+    }
+    out
+}
+
+/// A team that sends many times its limit through all daemons at once was let pass.
+#[test]
+fn a_hot_team_stays_within_its_limit() {
+    for plan in plans() {
+        let out = play(&plan, 7);
+        let worst = out.worst(&quota(&plan));
+        assert!(worst <= 1.0, "{worst:.2} of what is allowed, {plan:?}");
+    }
+}
+
+/// The counter dies just as the team gets hot: the next one gives out no second burst on top.
+#[test]
+fn a_new_counter_stays_within_the_limit() {
+    for plan in plans() {
+        let plan = Plan { lost: true, ..plan };
+        let out = play(&plan, 11);
+        let worst = out.worst(&quota(&plan));
+        assert!(worst <= 1.0, "{worst:.2} of what is allowed, {plan:?}");
+    }
+}
+
+/// Daemons with even shares refuse requests of a team that is far below its limit.
+#[test]
+fn nothing_is_refused_below_the_limit() {
+    for plan in plans() {
+        let plan = Plan { hot: plan.usual, ..plan };
+        let (all, refused) = play(&plan, 3).early;
+        // A small team that sends several requests at once may use up its burst.
+        let most = if plan.rate < 10_000.0 { 0.15 } else { 0.0 };
+        assert!(f64::from(refused) <= f64::from(all) * most, "{refused} of {all}, {plan:?}");
+    }
+}
+
+/// What a hot team may have it gets, although most of its requests are refused.
+#[test]
+fn the_limit_is_used() {
+    for plan in plans() {
+        let out = play(&plan, 5);
+        let span = (END - START).as_secs_f64() - 2.0;
+        let used = out.late / (plan.rate * span);
+        assert!(used >= 0.8, "{used:.2} of the limit, {plan:?}");
+    }
+}
+
+/// Small machines count for many daemons: a question for each request, 160 a second at six daemons, would
+/// be more than they bear.
+#[test]
+fn messages_stay_few() {
+    for plan in plans() {
+        let out = play(&plan, 5);
+        let each = out.messages as f64 / plan.daemons as f64 / END.as_secs_f64();
+        assert!(each <= 30.0, "{each:.1} messages a second and daemon, {plan:?}");
+    }
+}
+
+/// A refused send gives its units back; without that refusals for want of room use the limit up.
+#[test]
+fn units_that_were_not_used_come_back() {
+    let plan = Plan { daemons: 1, rate: 8_000.0, usual: 0.0, hot: 0.0, lost: false };
+    let (quota, now) = (quota(&plan), Duration::from_secs(1));
+    let mut bucket = Bucket::new(now, &quota, Standing::Counter);
+    let ask = Count { spent: 0, least: 4_000, want: 4_000 };
+    assert_eq!(bucket.count(now, &quota, Standing::Counter, &ask).granted, 4_000);
+    assert_eq!(bucket.count(now, &quota, Standing::Counter, &ask).granted, 0);
+    let back = Count { spent: -4_000, ..Count::default() };
+    bucket.count(now, &quota, Standing::Counter, &back);
+    assert_eq!(bucket.count(now, &quota, Standing::Counter, &ask).granted, 4_000);
+}
+
+/// A request that is larger than the burst never found enough in a full bucket.
+#[test]
+fn a_request_above_the_burst_passes_in_its_turn() {
+    let quota = Quota { rate: 100.0, burst: 100.0, unit: Unit::Tokens { plain: 1 } };
+    let mut bucket = Bucket::new(Duration::ZERO, &quota, Standing::Counter);
+    let ask = Count { spent: 0, least: 300, want: 300 };
+    let at = |ms| Duration::from_millis(ms);
+    assert_eq!(bucket.count(at(1_000), &quota, Standing::Counter, &ask).granted, 300);
+    let word = bucket.count(at(1_500), &quota, Standing::Counter, &ask);
+    assert_eq!(word.granted, 0);
+    assert!(word.back >= at(1_500), "{word:?}");
+    assert_eq!(bucket.count(at(4_500), &quota, Standing::Counter, &ask).granted, 300);
+}
+
+/// What a daemon lets pass that reaches no counter is its even share of the limit.
+#[test]
+fn daemons_without_a_counter_share_the_limit() {
+    let plan = Plan { daemons: 10, rate: 100_000.0, usual: 0.0, hot: 0.0, lost: false };
+    let quota = quota(&plan);
+    let mut passed = 0;
+    for _ in 0..plan.daemons {
+        let mut meter = Meter::new(Duration::ZERO);
+        for ms in 0..8_000 {
+            let now = Duration::from_millis(ms);
+            passed += u32::from(meter.alone(now, &quota, plan.daemons, COST).is_ok());
+        }
+    }
+    let units = f64::from(passed * COST);
+    assert!(units <= quota.rate * 8.0 + quota.burst, "{units}");
+    assert!(units >= quota.rate * 7.0, "{units}");
+}
+
+/// All daemons that know the same others have the same counter, and a suspected one is left out.
+#[test]
+fn the_counter_is_agreed_on() {
+    let node = |at: u8| Node {
+        name: format!("n{at}"),
+        front: SocketAddr::from(([10, 0, 0, at], 1)),
+        peer: SocketAddr::from(([10, 0, 0, at], 2)),
+        region: "r".to_string(),
+        data_center: "z".to_string(),
+        born: 1,
+        millicores: 500,
+        beat: 1,
+        ready: at != 3,
+    };
+    let nodes: Vec<Node> = (0..9).map(node).collect();
+    let forward = quota::pick(nodes.iter(), "t", |_| false).expect("a counter");
+    let backward = quota::pick(nodes.iter().rev(), "t", |_| false).expect("a counter");
+    assert_eq!(forward, backward);
+    assert_ne!(forward.name, "n3");
+    let next = quota::pick(nodes.iter(), "t", |node| node.name == forward.name);
+    assert_ne!(next.expect("a counter").name, forward.name);
+}
