Say in the log for which team a request is sent, and its tokens

With the team in the line it shows: from 5 s on, after the limit of one team was lowered, that team gets 34,000 to 41,000 tokens a second and is refused 30,000 to 103,000, all other teams none.

--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -149,6 +149,8 @@
     Sent {
         request: String,
         route: String,
+        team: Option<String>,
+        tokens: Option<u32>,
         endpoint: String,
         model: Option<String>,
         adapter: Option<String>,
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -256,6 +256,8 @@
     daemon.note(&Event::Sent {
         request: job.caller.id.clone(),
         route: job.route.name.clone(),
+        team: job.team.as_ref().map(|team| team.name.clone()),
+        tokens: job.caller.tokens,
         endpoint: key.id.clone(),
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
--- a/tests/decide_quota.rs
+++ b/tests/decide_quota.rs
@@ -269,7 +269,7 @@
         let out = play(&plan, 5);
         let span = (END - START).as_secs_f64() - 2.0;
         let used = out.late / (plan.rate * span);
-        assert!(used >= 0.8, "{used:.2} of the limit, {plan:?}");
+        assert!(used >= 0.95, "{used:.2} of the limit, {plan:?}");
     }
 }
 
