Say in the log what a refused request lacked

Cause: all that had waited in vain were logged as `waited` or `full`, whether slots, time to read prompts or a model were lacking, and nothing came from a broker at all.

Change: a refusal bears what was lacking (slot, reading, load, endpoint), brokers tell it, and the log has it as `lack`. No decision changes.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -31,6 +31,7 @@
 use crate::decide::patience;
 use crate::decide::patience::Cause;
 use crate::decide::patience::Held;
+use crate::decide::patience::Lack;
 use crate::decide::patience::Verdict;
 use crate::decide::speed::Reading;
 use crate::edge::dialect::Load;
@@ -178,6 +179,8 @@
     pub reason: &'static str,
     /// When coming back makes sense.
     pub after: Duration,
+    /// What was lacking, where that is known.
+    pub lack: Option<Lack>,
 }
 
 /// A request's place at an endpoint; freed when dropped.
@@ -328,7 +331,10 @@
         pump_after(daemon, now, span);
     }
     match verdict {
-        Verdict::Refuse(after) => Decision::Refuse(Refusal { reason: reason(&choice), after }),
+        Verdict::Refuse(after) => {
+            let lack = Some(cause.lack());
+            Decision::Refuse(Refusal { reason: reason(&choice), after, lack })
+        }
         Verdict::Wait(until) => {
             if let Choice::Fetch(key) = &choice {
                 peer::want(daemon, key, need);
@@ -353,10 +359,10 @@
 }
 
 /// The refusal of an arrival that has waited in vain.
-pub fn waited(daemon: &Daemon, arrival: &Arrival) -> Refusal {
+pub fn waited(daemon: &Daemon, arrival: &Arrival, lack: Option<Lack>) -> Refusal {
     let left = arrival.deadline.saturating_sub(clock::now());
     let after = patience::back(left, WAITED, &mut daemon.rng.borrow_mut());
-    Refusal { reason: "waited", after }
+    Refusal { reason: "waited", after, lack }
 }
 
 /// Finds an endpoint, waiting while that can help.
@@ -424,7 +430,7 @@
                 until: until.saturating_sub(now).as_millis() as u64,
                 ahead,
             });
-            wait(daemon, &arrival, until).await
+            wait(daemon, &arrival, until, cause.lack()).await
         }
     }
 }
@@ -432,7 +438,7 @@
 /// Asks the broker of another region, which has room; without its answer there is none.
 async fn other(daemon: &Rc<Daemon>, arrival: &Arrival, region: RegionId) -> Result<Place, Refusal> {
     let Some(to) = broker::at(daemon, &arrival.need.service, &region) else {
-        return Err(waited(daemon, arrival));
+        return Err(waited(daemon, arrival, None));
     };
     let arrival = Arrival { only: Some(region), ..arrival.clone() };
     match broker::ask(daemon, to, &arrival).await {
@@ -440,7 +446,9 @@
             Ok(granted(daemon, &arrival.need, to, ticket, key, reading))
         }
         Err(Broken::Refused(refusal)) => Err(refusal),
-        Ok(broker::Answer::Elsewhere(_)) | Err(Broken::Silent) => Err(waited(daemon, &arrival)),
+        Ok(broker::Answer::Elsewhere(_)) | Err(Broken::Silent) => {
+            Err(waited(daemon, &arrival, None))
+        }
     }
 }
 
@@ -448,6 +456,7 @@
     daemon: &Rc<Daemon>,
     arrival: &Rc<Arrival>,
     until: Duration,
+    lack: Lack,
 ) -> Result<Place, Refusal> {
     let span = until.saturating_sub(clock::now());
     let (give, given) = smol::channel::bounded(1);
@@ -463,7 +472,7 @@
     match come.or(over).await {
         Some(Given::Place(key, reading)) => Ok(place(daemon, key, reading, None)),
         Some(Given::Elsewhere(region)) => other(daemon, arrival, region).await,
-        None => Err(waited(daemon, arrival)),
+        None => Err(waited(daemon, arrival, Some(lack))),
     }
 }
 
--- a/src/daemon/broker/give.rs
+++ b/src/daemon/broker/give.rs
@@ -27,6 +27,7 @@
 use crate::decide::broker::Ticket;
 use crate::decide::endpoint::End;
 use crate::decide::line::Group;
+use crate::decide::patience::Lack;
 use crate::decide::speed::Reading;
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
@@ -133,8 +134,8 @@
         Decision::Go(key) => grant(daemon, now, from, ticket, &arrival, key),
         Decision::Elsewhere(region) => send_on(daemon, from, ticket, region),
         Decision::Refuse(refusal) => refuse(daemon, from, ticket, &refusal),
-        Decision::Wait(until, ..) => {
-            stand(daemon, from, ticket, arrival, until.saturating_sub(now));
+        Decision::Wait(until, cause, _) => {
+            stand(daemon, from, ticket, arrival, until.saturating_sub(now), cause.lack());
         }
     }
 }
@@ -175,6 +176,7 @@
     ticket: Ticket,
     arrival: Rc<Arrival>,
     span: Duration,
+    lack: Lack,
 ) {
     admission::join(daemon, &arrival, Taker::Other(from, ticket));
     let row = Standing { arrival: arrival.clone(), asked: clock::now() };
@@ -185,7 +187,7 @@
         Timer::after(span).await;
         if admission::leave(&shared, &arrival) {
             shared.broker.borrow_mut().standing.remove(&(from, ticket));
-            refuse(&shared, from, ticket, &admission::waited(&shared, &arrival));
+            refuse(&shared, from, ticket, &admission::waited(&shared, &arrival, Some(lack)));
         }
     };
     daemon.ex.spawn(over).detach();
@@ -194,7 +196,8 @@
 fn refuse(daemon: &Rc<Daemon>, to: SocketAddr, ticket: Ticket, refusal: &Refusal) {
     // All refusals of `admission` have a name here.
     let reason = refusal.reason.parse().unwrap_or(Reason::Full);
-    send(daemon, to, Message::Refused { ticket, reason, after: millis(refusal.after) });
+    let (after, lack) = (millis(refusal.after), refusal.lack);
+    send(daemon, to, Message::Refused { ticket, reason, after, lack });
 }
 
 /// Sends a request on to the broker of another region.
--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -8,6 +8,7 @@
 use crate::decide::broker::Ticket;
 use crate::decide::endpoint::End;
 use crate::decide::line::Group;
+use crate::decide::patience::Lack;
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::RegionId;
@@ -49,6 +50,8 @@
         reason: Reason,
         /// When coming back makes sense, in milliseconds.
         after: u32,
+        /// What was lacking.
+        lack: Option<Lack>,
     },
     /// The first byte of its answer came.
     Answered {
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -292,9 +292,10 @@
                 fleet.told(now, &key, Load { running, waiting: 0 });
             }
         }
-        Message::Refused { ticket, reason, after } => {
+        Message::Refused { ticket, reason, after, lack } => {
             let after = Duration::from_millis(after.into());
-            replied(daemon, from, ticket, Reply::Refused(Refusal { reason: reason.into(), after }));
+            let refusal = Refusal { reason: reason.into(), after, lack };
+            replied(daemon, from, ticket, Reply::Refused(refusal));
         }
         Message::Answered { ticket, took, load } => {
             give::first_byte(daemon, from, ticket, Duration::from_micros(took.into()), load);
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -295,7 +295,7 @@
     came: Duration,
 ) -> Result<Rc<Job>, Response<Answer>> {
     let Some(config) = daemon.config.borrow().clone() else {
-        let refusal = Refusal { reason: "no_configuration", after: STARTING };
+        let refusal = Refusal { reason: "no_configuration", after: STARTING, lack: None };
         return Err(refused(daemon, &caller, "", 0, came, &refusal));
     };
     let Some(route) = config.route(&caller.host, head.uri.path()).cloned() else {
@@ -319,7 +319,7 @@
     if let Some((began, end)) = daemon.ends.get()
         && !stop::takes(clock::now(), began, end, caller.output)
     {
-        let refusal = Refusal { reason: "stopping", after: ELSEWHERE };
+        let refusal = Refusal { reason: "stopping", after: ELSEWHERE, lack: None };
         return Err(refused(daemon, &caller, &route.name, config.version, came, &refusal));
     }
     let deadline = came + patience;
@@ -468,17 +468,17 @@
     let mut trail = Trail::default();
     loop {
         if clock::now() >= job.deadline {
-            return give_up(daemon, job, &mut open, trail, "timeout", SPENT);
+            return give_up(daemon, job, &mut open, trail, &ended("timeout", SPENT));
         }
         let place = match admission::find(daemon, job, &trail.tried).await {
             Ok(place) => place,
             Err(refusal) => {
-                return give_up(daemon, job, &mut open, trail, refusal.reason, refusal.after);
+                return give_up(daemon, job, &mut open, trail, &refusal);
             }
         };
         if trail.sends > 0 && !daemon.allowance.borrow_mut().repeat(clock::now(), &job.need.service)
         {
-            return give_up(daemon, job, &mut open, trail, "no_allowance", SPENT);
+            return give_up(daemon, job, &mut open, trail, &ended("no_allowance", SPENT));
         }
         trail.asked += 1;
         let again = job.route.idempotent() && trail.ran + 1 < job.route.attempts;
@@ -503,7 +503,7 @@
                 return unknown_key(daemon, &job.caller, &job.route.name, job.version);
             }
             Outcome::Forbidden => {
-                return give_up(daemon, job, &mut open, trail, "key_withdrawn", SPENT);
+                return give_up(daemon, job, &mut open, trail, &ended("key_withdrawn", SPENT));
             }
             Outcome::NotRun(error) => {
                 trail.sends += 1;
@@ -520,30 +520,33 @@
         drop(place);
         let may = trail.ran == 0 || (job.route.idempotent() && trail.ran < job.route.attempts);
         if !may || trail.asked >= SENDS {
-            let reason = trail.last;
-            return give_up(daemon, job, &mut open, trail, reason, TURNED);
+            let refusal = ended(trail.last, TURNED);
+            return give_up(daemon, job, &mut open, trail, &refusal);
         }
     }
 }
 
+/// The refusal of a request that was sent, or whose time is over.
+fn ended(reason: &'static str, after: Duration) -> Refusal {
+    Refusal { reason, after, lack: None }
+}
+
 /// The final answer of a request that no endpoint has answered well.
 fn give_up(
     daemon: &Rc<Daemon>,
     job: &Job,
     open: &mut Open,
     trail: Trail,
-    reason: &'static str,
-    after: Duration,
+    refusal: &Refusal,
 ) -> Response<Answer> {
     open.done = true;
     if let Some(res) = trail.failure {
         return pass(daemon, res);
     }
     if trail.ran == 0 {
-        let refusal = Refusal { reason, after };
-        return refused(daemon, &job.caller, &job.route.name, job.version, job.came, &refusal);
+        return refused(daemon, &job.caller, &job.route.name, job.version, job.came, refusal);
     }
-    let status = match reason {
+    let status = match refusal.reason {
         "timeout" => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
@@ -554,11 +557,12 @@
         adapter: job.caller.adapter.clone(),
         status: status.as_u16(),
         retry_after: 0,
-        reason: reason.to_string(),
+        reason: refusal.reason.to_string(),
+        lack: None,
         waited: clock::now().saturating_sub(job.came).as_millis() as u64,
         version: job.version,
     });
-    own(status, reason)
+    own(status, refusal.reason)
 }
 
 fn refused(
@@ -577,6 +581,7 @@
         status: 503,
         retry_after: refusal.after.as_millis() as u64,
         reason: refusal.reason.to_string(),
+        lack: refusal.lack.map(Into::into),
         waited: clock::now().saturating_sub(came).as_millis() as u64,
         version,
     });
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -213,6 +213,7 @@
         status: u16,
         retry_after: u64,
         reason: String,
+        lack: Option<&'static str>,
         waited: u64,
         version: u64,
     },
--- a/src/decide/patience.rs
+++ b/src/decide/patience.rs
@@ -11,6 +11,8 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Of the time within which an answer is on time, so much may pass before it is sent.
 const SENT: f64 = 0.7;
@@ -39,6 +41,32 @@
     Nothing,
 }
 
+/// What a request lacks that is not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Lack {
+    /// A place at an engine that holds what it needs.
+    Slot,
+    /// Time of such an engine to read its prompt.
+    Reading,
+    /// A model or an adapter that is not there yet.
+    Load,
+    /// Any endpoint.
+    Endpoint,
+}
+
+impl Cause {
+    /// What is lacking.
+    pub fn lack(self) -> Lack {
+        match self {
+            Cause::Full { .. } => Lack::Slot,
+            Cause::Paced(_) => Lack::Reading,
+            Cause::Loading(_) => Lack::Load,
+            Cause::Nothing => Lack::Endpoint,
+        }
+    }
+}
+
 /// What becomes of it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
