Weigh the estimate of reading by its error

Cause: a line through a handful of first events that scatter was believed as it was, but for a guess worth two events. Where the estimate is too slow callers are refused at engines that stand idle.

Change: the slope is taken between the shortest and the longest third, and counts by its standard error against how far models differ; what is missing is taken from all models together. The quantile that is followed is 0.4.

--- a/src/decide/speed.rs
+++ b/src/decide/speed.rs
@@ -11,7 +11,8 @@
 //! much slower one engine is than the others follows from the sign of its differences alone. A model
 //! that was not seen yet is taken to be like all models together, and no estimate leaves its bounds.
 //!
-//! A model of which few first events came may be far off: a handful of them agree on any slope.
+//! A handful of first events that scatter agree on any slope. So a line counts by its error against how far
+//! models differ, and what is missing of it is taken from all models together.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -19,8 +20,9 @@
 
 use crate::table::ModelId;
 
-/// Milliseconds a token before anything was seen: the middle, by ratio, of engines that read ten to
-/// eighty tokens a millisecond.
+/// Milliseconds a token before anything was seen, of engines that read ten to eighty tokens a millisecond.
+/// Rather below their middle: where prompts are taken to need longer than they do callers are refused, where
+/// they need longer than that events come a little later.
 const FIRST: f64 = 0.035;
 /// Bounds of the time for one token, in milliseconds: ten times beyond those engines.
 const LEAST: f64 = 0.001;
@@ -30,12 +32,22 @@
 const BASE: f64 = 30.0;
 /// The most that it is taken to be: a first event that takes longer was held up by something else.
 const BASE_MOST: f64 = 2_000.0;
-/// First events that are kept for a model: enough that the quantiles of both halves waver little, few
+/// First events that are kept for a model: enough that the quantiles of a third waver little, few
 /// enough that a change of all engines shows within seconds.
 const KEPT: usize = 64;
-/// Events that the first guess counts as.
-const GUESS: f64 = 2.0;
-/// Prompts whose halves differ by fewer tokens than this tell nothing of the time for one.
+/// By which part of it the true time for a token may differ from what is taken before anything was seen: the
+/// standard deviation of engines that read ten to eighty tokens a millisecond.
+const RANGE: f64 = 1.0;
+/// Below the quantile that is followed, this one tells how far times scatter by themselves.
+const LOWER: f64 = 0.1;
+/// Standard error of the difference between the times of long and of short prompts, in distances between
+/// these two quantiles and for one event: four in five of them lie between, of a normal distribution that
+/// is cut there, and a third of the events are long.
+const SCATTER: f64 = 2.8;
+/// With as many events how far times scatter is known to within a half: with fewer it may seem small by
+/// chance.
+const FEW: f64 = 8.0;
+/// Prompts whose thirds differ by fewer tokens than this tell nothing of the time for one.
 const APART: f64 = 50.0;
 /// Bounds of an engine's own slowness against others with the same model.
 const RATIO_LEAST: f64 = 0.25;
@@ -44,7 +56,7 @@
 const BEHIND: f64 = 0.5;
 /// Which quantile of the times is followed: all that is not known, such as prompts of other daemons
 /// and places that were waited for, only adds to them.
-const LOW: f64 = 0.35;
+const LOW: f64 = 0.4;
 /// By which part one event moves it: an engine that turns twice as slow is known after some fifteen
 /// requests, and a steady one wavers by a few parts in a hundred.
 const STEP: f64 = 0.1;
@@ -54,8 +66,6 @@
 struct Line {
     /// Tokens to be read, and the milliseconds that the first event took.
     events: VecDeque<(f64, f64)>,
-    /// Milliseconds a token that it began with.
-    first: f64,
     /// Milliseconds a token; between `LEAST` and `MOST`.
     each: f64,
     /// Milliseconds without a prompt; between 0 and `BASE_MOST`.
@@ -64,43 +74,51 @@
 
 impl Line {
     fn new(each: f64, base: f64) -> Self {
-        Line { events: VecDeque::new(), first: each, each, base }
+        Line { events: VecDeque::new(), each, base }
     }
 
     fn at(&self, tokens: f64) -> f64 {
         self.base + self.each * tokens
     }
 
-    fn add(&mut self, tokens: f64, took: f64) {
+    /// Takes in an event, where `prior` is what is known of other models.
+    fn add(&mut self, tokens: f64, took: f64, prior: f64) {
         if self.events.len() == KEPT {
             self.events.pop_front();
         }
         self.events.push_back((tokens, took));
-        self.fit();
+        self.fit(prior);
     }
 
-    fn fit(&mut self) {
+    fn fit(&mut self, prior: f64) {
         let mut rows: Vec<(f64, f64)> = self.events.iter().copied().collect();
         rows.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (short, long) = rows.split_at(rows.len() / 2);
+        let third = rows.len() / 3;
+        let (short, long) = (&rows[..third], &rows[rows.len() - third..]);
         let tokens = |rows: &[(f64, f64)]| rows.get(rows.len() / 2).map_or(0.0, |row| row.0);
-        let took = |rows: &[(f64, f64)]| low(rows.iter().map(|row| row.1));
+        let took = |rows: &[(f64, f64)]| quantile(rows.iter().map(|row| row.1), LOW);
         let apart = tokens(long) - tokens(short);
         if !short.is_empty() && apart > APART {
-            let seen = rows.len() as f64;
             let each = ((took(long) - took(short)) / apart).clamp(LEAST, MOST);
-            self.each = (self.first * GUESS + each * seen) / (GUESS + seen);
+            let beyond = |row: &(f64, f64)| row.1 - each * row.0;
+            let scatter =
+                quantile(rows.iter().map(beyond), LOW) - quantile(rows.iter().map(beyond), LOWER);
+            let seen = rows.len() as f64;
+            let error = SCATTER * scatter * (1.0 + FEW / seen) / seen.sqrt() / apart;
+            let range = prior * RANGE;
+            let weight = range.powi(2) / (range.powi(2) + error.powi(2));
+            self.each = prior + (each - prior) * weight;
         }
-        let base = low(rows.iter().map(|row| row.1 - self.each * row.0));
+        let base = quantile(rows.iter().map(|row| row.1 - self.each * row.0), LOW);
         self.base = base.clamp(0.0, BASE_MOST);
     }
 }
 
-/// The quantile that is followed; 0 of nothing.
-fn low(values: impl Iterator<Item = f64>) -> f64 {
+/// A quantile; 0 of nothing.
+fn quantile(values: impl Iterator<Item = f64>, part: f64) -> f64 {
     let mut values: Vec<f64> = values.collect();
     values.sort_by(f64::total_cmp);
-    values.get((values.len() as f64 * LOW) as usize).copied().unwrap_or(0.0)
+    values.get((values.len() as f64 * part) as usize).copied().unwrap_or(0.0)
 }
 
 /// What a prompt is expected to take at an engine.
@@ -175,9 +193,10 @@
         ratio.0 = (ratio.0 * part.exp()).clamp(RATIO_LEAST, RATIO_MOST);
         // Counted as if it had come from an engine like the others.
         let took = took / ratio.get();
-        self.any.add(tokens, took);
-        let first = || Line::new(self.any.each, self.any.base);
-        self.models.entry(model.to_string()).or_insert_with(first).add(tokens, took);
+        self.any.add(tokens, took, FIRST);
+        let (each, base) = (self.any.each, self.any.base);
+        let line = self.models.entry(model.to_string()).or_insert_with(|| Line::new(each, base));
+        line.add(tokens, took, each);
     }
 }
 
--- a/tests/decide_speed.rs
+++ b/tests/decide_speed.rs
@@ -245,6 +245,36 @@
     assert!(low > 2.0 / 3.0 && high < 4.0 / 3.0, "a tenth and nine tenths at {low:.2}, {high:.2}");
 }
 
+/// Milliseconds a token that are believed after so many first events of a model, which wait for up to 100 ms
+/// for other requests there; the engine takes 0.026.
+fn believed_of_few(seed: u64, events: usize) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let (mut speeds, mut ratio) = (Speeds::default(), Ratio::default());
+    for _ in 0..events {
+        let tokens = (-rng.random::<f64>().ln() * 400.0).clamp(50.0, 2_300.0) as u32;
+        let own = speeds.read(Some("m"), &ratio, tokens);
+        let reading = Reading { tokens, own, ahead: Duration::ZERO };
+        let took = 11.0 + 0.026 * f64::from(tokens) + rng.random_range(0.0..100.0);
+        let took = Duration::from_secs_f64(took / 1000.0);
+        speeds.learn("m", &mut ratio, &reading, took);
+    }
+    speeds.read(Some("m"), &Ratio::default(), 1_000).as_secs_f64()
+}
+
+/// A handful of first events that scatter agree on any slope: 7 or 430 tokens a millisecond were believed.
+#[test]
+fn few_events_that_scatter_are_not_believed() {
+    for events in [6, 12, 24] {
+        let mut all: Vec<f64> = (0..100).map(|seed| believed_of_few(seed, events)).collect();
+        all.sort_by(f64::total_cmp);
+        let (low, high) = (all[10] / 0.026, all[90] / 0.026);
+        assert!(
+            low > 1.0 / 3.0 && high < 3.0,
+            "{events} events: {low:.2} to {high:.2} of the truth"
+        );
+    }
+}
+
 /// Streams of an engine that reads prompts in one pause of two: the time between events by
 /// themselves is the shorter one.
 #[test]
