Learn reading from engines with room alone

Cause: at a crowded engine a first event waits for the prompts of others, in pieces between its own steps, so the estimate was worst when it mattered. Only requests that wait for a place were left out.

--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -449,7 +449,7 @@
         speeds: &mut Speeds,
     ) {
         if let Some(model) = model
-            && !self.queues(now)
+            && !self.pressed(now)
         {
             speeds.learn(model, &mut self.ratio, reading, took);
         }
@@ -477,9 +477,11 @@
         self.others += 1;
     }
 
-    /// Whether requests wait for a place there, so that its answers tell nothing of its speed.
-    fn queues(&self, now: Duration) -> bool {
-        self.waiting > 0 && self.fresh(now)
+    /// Whether its answers tell more of other requests there than of its speed: some wait for a place, or so
+    /// many run that a prompt is read in pieces between theirs.
+    fn pressed(&self, now: Duration) -> bool {
+        let waiting = self.waiting > 0 && self.fresh(now);
+        waiting || f64::from(self.load(now)) > f64::from(self.instance.slots) * COMFORT
     }
 
     /// It refused a model or adapter as not held.
--- a/tests/decide_speed.rs
+++ b/tests/decide_speed.rs
@@ -197,6 +197,20 @@
     fleet
 }
 
+fn ask(prompt: u32) -> Ask<'static> {
+    Ask {
+        service: "llm",
+        model: Some("m"),
+        adapter: None,
+        places: 8,
+        prompt,
+        parts: &[],
+        gap: None,
+        tried: &[],
+        only: None,
+    }
+}
+
 /// Milliseconds a token that a broker believes after a minute of first events at daemons here and in another
 /// region; the engine takes 0.026.
 fn believed(seed: u64) -> f64 {
@@ -208,17 +222,6 @@
         daemon(at, Duration::from_secs_f64(way / 1000.0))
     });
     let key = engine("e").key;
-    let ask = |prompt| Ask {
-        service: "llm",
-        model: Some("m"),
-        adapter: None,
-        places: 8,
-        prompt,
-        parts: &[],
-        gap: None,
-        tried: &[],
-        only: None,
-    };
     for at in 0..300 {
         let now = Duration::from_millis(at * 200);
         let tokens = (-rng.random::<f64>().ln() * 400.0).clamp(50.0, 2_300.0) as u32;
@@ -245,6 +248,37 @@
     assert!(low > 2.0 / 3.0 && high < 4.0 / 3.0, "a tenth and nine tenths at {low:.2}, {high:.2}");
 }
 
+/// Milliseconds a token that are believed after first events at an engine that is crowded half of the time; it
+/// takes 0.026.
+fn believed_in_a_crowd(seed: u64) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut fleet = daemon("a", Duration::from_millis(1));
+    let key = engine("e").key;
+    for at in 0..400 {
+        let now = Duration::from_millis(at * 200);
+        let running = if at / 50 % 2 == 0 { 16 } else { 2 };
+        (0..running).for_each(|_| fleet.start(now, &key, &[], Duration::ZERO));
+        let tokens = (-rng.random::<f64>().ln() * 400.0).clamp(50.0, 2_300.0) as u32;
+        let reading = Reading { ahead: Duration::ZERO, ..fleet.reading(now, &key, &ask(tokens)) };
+        // Each other prompt that is read meanwhile holds up the steps of the first event.
+        let others = f64::from(running) * rng.random_range(0.0..25.0);
+        let took = 11.0 + 0.026 * f64::from(tokens) + others;
+        fleet.answered(now, &key, Duration::from_secs_f64(took / 1000.0), Some("m"), &reading);
+        (0..running).for_each(|_| fleet.end(&key));
+    }
+    let now = Duration::from_secs(81);
+    fleet.reading(now, &key, &ask(1_000)).own.as_secs_f64()
+}
+
+/// What other requests take at a crowded engine was taken for reading.
+#[test]
+fn a_crowd_tells_nothing_of_reading() {
+    let mut all: Vec<f64> = (0..40).map(believed_in_a_crowd).collect();
+    all.sort_by(f64::total_cmp);
+    let (low, high) = (all[4] / 0.026, all[35] / 0.026);
+    assert!(low > 0.5 && high < 1.5, "a tenth and nine tenths at {low:.2}, {high:.2}");
+}
+
 /// Milliseconds a token that are believed after so many first events of a model, which wait for up to 100 ms
 /// for other requests there; the engine takes 0.026.
 fn believed_of_few(seed: u64, events: usize) -> f64 {
