--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -269,7 +269,7 @@
 /// Takes one request to its final answer.
 async fn take(daemon: &Rc<Daemon>, req: Request<Incoming>) -> Response<Answer> {
     // What lay in the socket has used up part of its caller's time.
-    let came = daemon.pulse.get().arrived(clock::now());
+    let came = daemon.lag.get().arrived(clock::now());
     let (head, body) = req.into_parts();
     let caller = match daemon.dialect.caller(&head) {
         Ok(caller) => caller,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -48,9 +48,9 @@
 use crate::daemon::settings::Settings;
 use crate::decide::allowance::Allowance;
 use crate::decide::fleet::Fleet;
+use crate::decide::lag;
+use crate::decide::lag::Monitor;
 use crate::decide::line::Line;
-use crate::decide::pulse;
-use crate::decide::pulse::Pulse;
 use crate::edge::dialect::Dialect;
 use crate::table::routing::Config;
 
@@ -104,7 +104,7 @@
     /// Randomness.
     pub rng: RefCell<SmallRng>,
     /// The ticks of the loop that runs all tasks.
-    pub pulse: Cell<Pulse>,
+    pub lag: Cell<Monitor>,
     /// Whether it was told to stop.
     pub leaving: Cell<bool>,
     /// When it was told, and when it ends.
@@ -155,7 +155,7 @@
             journal: RefCell::default(),
             gauges: Gauges::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
-            pulse: Cell::default(),
+            lag: Cell::default(),
             leaving: Cell::new(false),
             ends: Cell::new(None),
             listed: Cell::new(false),
@@ -176,9 +176,9 @@
 
     /// Notes that the loop goes on; by how much it was late.
     fn tick(&self, now: Duration) -> Duration {
-        let mut pulse = self.pulse.get();
-        let late = pulse.tick(now);
-        self.pulse.set(pulse);
+        let mut lag = self.lag.get();
+        let late = lag.tick(now);
+        self.lag.set(lag);
         late
     }
 
@@ -206,12 +206,12 @@
     let mut asleep = clock::suspended();
     daemon.tick(swept);
     loop {
-        Timer::after(pulse::TICK).await;
+        Timer::after(lag::TICK).await;
         let now = clock::now();
         let late = daemon.tick(now);
         daemon.gauges.ticked(late);
         let before = std::mem::replace(&mut asleep, clock::suspended());
-        if late >= pulse::LATE {
+        if late >= lag::LATE {
             let suspended = asleep.saturating_sub(before);
             daemon.note(&Event::Late {
                 by: late.as_millis() as u64,
--- a/src/decide/pulse.rs
+++ b/src/decide/lag.rs
@@ -13,14 +13,14 @@
 
 /// The ticks of a loop.
 #[derive(Debug, Default, Clone, Copy)]
-pub struct Pulse {
+pub struct Monitor {
     /// When the next one is due; none before the first.
     due: Option<Duration>,
     /// When the last late one was due, and when it came.
     late: Option<(Duration, Duration)>,
 }
 
-impl Pulse {
+impl Monitor {
     /// A tick has come; by how much it was late.
     pub fn tick(&mut self, now: Duration) -> Duration {
         let due = self.due.replace(now + TICK).unwrap_or(now);
