Give the daemon's own answers a module

They stand in reply.rs now, on one type that holds what the log needs, in place of up to seven arguments.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -183,6 +183,13 @@
     pub lack: Option<Lack>,
 }
 
+impl Refusal {
+    /// A refusal for a reason that says all.
+    pub fn plain(reason: &'static str, after: Duration) -> Self {
+        Refusal { reason, after, lack: None }
+    }
+}
+
 /// A request's place at an endpoint; freed when dropped.
 pub struct Place {
     daemon: Rc<Daemon>,
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -45,6 +45,8 @@
 use crate::daemon::link;
 use crate::daemon::quota;
 use crate::daemon::quota::Charge;
+use crate::daemon::reply::Asked;
+use crate::daemon::reply::own;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Flow;
@@ -56,7 +58,6 @@
 use crate::table::routing::Config;
 use crate::table::routing::Kind;
 use crate::table::routing::Route;
-use crate::table::team::Key;
 use crate::table::team::Team;
 
 /// Connections of callers open at once: what is left of the descriptors serves endpoints.
@@ -158,6 +159,14 @@
     pub body: Bytes,
 }
 
+impl Job {
+    /// As far as an answer of the daemon's own tells of it.
+    fn asked(&self) -> Asked<'_> {
+        let (caller, route) = (&self.caller, self.route.name.as_str());
+        Asked { caller, route, version: self.version, came: self.came }
+    }
+}
+
 /// Counts a request as open; tells when its caller left before the end.
 pub struct Open {
     daemon: Rc<Daemon>,
@@ -246,26 +255,6 @@
     Ok(res)
 }
 
-/// A short answer of the daemon's own.
-pub fn own(status: StatusCode, reason: &str) -> Response<Answer> {
-    let body = serde_json::json!({ "error": { "code": reason } }).to_string();
-    let mut res = Response::new(Answer::Whole(Bytes::from(body)));
-    *res.status_mut() = status;
-    let json = HeaderValue::from_static("application/json");
-    res.headers_mut().insert(header::CONTENT_TYPE, json);
-    res
-}
-
-/// A refusal: the request has not run and will not.
-fn refuse(status: StatusCode, reason: &str, after: Duration) -> Response<Answer> {
-    let mut res = own(status, reason);
-    let text = format!("{:.2}", after.as_secs_f64().max(0.01));
-    if let Ok(value) = HeaderValue::from_str(&text) {
-        res.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    res
-}
-
 /// Takes one request to its final answer.
 async fn take(daemon: &Rc<Daemon>, req: Request<Incoming>) -> Response<Answer> {
     // What lay in the socket has used up part of its caller's time.
@@ -295,8 +284,8 @@
     came: Duration,
 ) -> Result<Rc<Job>, Response<Answer>> {
     let Some(config) = daemon.config.borrow().clone() else {
-        let refusal = Refusal { reason: "no_configuration", after: STARTING, lack: None };
-        return Err(refused(daemon, &caller, "", 0, came, &refusal));
+        let asked = Asked { caller: &caller, route: "", version: 0, came };
+        return Err(asked.refused(daemon, &Refusal::plain("no_configuration", STARTING)));
     };
     let Some(route) = config.route(&caller.host, head.uri.path()).cloned() else {
         daemon.note(&Event::Absent {
@@ -307,20 +296,18 @@
         });
         return Err(own(StatusCode::NOT_FOUND, "no_route"));
     };
+    let asked = Asked { caller: &caller, route: &route.name, version: config.version, came };
     let Ok(team) = config.team(&route, caller.key.as_ref()) else {
-        return Err(unknown_key(daemon, &caller, &route.name, config.version));
+        return Err(asked.unknown_key(daemon));
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let charge = quota::charge(daemon, team.as_ref(), caller.tokens).await;
-    let charge = charge.map_err(|after| {
-        over_quota(daemon, &caller, &route.name, config.version, came, team.as_deref(), after)
-    })?;
+    let charge = charge.map_err(|after| asked.over_quota(daemon, team.as_deref(), after))?;
     let body = whole(body, config.limits.body, patience).await?;
     if let Some((began, end)) = daemon.ends.get()
         && !stop::takes(clock::now(), began, end, caller.output)
     {
-        let refusal = Refusal { reason: "stopping", after: ELSEWHERE, lack: None };
-        return Err(refused(daemon, &caller, &route.name, config.version, came, &refusal));
+        return Err(asked.refused(daemon, &Refusal::plain("stopping", ELSEWHERE)));
     }
     let deadline = came + patience;
     let asks = Asks { caller, team, charge };
@@ -333,42 +320,6 @@
     Ok(job)
 }
 
-/// The answer to a caller whose key is missing, unknown or withdrawn.
-fn unknown_key(daemon: &Daemon, caller: &Caller, route: &str, version: u64) -> Response<Answer> {
-    daemon.note(&Event::Unknown {
-        request: caller.id.clone(),
-        route: route.to_string(),
-        key: caller.key.as_ref().map(Key::mark),
-        version,
-    });
-    daemon.gauges.asked(None, Admission::UnknownKey);
-    own(StatusCode::UNAUTHORIZED, "unknown_key")
-}
-
-/// The answer to a caller whose team has used its quota up.
-fn over_quota(
-    daemon: &Daemon,
-    caller: &Caller,
-    route: &str,
-    version: u64,
-    came: Duration,
-    team: Option<&Team>,
-    after: Duration,
-) -> Response<Answer> {
-    let team = team.map(|team| team.name.as_str());
-    daemon.note(&Event::OverQuota {
-        request: caller.id.clone(),
-        route: route.to_string(),
-        team: team.unwrap_or_default().to_string(),
-        tokens: caller.tokens,
-        retry_after: after.as_millis() as u64,
-        waited: clock::now().saturating_sub(came).as_millis() as u64,
-        version,
-    });
-    daemon.gauges.asked(team, Admission::OverQuota);
-    refuse(StatusCode::TOO_MANY_REQUESTS, "over_quota", after)
-}
-
 /// Reads a body of at most `max` bytes within `limit`.
 async fn whole(body: Incoming, max: usize, limit: Duration) -> Result<Bytes, Response<Answer>> {
     let read = async {
@@ -468,7 +419,7 @@
     let mut trail = Trail::default();
     loop {
         if clock::now() >= job.deadline {
-            return give_up(daemon, job, &mut open, trail, &ended("timeout", SPENT));
+            return give_up(daemon, job, &mut open, trail, &Refusal::plain("timeout", SPENT));
         }
         let place = match admission::find(daemon, job, &trail.tried).await {
             Ok(place) => place,
@@ -478,7 +429,7 @@
         };
         if trail.sends > 0 && !daemon.allowance.borrow_mut().repeat(clock::now(), &job.need.service)
         {
-            return give_up(daemon, job, &mut open, trail, &ended("no_allowance", SPENT));
+            return give_up(daemon, job, &mut open, trail, &Refusal::plain("no_allowance", SPENT));
         }
         trail.asked += 1;
         let again = job.route.idempotent() && trail.ran + 1 < job.route.attempts;
@@ -500,10 +451,16 @@
             }
             Outcome::Forbidden if trail.ran == 0 => {
                 open.done = true;
-                return unknown_key(daemon, &job.caller, &job.route.name, job.version);
+                return job.asked().unknown_key(daemon);
             }
             Outcome::Forbidden => {
-                return give_up(daemon, job, &mut open, trail, &ended("key_withdrawn", SPENT));
+                return give_up(
+                    daemon,
+                    job,
+                    &mut open,
+                    trail,
+                    &Refusal::plain("key_withdrawn", SPENT),
+                );
             }
             Outcome::NotRun(error) => {
                 trail.sends += 1;
@@ -520,17 +477,12 @@
         drop(place);
         let may = trail.ran == 0 || (job.route.idempotent() && trail.ran < job.route.attempts);
         if !may || trail.asked >= SENDS {
-            let refusal = ended(trail.last, TURNED);
+            let refusal = Refusal::plain(trail.last, TURNED);
             return give_up(daemon, job, &mut open, trail, &refusal);
         }
     }
 }
 
-/// The refusal of a request that was sent, or whose time is over.
-fn ended(reason: &'static str, after: Duration) -> Refusal {
-    Refusal { reason, after, lack: None }
-}
-
 /// The final answer of a request that no endpoint has answered well.
 fn give_up(
     daemon: &Rc<Daemon>,
@@ -544,48 +496,13 @@
         return pass(daemon, res);
     }
     if trail.ran == 0 {
-        return refused(daemon, &job.caller, &job.route.name, job.version, job.came, refusal);
+        return job.asked().refused(daemon, refusal);
     }
     let status = match refusal.reason {
         "timeout" => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    daemon.note(&Event::Refused {
-        request: job.caller.id.clone(),
-        route: job.route.name.clone(),
-        model: job.caller.model.clone(),
-        adapter: job.caller.adapter.clone(),
-        status: status.as_u16(),
-        retry_after: 0,
-        reason: refusal.reason.to_string(),
-        lack: None,
-        waited: clock::now().saturating_sub(job.came).as_millis() as u64,
-        version: job.version,
-    });
-    own(status, refusal.reason)
-}
-
-fn refused(
-    daemon: &Daemon,
-    caller: &Caller,
-    route: &str,
-    version: u64,
-    came: Duration,
-    refusal: &Refusal,
-) -> Response<Answer> {
-    daemon.note(&Event::Refused {
-        request: caller.id.clone(),
-        route: route.to_string(),
-        model: caller.model.clone(),
-        adapter: caller.adapter.clone(),
-        status: 503,
-        retry_after: refusal.after.as_millis() as u64,
-        reason: refusal.reason.to_string(),
-        lack: refusal.lack.map(Into::into),
-        waited: clock::now().saturating_sub(came).as_millis() as u64,
-        version,
-    });
-    refuse(StatusCode::SERVICE_UNAVAILABLE, refusal.reason, refusal.after)
+    job.asked().failed(daemon, status, refusal.reason)
 }
 
 /// Passes an endpoint's whole answer on.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,6 +21,7 @@
 pub mod placer;
 pub mod quota;
 pub mod relay;
+pub mod reply;
 pub mod send;
 pub mod settings;
 pub mod store;
