Keep a hot team within its limit while its counter changes and daemons start

Change: a daemon that has not read that list refuses requests of teams with a quota (503). A counter that hears from a daemon that another one answered it just before begins with nothing, and gives out half of the limit for one second.

--- a/benches/team.rs
+++ b/benches/team.rs
@@ -43,7 +43,7 @@
 fn count(c: &mut Criterion) {
     let quota = Quota { rate: 1e9, burst: 1e9, unit: Unit::Tokens { plain: 200 } };
     let mut bucket = Bucket::new(Duration::ZERO, &quota, Standing::Counter);
-    let ask = Count { spent: 0, least: 700, want: 700 };
+    let ask = Count { least: 700, want: 700, ..Count::default() };
     let mut micros = 0;
     c.bench_function("count a request", |b| {
         b.iter(|| {
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -70,7 +70,7 @@
 const HEAD: usize = 64 << 10;
 /// Endpoints asked for one request at most, those that did not run it included.
 const SENDS: u32 = 4;
-/// When a caller comes back to a daemon that knows no configuration yet.
+/// When a caller comes back to a daemon that has just started, and knows no configuration or no others yet.
 const STARTING: Duration = Duration::from_millis(500);
 /// When a caller comes back whose time, or what may be sent again, is used up: a window of repeats
 /// has moved on a little by then.
@@ -302,7 +302,10 @@
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let charge = quota::charge(daemon, team.as_ref(), caller.tokens).await;
-    let charge = charge.map_err(|after| asked.over_quota(daemon, team.as_deref(), after))?;
+    let charge = charge.map_err(|err| match err {
+        quota::Error::Over(after) => asked.over_quota(daemon, team.as_deref(), after),
+        quota::Error::Starting => asked.refused(daemon, &Refusal::plain("starting", STARTING)),
+    })?;
     let body = whole(body, config.limits.body, patience).await?;
     if let Some((began, end)) = daemon.ends.get()
         && !stop::takes(clock::now(), began, end, caller.output)
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -78,11 +78,14 @@
     stranger: Option<Duration>,
     /// When all that had come was last read.
     drained: Option<Duration>,
+    /// Whether the list was read once.
+    known: bool,
 }
 
 impl Table {
     /// Takes a whole list. Those that it lacks are gone, unless the store has lost what was written last.
     pub fn list(&mut self, me: &str, list: Vec<(Revision, Node)>, restored: bool) {
+        self.known = true;
         self.listed = list.into_iter().map(|row| (row.1.name.clone(), row)).collect();
         self.listed.remove(me);
         if !restored {
@@ -109,6 +112,11 @@
         });
     }
 
+    /// Whether it is known which daemons there are.
+    pub fn known(&self) -> bool {
+        self.known
+    }
+
     /// A registration was made or renewed.
     pub fn put(&mut self, me: &str, revision: Revision, node: Node) {
         if node.name == me {
--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -38,6 +38,8 @@
 /// Answers to questions that are older than this count no more: the tokens were given back, or another
 /// counter has given some since.
 const STALE: Duration = Duration::from_millis(450);
+/// A counter that answered within this time may still answer others.
+const MOVED: Duration = Duration::from_secs(5);
 /// Time between two looks at what is due to be told.
 const ROUND: Duration = Duration::from_millis(250);
 
@@ -56,6 +58,8 @@
         least: u32,
         /// Units that are asked for.
         want: u32,
+        /// Whether another counter answered just before.
+        moved: bool,
     },
     /// The counter's answer.
     Word {
@@ -79,11 +83,13 @@
     meter: Meter,
     /// Rung when the counter has answered.
     news: Rc<Bell>,
+    /// Which counter answered last, and when.
+    heard: Option<(SocketAddr, Duration)>,
 }
 
 impl Row {
     fn new(now: Duration) -> Self {
-        Row { meter: Meter::new(now), news: Rc::default() }
+        Row { meter: Meter::new(now), news: Rc::default(), heard: None }
     }
 }
 
@@ -141,17 +147,30 @@
     }
 }
 
-/// Counts a request for its team; refused when that is beyond its quota, with when to come back.
+/// Why a request does not count for its team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// It is beyond the quota; its caller comes back after this long.
+    Over(Duration),
+    /// This daemon has just started, and does not know yet which others count.
+    Starting,
+}
+
+/// Counts a request for its team.
 pub async fn charge(
     daemon: &Rc<Daemon>,
     team: Option<&Rc<Team>>,
     tokens: Option<u32>,
-) -> Result<Option<Charge>, Duration> {
+) -> Result<Option<Charge>, Error> {
     let Some((team, quota)) = team.and_then(|team| Some((team, team.quota?))) else {
         return Ok(None);
     };
+    // Alone as far as it knows, it would give out the whole limit by itself.
+    if !daemon.nodes.borrow().known() {
+        return Err(Error::Starting);
+    }
     let cost = quota.unit.cost(tokens).max(1);
-    admit(daemon, team, &quota, cost).await?;
+    admit(daemon, team, &quota, cost).await.map_err(Error::Over)?;
     Ok(Some(Charge { daemon: daemon.clone(), team: team.clone(), cost, runs: Cell::new(0) }))
 }
 
@@ -206,7 +225,7 @@
     quota: &Quota,
     cost: u32,
 ) -> Result<(), Duration> {
-    let count = Count { spent: 0, least: cost, want: cost };
+    let count = Count { least: cost, want: cost, ..Count::default() };
     let word = count_in(daemon, now, &team.name, quota, &count);
     if word.granted > 0 { Ok(()) } else { Err(word.back) }
 }
@@ -274,12 +293,14 @@
 }
 
 fn send(daemon: &Rc<Daemon>, to: SocketAddr, team: &str, now: Duration, count: &Count) {
+    let heard = daemon.quotas.borrow().rows.get(team).and_then(|row| row.heard);
     let message = Message::Count {
         team: team.to_string(),
         at: now.as_millis() as u64,
         spent: count.spent,
         least: count.least,
         want: count.want,
+        moved: heard.is_some_and(|(from, at)| from != to && now < at + MOVED),
     };
     peer::tell(daemon, vec![to], peer::Message::Quota(message));
 }
@@ -313,11 +334,11 @@
 pub fn take(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     let now = clock::now();
     match message {
-        Message::Count { team, at, spent, least, want } => {
+        Message::Count { team, at, spent, least, want, moved } => {
             let Some(quota) = quota_of(daemon, &team) else {
                 return;
             };
-            let count = Count { spent, least, want: want.max(least) };
+            let count = Count { spent, least, want: want.max(least), moved };
             let word = count_in(daemon, now, &team, &quota, &count);
             let back = u32::try_from(word.back.as_millis()).unwrap_or(u32::MAX);
             let (granted, strict) = (word.granted, word.strict);
@@ -331,6 +352,7 @@
             let word = Word { granted, strict, back: Duration::from_millis(back.into()) };
             if let Some(row) = daemon.quotas.borrow_mut().rows.get_mut(&team) {
                 row.meter.told(now, &word, &mut daemon.rng.borrow_mut());
+                row.heard = Some((from, now));
                 row.news.notify(usize::MAX);
             }
         }
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -11,7 +11,8 @@
 //! daemon that hears nothing from a counter takes an even share of the limit.
 //!
 //! Bound: what is spent above the limit is what passes in the time from the first spending above it until
-//! all daemons have been told, some 0.3 s, less the burst, plus half of a burst for each change of counter.
+//! all daemons have been told, some 0.3 s, less the burst, plus what the counter before gives to those
+//! that do not know the new one yet; half of a burst where all daemons start anew and none knows of one before.
 
 use std::time::Duration;
 
@@ -28,9 +29,14 @@
 const HIGH: f64 = 0.8;
 /// A bucket begins with this part of the burst, as another counter may have given the rest just before.
 const FIRST: f64 = 0.5;
+/// For so long after it took over a counter gives out a part of the limit alone: some daemons still ask the one
+/// before.
+const OVERLAP: Duration = Duration::from_secs(1);
+/// The most, as a part of the burst, that is there after nothing was heard for `GAP`.
+const IDLE: f64 = 0.5;
 /// A counter that heard nothing of a team for so long may not have been its counter meanwhile.
 const GAP: Duration = Duration::from_secs(2);
-/// The part of the limit that a daemon gives out which is asked although another is the counter.
+/// The part of the limit that a daemon gives out which is asked although another is the counter, or was.
 const DEPUTY: f64 = 0.5;
 /// Spendings that are not told yet are at most this part of the burst, over all daemons.
 const UNTOLD: f64 = 0.5;
@@ -74,6 +80,8 @@
     pub least: u32,
     /// Units that are asked for; at least `least`.
     pub want: u32,
+    /// Whether another counter answered this daemon just before.
+    pub moved: bool,
 }
 
 /// What the counter answers.
@@ -104,6 +112,11 @@
     /// When it was last filled.
     at: Duration,
     strict: bool,
+    standing: Standing,
+    /// Since when it has that.
+    since: Duration,
+    /// Whether it took over from another counter.
+    took_over: bool,
     /// Units asked for or spent a second.
     demand: Rate,
 }
@@ -115,7 +128,15 @@
             Standing::Counter => quota.burst * FIRST,
             Standing::Deputy => 0.0,
         };
-        Bucket { level, at: now, strict: true, demand: Rate::new(now, SMOOTH) }
+        Bucket {
+            level,
+            at: now,
+            strict: true,
+            standing,
+            since: now,
+            took_over: false,
+            demand: Rate::new(now, SMOOTH),
+        }
     }
 
     /// Whether daemons have to ask before they spend.
@@ -132,10 +153,13 @@
         count: &Count,
     ) -> Word {
         self.fill(now, quota, standing);
+        if count.moved {
+            self.take_over(now, quota);
+        }
         self.level -= count.spent as f64;
         self.demand.add(now, count.spent.max(0) as f64 + f64::from(count.want));
         // A request that is larger than what is ever there is not put off for good.
-        let enough = self.level >= f64::from(count.least).min(quota.burst * FIRST);
+        let enough = self.level >= f64::from(count.least).min(quota.burst * IDLE);
         let granted = match count.least {
             0 => 0,
             least if enough => count.want.min((self.level.max(0.0) as u32).max(least)),
@@ -150,12 +174,24 @@
         Word { granted, strict: self.strict, back: self.back(now, quota, count.least) }
     }
 
+    /// The counter before may have given the burst, and gives on to those that still ask it.
+    fn take_over(&mut self, now: Duration, quota: &Quota) {
+        if !self.took_over && now < self.since + OVERLAP {
+            self.took_over = true;
+            self.level = self.level.min((self.level - quota.burst * FIRST).max(0.0));
+        }
+    }
+
     fn fill(&mut self, now: Duration, quota: &Quota, standing: Standing) {
+        if standing != self.standing {
+            (self.standing, self.since, self.took_over) = (standing, now, false);
+        }
         let span = now.saturating_sub(self.at);
         let (part, most) = match standing {
-            Standing::Counter if span > GAP => (1.0, FIRST),
+            Standing::Counter if self.took_over && now < self.since + OVERLAP => (DEPUTY, 1.0),
+            Standing::Counter if span > GAP => (1.0, IDLE),
             Standing::Counter => (1.0, 1.0),
-            Standing::Deputy => (DEPUTY, FIRST),
+            Standing::Deputy => (DEPUTY, IDLE),
         };
         let level = self.level + span.as_secs_f64() * quota.rate * part;
         self.level = level.min(quota.burst * most);
@@ -164,7 +200,7 @@
 
     /// When there is enough for a request of this size, as far as others do not come first.
     fn back(&self, now: Duration, quota: &Quota, least: u32) -> Duration {
-        let lack = f64::from(least).min(quota.burst * FIRST) - self.level;
+        let lack = f64::from(least).min(quota.burst * IDLE) - self.level;
         let crowd = (self.demand.rate(now) / quota.rate).max(1.0);
         let seconds = (lack.max(0.0) / quota.rate * crowd).min(BACK_MOST.as_secs_f64());
         Duration::from_secs_f64(seconds).max(BACK_LEAST)
@@ -317,7 +353,7 @@
         let part = daemons.max(1) as f64;
         let share = Quota { rate: quota.rate / part, burst: quota.burst / part, unit: quota.unit };
         let bucket = self.alone.get_or_insert_with(|| Bucket::new(now, &share, Standing::Counter));
-        let count = Count { spent: 0, least: cost, want: cost };
+        let count = Count { least: cost, want: cost, ..Count::default() };
         let word = bucket.count(now, &share, Standing::Counter, &count);
         if word.granted > 0 { Ok(()) } else { Err(word.back) }
     }
@@ -338,7 +374,7 @@
     fn tell(&mut self, now: Duration) -> Count {
         self.since = None;
         self.unheard.get_or_insert(now);
-        Count { spent: std::mem::take(&mut self.spent), least: 0, want: 0 }
+        Count { spent: std::mem::take(&mut self.spent), ..Count::default() }
     }
 
     fn expire(&mut self, now: Duration) {
--- a/tests/decide_quota.rs
+++ b/tests/decide_quota.rs
@@ -45,13 +45,16 @@
     /// Demand as a part of the limit, before and from `START` on.
     usual: f64,
     hot: f64,
-    /// Whether the counter is lost when demand jumps, and another takes over.
-    lost: bool,
+    /// Whether another counter takes over when demand jumps, and once more at `AGAIN`. Half of the daemons
+    /// learn of it `LEARN` later, and go on asking the one before.
+    moves: bool,
 }
 
 /// Demand jumps at this time, and the run ends at the other.
 const START: Duration = Duration::from_secs(5);
 const END: Duration = Duration::from_secs(25);
+const AGAIN: Duration = Duration::from_millis(11_500);
+const LEARN: Duration = Duration::from_millis(700);
 
 #[derive(Debug, Default)]
 struct Outcome {
@@ -102,6 +105,8 @@
 struct Daemon {
     meter: Meter,
     waiting: usize,
+    /// Which counter it asked last.
+    heard: Option<u32>,
 }
 
 fn quota(plan: &Plan) -> Quota {
@@ -148,11 +153,14 @@
         number: 0,
         rng: SmallRng::seed_from_u64(seed),
     };
-    let new = |_| Daemon { meter: Meter::new(Duration::ZERO), waiting: 0 };
+    let new = |_| Daemon { meter: Meter::new(Duration::ZERO), waiting: 0, heard: None };
     let mut all: Vec<Daemon> = (0..plan.daemons).map(new).collect();
     let mut bucket = Bucket::new(Duration::ZERO, &quota, Standing::Counter);
+    let mut before = bucket.clone();
     let mut free = false;
-    let mut moved = false;
+    let mut changes: VecDeque<Duration> =
+        if plan.moves { [START, AGAIN].into() } else { VecDeque::new() };
+    let (mut changed, mut turns) = (Duration::ZERO, 0);
     let mut out = Outcome::default();
     world.push(Duration::ZERO, Event::Arrives);
     for at in 0..plan.daemons {
@@ -164,9 +172,10 @@
         if at > END {
             break;
         }
-        if plan.lost && at > START && !moved {
-            moved = true;
-            bucket = Bucket::new(at, &quota, Standing::Counter);
+        if changes.front().is_some_and(|change| at > *change) {
+            changed = changes.pop_front().unwrap_or_default();
+            turns += 1;
+            before = std::mem::replace(&mut bucket, Bucket::new(at, &quota, Standing::Counter));
         }
         match event {
             Event::Arrives => {
@@ -185,8 +194,12 @@
             }
             Event::Count(from, spent, least, want) => {
                 out.messages += 2;
-                let count = Count { spent, least, want };
-                let word = bucket.count(at, &quota, Standing::Counter, &count);
+                let stale = turns > 0 && from % 2 == 1 && at < changed + LEARN;
+                let (asked, turn) =
+                    if stale { (&mut before, turns - 1) } else { (&mut bucket, turns) };
+                let moved = all[from].heard.replace(turn).is_some_and(|last| last != turn);
+                let count = Count { spent, least, want, moved };
+                let word = asked.count(at, &quota, Standing::Counter, &count);
                 if free && word.strict {
                     for to in 0..plan.daemons {
                         out.messages += 1;
@@ -222,7 +235,7 @@
     let mut out = Vec::new();
     for daemons in [6, 59, 195, 420] {
         for rate in [225_000.0, 60_000.0, 9_000.0] {
-            out.push(Plan { daemons, rate, usual: 0.55, hot: 4.2, lost: false });
+            out.push(Plan { daemons, rate, usual: 0.55, hot: 4.2, moves: false });
         }
     }
     out
@@ -238,11 +251,12 @@
     }
 }
 
-/// The counter dies just as the team gets hot: the next one gives out no second burst on top.
+/// The counter changes just as the team gets hot, and once more within the window: each new one gave out a part of
+/// the burst while some daemons still asked the one before.
 #[test]
 fn a_new_counter_stays_within_the_limit() {
     for plan in plans() {
-        let plan = Plan { lost: true, ..plan };
+        let plan = Plan { moves: true, ..plan };
         let out = play(&plan, 11);
         let worst = out.worst(&quota(&plan));
         assert!(worst <= 1.0, "{worst:.2} of what is allowed, {plan:?}");
@@ -286,10 +300,10 @@
 /// A refused send gives its units back; without that refusals for want of room use the limit up.
 #[test]
 fn units_that_were_not_used_come_back() {
-    let plan = Plan { daemons: 1, rate: 8_000.0, usual: 0.0, hot: 0.0, lost: false };
+    let plan = Plan { daemons: 1, rate: 8_000.0, usual: 0.0, hot: 0.0, moves: false };
     let (quota, now) = (quota(&plan), Duration::from_secs(1));
     let mut bucket = Bucket::new(now, &quota, Standing::Counter);
-    let ask = Count { spent: 0, least: 4_000, want: 4_000 };
+    let ask = Count { least: 4_000, want: 4_000, ..Count::default() };
     assert_eq!(bucket.count(now, &quota, Standing::Counter, &ask).granted, 4_000);
     assert_eq!(bucket.count(now, &quota, Standing::Counter, &ask).granted, 0);
     let back = Count { spent: -4_000, ..Count::default() };
@@ -302,7 +316,7 @@
 fn a_request_above_the_burst_passes_in_its_turn() {
     let quota = Quota { rate: 100.0, burst: 100.0, unit: Unit::Tokens { plain: 1 } };
     let mut bucket = Bucket::new(Duration::ZERO, &quota, Standing::Counter);
-    let ask = Count { spent: 0, least: 300, want: 300 };
+    let ask = Count { least: 300, want: 300, ..Count::default() };
     let at = |ms| Duration::from_millis(ms);
     assert_eq!(bucket.count(at(1_000), &quota, Standing::Counter, &ask).granted, 300);
     let word = bucket.count(at(1_500), &quota, Standing::Counter, &ask);
@@ -314,7 +328,7 @@
 /// What a daemon lets pass that reaches no counter is its even share of the limit.
 #[test]
 fn daemons_without_a_counter_share_the_limit() {
-    let plan = Plan { daemons: 10, rate: 100_000.0, usual: 0.0, hot: 0.0, lost: false };
+    let plan = Plan { daemons: 10, rate: 100_000.0, usual: 0.0, hot: 0.0, moves: false };
     let quota = quota(&plan);
     let mut passed = 0;
     for _ in 0..plan.daemons {
