--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -38,8 +38,8 @@
     OverQuota,
 }
 
-/// Teams that are counted by name; the others are counted together.
-const TEAMS: usize = 64;
+/// Rows of teams and what became of their requests; beyond them teams are counted together.
+const TEAM_ROWS: usize = 128;
 
 /// What is counted beside the log's events.
 #[derive(Debug, Default)]
@@ -71,7 +71,7 @@
         let mut asked = self.asked.borrow_mut();
         let named = team.unwrap_or_default();
         let row = (named.to_string(), admission);
-        let known = asked.contains_key(&row) || asked.len() < TEAMS * 2;
+        let known = asked.contains_key(&row) || asked.len() < TEAM_ROWS;
         let row = if known { row } else { (TeamId::new(), admission) };
         *asked.entry(row).or_default() += 1;
     }
