Log the limits that endpoints state, and count the daemons' own calls

The log of the incident could not show which responses state a limit, when it changes, or how many of an endpoint's calls are reports and orders. A line is written when the limit stated to this daemon changes, the metrics hold the limit and the calls of each endpoint, and an unreadable limit is logged as skipped. What is sent does not change.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -16,6 +16,8 @@
 use crate::daemon::Daemon;
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
+use crate::daemon::limit;
+use crate::daemon::limit::Source;
 use crate::daemon::link;
 use crate::daemon::link::Link;
 use crate::decide::call_latency::Monitor;
@@ -100,7 +102,9 @@
 pub async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
     let (addr, mut link) = connect(daemon, key).await.ok()?;
+    daemon.fleet.borrow_mut().record_control_call(key);
     let res = call(daemon, &mut link, req, ORDER_TIMEOUT).await.ok()?;
+    limit::observe(daemon, key, res.headers(), Source::Report);
     daemon.pool.borrow_mut().put(addr, link, None);
     daemon.dialect.parse_report(&res).ok()
 }
@@ -178,9 +182,11 @@
     // the socket.
     let kernel_timeout = limit.min(lease_limit.saturating_sub(KERNEL_TIMEOUT_LAG));
     link.set_unacked_timeout(kernel_timeout).map_err(|_| link::Error::Unsent)?;
+    daemon.fleet.borrow_mut().record_control_call(key);
     let res = call(daemon, &mut link, req, limit).await;
     progress.written = link.written_at();
     let res = res?;
+    limit::observe(daemon, key, res.headers(), Source::Order);
     if link.set_unacked_timeout(link::UNACKED_TIMEOUT).is_ok() {
         daemon.pool.borrow_mut().put(addr, link, None);
     }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -166,6 +166,10 @@
                 "poplarmux_endpoint_beat_ms{{{labels}}} {}",
                 row.event_interval().as_millis()
             )?;
+            writeln!(out, "poplarmux_control_calls_total{{{labels}}} {}", row.control_calls)?;
+            if let Some(limit) = row.limit {
+                writeln!(out, "poplarmux_endpoint_limit{{{labels}}} {}", limit.per_second())?;
+            }
         }
         for (model, ms_per_token) in fleet.speeds().rows() {
             writeln!(out, "poplarmux_read_ms_per_token{{model=\"{model}\"}} {ms_per_token:.4}")?;
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -83,6 +83,11 @@
         models: usize,
         revision: u64,
     },
+    Limit {
+        endpoint: String,
+        rate: Option<f64>,
+        source: &'static str,
+    },
     Gone {
         endpoint: String,
         revision: u64,
@@ -255,6 +260,7 @@
             Event::Config { .. } => "config",
             Event::Skipped { .. } => "skipped",
             Event::Seen { .. } => "seen",
+            Event::Limit { .. } => "limit",
             Event::Gone { .. } => "gone",
             Event::Lease { .. } => "lease",
             Event::Renewal { .. } => "renewal",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -14,6 +14,7 @@
 pub mod gauge;
 pub mod journal;
 pub mod lease;
+pub mod limit;
 pub mod link;
 pub mod node;
 pub mod peer;
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -20,6 +20,8 @@
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
+use crate::daemon::limit;
+use crate::daemon::limit::Source;
 use crate::daemon::link;
 use crate::daemon::link::Link;
 use crate::daemon::quota::Charge;
@@ -293,6 +295,10 @@
 ) -> Outcome {
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
+    let replaced = answer.endpoint.as_ref().is_some_and(|id| *id != place.key.id);
+    if (answer.signed || answer.not_run) && !replaced {
+        limit::observe(daemon, &place.key, &parts.headers, Source::Request);
+    }
     if let Some(load) = answer.load {
         daemon.fleet.borrow_mut().on_load_report(clock::now(), &place.key, load);
         place.on_load_report(load);
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -21,6 +21,7 @@
 use crate::table::RegionId;
 use crate::table::instance::Instance;
 use crate::table::instance::Key;
+use crate::table::instance::Limit;
 use crate::table::instance::Residency;
 use crate::table::instance::Resident;
 use crate::table::instance::State;
@@ -185,6 +186,10 @@
     busy_until: Duration,
     /// When the placer last reported the residents, and after how many orders.
     placer_report: Option<(Duration, u64)>,
+    /// The limit that it states in its responses; none if it states none.
+    pub limit: Option<Limit>,
+    /// Reports and orders that this daemon requested of it.
+    pub control_calls: u64,
 }
 
 impl Endpoint {
@@ -222,6 +227,8 @@
             recorded_resident: None,
             busy_until: now,
             placer_report: None,
+            limit: None,
+            control_calls: 0,
         }
     }
 
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -33,6 +33,7 @@
 use crate::table::RegionId;
 use crate::table::instance::Instance;
 use crate::table::instance::Key;
+use crate::table::instance::Limit;
 use crate::table::instance::Residency;
 use crate::table::instance::State;
 
@@ -407,6 +408,21 @@
         }
     }
 
+    /// Records the limit that an endpoint states, and returns whether it has changed.
+    pub fn set_limit(&mut self, key: &Key, limit: Option<Limit>) -> bool {
+        let Some(row) = self.rows.get_mut(key) else {
+            return false;
+        };
+        std::mem::replace(&mut row.limit, limit) != limit
+    }
+
+    /// Records a report or an order that this daemon requested of an endpoint.
+    pub fn record_control_call(&mut self, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.control_calls += 1;
+        }
+    }
+
     /// Records that another instance answers at an endpoint's address.
     pub fn mark_replaced(&mut self, key: &Key) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -23,6 +23,7 @@
 use crate::table::ModelId;
 use crate::table::RegionId;
 use crate::table::instance::Instance;
+use crate::table::instance::Limit;
 use crate::table::instance::Report;
 use crate::table::routing::Config;
 use crate::table::team::Key;
@@ -304,6 +305,10 @@
     /// Decodes the head of an endpoint's response.
     fn parse_response(&self, head: &response::Parts) -> Answer;
 
+    /// Decodes the limit that an endpoint states in the headers of a response; `None` if it states
+    /// none.
+    fn parse_limit(&self, headers: &HeaderMap) -> Result<Option<Limit>, Error>;
+
     /// Returns the headers of an endpoint's response that are forwarded to the caller.
     fn forward_response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -1,5 +1,6 @@
 //! Endpoints as they report themselves, and the daemons of the system.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,6 +40,45 @@
     pub adapters: Vec<AdapterId>,
 }
 
+/// The requests per second that an endpoint takes from all daemons together; finite, at least 0.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Limit(f64);
+
+impl Limit {
+    /// Returns the requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for Limit {
+    type Error = InvalidLimit;
+
+    fn try_from(per_second: f64) -> Result<Self, InvalidLimit> {
+        let valid = per_second.is_finite() && per_second >= 0.0;
+        valid.then_some(Limit(per_second)).ok_or(InvalidLimit)
+    }
+}
+
+impl From<Limit> for f64 {
+    fn from(limit: Limit) -> f64 {
+        limit.per_second()
+    }
+}
+
+/// Error: a limit that is negative or no finite number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct InvalidLimit;
+
+impl fmt::Display for InvalidLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a limit must be a finite number and at least 0")
+    }
+}
+
+impl std::error::Error for InvalidLimit {}
+
 /// The placer's view of what is resident at an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Residency {
