Keep the calls of all daemons to an endpoint within the limit that it states

Callers saw engines in need overrun: an engine that took 3.6 requests a second from all daemons got 37 in 4 s, where 27 are allowed. No daemon read the limit that endpoints state in their responses, and no daemon could have kept it alone, as it is a sum over all of them and includes reports and orders (160 calls in 4 s from two daemons in the test, 23 allowed; 130, 11 allowed).

One daemon in the endpoint's region, its counter, now issues permits from a token bucket, and every call needs one: admission obtains it for callers' requests, the placer for reports and orders. A daemon that is refused does not choose the endpoint for the time that the counter names, so requests go to other endpoints, wait while they can be on time, or are refused at once. Statements carry their age, so the latest wins wherever daemons exchange them; a limit holds for 3 s after it was last stated. A daemon that has just become the counter, or is asked although another is, issues a quarter of the limit, so that two at a time stay within what is allowed. A daemon that does not know the others yet sends nothing to a limited endpoint.

The two tests failed before; in virtual time 1 to 420 daemons keep limits from 0 to 150 a second while the counter is killed, frozen or replaced, messages are lost and the limit changes.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -22,6 +22,7 @@
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
+use crate::daemon::limit;
 use crate::daemon::peer;
 use crate::decide::broker::Ticket;
 use crate::decide::endpoint::End;
@@ -361,7 +362,7 @@
         deadline: arrival.deadline,
     };
     let verdict = wait_policy::decide(now, &held, cause, &mut daemon.rng.borrow_mut());
-    if let Choice::Delay(span) = choice {
+    if let Choice::Delay(span) | Choice::Limited(span) = choice {
         dispatch_after(daemon, now, span);
     }
     match verdict {
@@ -402,6 +403,21 @@
 
 /// Finds an endpoint for a job, waiting as long as that can help.
 pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Permit, Refusal> {
+    loop {
+        let permit = find_candidate(daemon, job, tried).await?;
+        if limit::acquire(daemon, &permit.key).await {
+            return Ok(permit);
+        }
+        // The endpoint is not chosen again at once, so another is found, or the request waits.
+        permit.set_end(End::Limited);
+    }
+}
+
+async fn find_candidate(
+    daemon: &Rc<Daemon>,
+    job: &Rc<Job>,
+    tried: &[Key],
+) -> Result<Permit, Refusal> {
     let mut arrival = Arrival {
         number: daemon.next_request_number(),
         spec: job.spec.clone(),
@@ -538,6 +554,7 @@
     match choice {
         Choice::Send(_) | Choice::Delay(_) | Choice::Full => "full",
         Choice::LoadAdapter(_) => "adapter_absent",
+        Choice::Limited(_) => "limited",
         Choice::NoModel => "model_absent",
         Choice::NoEndpoint => "no_endpoint",
     }
@@ -555,6 +572,7 @@
             Cause::Full { ahead, rate: daemon.gauges.completion_rate(now, spec.class) }
         }
         Choice::Delay(wait) => Cause::Paced(*wait),
+        Choice::Limited(wait) => Cause::Limited { ahead, wait: *wait },
         Choice::LoadAdapter(key) => {
             Cause::Loading(daemon.fleet.borrow().busy_for(now, key) + ORDER_OVERHEAD / 4)
         }
@@ -594,7 +612,7 @@
                 peer::send_adapter_request(daemon, &key, &waiter.arrival.spec);
                 blocked.insert(class);
             }
-            Choice::Delay(span) => {
+            Choice::Delay(span) | Choice::Limited(span) => {
                 dispatch_after(daemon, now, span);
                 blocked.insert(class);
             }
--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -121,6 +121,7 @@
     ModelAbsent,
     NoEndpoint,
     Waited,
+    Limited,
 }
 
 pub(super) fn micros(span: Duration) -> u32 {
--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -101,6 +101,9 @@
 /// Requests an engine's report; returns `None` if no complete report was received.
 pub async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
+    if !limit::acquire_unless_paused(daemon, key).await {
+        return None;
+    }
     let (addr, mut link) = connect(daemon, key).await.ok()?;
     daemon.fleet.borrow_mut().record_control_call(key);
     let res = call(daemon, &mut link, req, ORDER_TIMEOUT).await.ok()?;
@@ -220,12 +223,14 @@
         token,
         endpoint: key.id.clone(),
     };
-    let limit = if task.adapter.is_some() { ADAPTER_ORDER_TIMEOUT } else { ORDER_TIMEOUT };
+    let time_limit = if task.adapter.is_some() { ADAPTER_ORDER_TIMEOUT } else { ORDER_TIMEOUT };
     let mut progress = Progress::default();
     let guard = Guard::new(&daemon.orders);
+    let permitted = limit::acquire_unless_paused(daemon, key).await;
     let outcome = match daemon.dialect.order(&order) {
         Err(_) => Err(link::Error::Malformed),
-        Ok(req) => deliver(daemon, key, req, limit, token, &mut progress).await,
+        Ok(_) if !permitted => Err(link::Error::Unsent),
+        Ok(req) => deliver(daemon, key, req, time_limit, token, &mut progress).await,
     };
     let ordered = outcome.map(|res| daemon.dialect.parse_acknowledgement(&res));
     let now = clock::now();
@@ -239,6 +244,7 @@
             text.to_string()
         }
         Ok(Err(err)) => err.to_string(),
+        Err(_) if !permitted => "limited".to_string(),
         Err(err) => err.to_string(),
     };
     daemon.note(&Event::Order {
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -150,6 +150,10 @@
             let labels = format!("object=\"{object}\",op=\"{op}\",outcome=\"{outcome}\"");
             writeln!(out, "poplarmux_store_calls_total{{{labels}}} {count}")?;
         }
+        for (outcome, count) in daemon.limits.borrow().outcomes() {
+            let outcome: &str = outcome.into();
+            writeln!(out, "poplarmux_permits_total{{outcome=\"{outcome}\"}} {count}")?;
+        }
         for row in fleet.rows() {
             let (id, service) = (&row.instance.key.id, &row.instance.service);
             let labels = format!("endpoint=\"{id}\",service=\"{service}\"");
@@ -167,7 +171,7 @@
                 row.event_interval().as_millis()
             )?;
             writeln!(out, "poplarmux_control_calls_total{{{labels}}} {}", row.control_calls)?;
-            if let Some(limit) = row.limit {
+            if let Some(limit) = row.limit() {
                 writeln!(out, "poplarmux_endpoint_limit{{{labels}}} {}", limit.per_second())?;
             }
         }
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -213,6 +213,9 @@
     Broker {
         address: String,
     },
+    Counter {
+        address: String,
+    },
     Refused {
         request: String,
         route: String,
@@ -278,6 +281,7 @@
             Event::Waits { .. } => "waits",
             Event::Reader { .. } => "reader",
             Event::Broker { .. } => "broker",
+            Event::Counter { .. } => "counter",
             Event::Refused { .. } => "refused",
             Event::Resumed { .. } => "resumed",
             Event::Cut { .. } => "cut",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -81,6 +81,8 @@
     pub broker: RefCell<broker::Broker>,
     /// Quotas of teams.
     pub quotas: RefCell<quota::Quotas>,
+    /// Permits under the limits of endpoints.
+    pub limits: RefCell<limit::Limits>,
     /// Retry budget.
     pub allowance: RefCell<Allowance>,
     /// Other daemons.
@@ -145,6 +147,7 @@
             queue: RefCell::default(),
             broker: RefCell::default(),
             quotas: RefCell::default(),
+            limits: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
             nodes: RefCell::default(),
             demand: RefCell::default(),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -183,6 +183,11 @@
         self.rows.values().filter(move |row| row.is_alive(now)).map(|row| &row.node)
     }
 
+    /// Returns whether another daemon is believed to be alive.
+    pub fn is_alive(&self, now: Duration, node: &Node) -> bool {
+        self.rows.get(&node.name).is_some_and(|row| row.is_alive(now))
+    }
+
     /// Returns the daemons that recently renewed their registration: about the same set on each
     /// daemon.
     pub fn registered(&self) -> impl Iterator<Item = &Node> {
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -25,6 +25,7 @@
 use crate::daemon::broker;
 use crate::daemon::clock;
 use crate::daemon::journal::Event;
+use crate::daemon::limit;
 use crate::daemon::placer;
 use crate::daemon::quota;
 use crate::daemon::relay;
@@ -39,7 +40,7 @@
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
 /// Daemons that a round's heartbeat is sent to. With more daemons, each receives the others'
 /// heartbeats every few rounds, so that a daemon's traffic does not grow with their number.
-const HEARTBEAT_FANOUT: usize = 24;
+pub const HEARTBEAT_FANOUT: usize = 24;
 /// Up to this many other daemons, each prompt sent to an engine is announced to all of them, in a
 /// datagram of 40 bytes for each request and daemon. With more daemons, brokers grant slots
 /// instead.
@@ -115,6 +116,8 @@
     Quota(quota::Message),
     /// The models and adapters resident on engines, as the placer knows them.
     Resident(Vec<(Key, Residency)>),
+    /// A message about the limit that an endpoint states.
+    Limit(limit::Message),
 }
 
 /// Demand of this daemon's callers.
@@ -270,6 +273,7 @@
     loop {
         Timer::after(GOSSIP_INTERVAL).await;
         send_heartbeat(&daemon);
+        limit::announce(&daemon);
         let Some(leader) = daemon.placer.borrow().leader() else {
             continue;
         };
@@ -283,11 +287,15 @@
     }
 }
 
+/// Returns a random choice of the other daemons, to which a round's messages are sent.
+pub fn choose_peers(daemon: &Daemon) -> Vec<SocketAddr> {
+    let peers = daemon.nodes.borrow().peers();
+    peers.into_iter().choose_multiple(&mut *daemon.rng.borrow_mut(), HEARTBEAT_FANOUT)
+}
+
 /// Sends this daemon's heartbeat to a random choice of the others.
 pub fn send_heartbeat(daemon: &Rc<Daemon>) {
-    let peers = daemon.nodes.borrow().peers();
-    let recipients =
-        peers.into_iter().choose_multiple(&mut *daemon.rng.borrow_mut(), HEARTBEAT_FANOUT);
+    let recipients = choose_peers(daemon);
     let now = clock::now();
     let message = Message::Heartbeat(Heartbeat {
         name: daemon.settings.name.clone(),
@@ -374,6 +382,11 @@
                 quota::on_message(daemon, message, from);
             }
         }
+        Message::Limit(message) => {
+            if let Some(from) = from {
+                limit::on_message(daemon, message, from);
+            }
+        }
         Message::AdapterRequest { key, model, adapter } => {
             placer::request_adapter(daemon, &key, &model, &adapter, from);
         }
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -63,6 +63,8 @@
 /// earlier holder may have been carried out late. The fleet's records do not show that, as they
 /// contain what this placer announced.
 const STATE_VALIDITY: Duration = Duration::from_secs(3);
+/// The same time for an engine that limits the calls it takes: reports would use up a large part.
+const LIMITED_STATE_VALIDITY: Duration = Duration::from_secs(20);
 /// Time after which a lease write without a response no longer takes effect. The platform documents
 /// a delay of seconds; delayed orders take effect within 12 s.
 const MAX_WRITE_DELAY: Duration = Duration::from_secs(15);
@@ -320,7 +322,8 @@
         });
         let is_idle =
             tracker.next_poll.is_none() && !tracker.order_pending && tracker.target.is_none();
-        if is_idle && now > tracker.changed_at + STATE_VALIDITY {
+        let validity = if row.limit().is_some() { LIMITED_STATE_VALIDITY } else { STATE_VALIDITY };
+        if is_idle && now > tracker.changed_at + validity {
             tracker.next_poll = Some(now);
         }
     }
--- a/src/daemon/placer/order.rs
+++ b/src/daemon/placer/order.rs
@@ -8,6 +8,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::clock;
 use crate::daemon::engine;
+use crate::daemon::limit;
 use crate::daemon::placer::Placer;
 use crate::daemon::placer::poll;
 use crate::decide::orders;
@@ -36,7 +37,7 @@
 
 /// Sends the next order to an engine, if one is due, in a separate task.
 pub(super) fn send_next(daemon: &Rc<Daemon>, now: Duration, key: &Key, engines: &Engines) {
-    if daemon.orders.is_late() {
+    if daemon.orders.is_late() || limit::is_paused(daemon, key) {
         return;
     }
     let (task, expect) = {
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::limit;
+use crate::decide::limit::Statement;
 use crate::decide::prefill;
 use crate::decide::prefill::Window;
 use crate::decide::speed::Estimate;
@@ -135,6 +137,8 @@
     Unreachable,
     /// Not sent to the endpoint.
     Unused,
+    /// Not sent, as the endpoint's limit was reached.
+    Limited,
 }
 
 /// An endpoint's instance record and the observations of it.
@@ -186,8 +190,12 @@
     busy_until: Duration,
     /// When the placer last reported the residents, and after how many orders.
     placer_report: Option<(Duration, u64)>,
-    /// The limit that it states in its responses; none if it states none.
-    pub limit: Option<Limit>,
+    /// The limit that it states in its responses.
+    statement: Statement,
+    /// When that limit last changed.
+    statement_changed_at: Option<Duration>,
+    /// Until when it is not chosen, as no permit under its limit is expected before.
+    paused_until: Duration,
     /// Reports and orders that this daemon requested of it.
     pub control_calls: u64,
 }
@@ -227,7 +235,9 @@
             recorded_resident: None,
             busy_until: now,
             placer_report: None,
-            limit: None,
+            statement: Statement::default(),
+            statement_changed_at: None,
+            paused_until: Duration::ZERO,
             control_calls: 0,
         }
     }
@@ -244,6 +254,27 @@
         self.running > 0 && now > self.last_activity + UNRESPONSIVE_TIMEOUT
     }
 
+    /// Returns the limit that the endpoint states.
+    pub fn limit(&self) -> Option<Limit> {
+        self.statement.limit
+    }
+
+    /// Returns what the endpoint stated last about its limit.
+    pub fn statement(&self) -> Statement {
+        self.statement
+    }
+
+    /// Returns whether the limit has changed since then.
+    pub fn is_limit_changed_since(&self, since: Duration) -> bool {
+        self.statement_changed_at.is_some_and(|changed_at| changed_at >= since)
+    }
+
+    /// Returns how long no permit under the limit is expected.
+    pub fn pause(&self, now: Duration) -> Duration {
+        let until = if self.statement.limit.is_some() { self.paused_until } else { now };
+        until.saturating_sub(now)
+    }
+
     /// Returns the number of requests at the endpoint, as far as known.
     pub fn load(&self, now: Duration) -> u32 {
         self.running
@@ -429,6 +460,7 @@
             self.last_activity = now;
         }
         self.running += 1;
+        self.pace(now);
         self.record_prompt(now, parts, prefill_time);
     }
 
@@ -440,6 +472,7 @@
     /// Records a grant to another daemon, for a prompt that takes `prefill_time` to read.
     pub fn grant(&mut self, now: Duration, parts: &[Part], prefill_time: Duration) {
         self.granted += 1;
+        self.pace(now);
         self.record_prompt(now, parts, prefill_time);
     }
 
@@ -477,6 +510,27 @@
         self.failed_connects += 1;
     }
 
+    /// Applies a statement of the endpoint's limit, and returns whether the limit has changed.
+    pub fn on_statement(&mut self, now: Duration, statement: Statement) -> bool {
+        let changed = self.statement.merge(statement);
+        if changed {
+            self.statement_changed_at = Some(now);
+        }
+        changed
+    }
+
+    /// Records that no permit under the limit is expected until then.
+    pub fn pause_until(&mut self, until: Duration) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Spaces the requests that this daemon sends under a limit.
+    fn pace(&mut self, now: Duration) {
+        if let Some(limit) = self.statement.limit {
+            self.pause_until(now + limit::interval(limit));
+        }
+    }
+
     /// Records that bytes arrived from the endpoint.
     pub fn record_activity(&mut self, now: Duration) {
         self.last_activity = now;
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -25,6 +25,8 @@
 use crate::decide::endpoint::End;
 use crate::decide::endpoint::Endpoint;
 use crate::decide::endpoint::Requirements;
+use crate::decide::limit::MIN_PAUSE;
+use crate::decide::limit::Statement;
 use crate::decide::speed::Estimate;
 use crate::decide::speed::Speeds;
 use crate::edge::dialect::Load;
@@ -33,7 +35,6 @@
 use crate::table::RegionId;
 use crate::table::instance::Instance;
 use crate::table::instance::Key;
-use crate::table::instance::Limit;
 use crate::table::instance::Residency;
 use crate::table::instance::State;
 
@@ -53,6 +54,8 @@
     LoadAdapter(Key),
     /// Wait for this long: the best endpoint is busy with the prefill of other prompts until then.
     Delay(Duration),
+    /// Wait for this long: the suitable endpoints have reached the limits that they state.
+    Limited(Duration),
     /// Wait: all suitable endpoints are full.
     Full,
     /// No usable endpoint has the model resident.
@@ -215,6 +218,7 @@
     ) -> Choice {
         let mut has_usable = false;
         let mut has_resident = false;
+        let mut shortest_pause: Option<Duration> = None;
         let mut best: Option<(f64, &Endpoint, bool, Duration)> = None;
         for row in self.rows.values() {
             if row.instance.service != requirements.service || !row.is_usable(now) {
@@ -238,6 +242,11 @@
             {
                 continue;
             }
+            let pause = row.pause(now);
+            if !pause.is_zero() {
+                shortest_pause = Some(shortest_pause.map_or(pause, |other| other.min(pause)));
+                continue;
+            }
             let load_cost = if ready { 0.0 } else { row.adapter_load_cost(now, requirements) };
             let noise = 1.0 + rng.random_range(0.0..NOISE_RATIO);
             let max_pause = requirements.max_pause.filter(|_| is_engine);
@@ -255,6 +264,7 @@
             Some((_, row, false, _)) => Choice::LoadAdapter(row.instance.key.clone()),
             Some((_, _, true, delay)) if !delay.is_zero() => Choice::Delay(delay),
             Some((_, row, true, _)) => Choice::Send(row.instance.key.clone()),
+            None if let Some(pause) = shortest_pause => Choice::Limited(pause),
             None if has_resident => Choice::Full,
             None if has_usable => Choice::NoModel,
             None => Choice::NoEndpoint,
@@ -345,6 +355,7 @@
         };
         match (end, requirements.model) {
             (End::Completed | End::Unused, _) => {}
+            (End::Limited, _) => row.pause_until(now + MIN_PAUSE),
             (End::Failed, _) => row.record_failure(now),
             (End::Unreachable, _) => row.record_unreachable(now),
             (End::NotResident, Some(model)) => row.record_missing(now, model, requirements.adapter),
@@ -408,12 +419,16 @@
         }
     }
 
-    /// Records the limit that an endpoint states, and returns whether it has changed.
-    pub fn set_limit(&mut self, key: &Key, limit: Option<Limit>) -> bool {
-        let Some(row) = self.rows.get_mut(key) else {
-            return false;
-        };
-        std::mem::replace(&mut row.limit, limit) != limit
+    /// Applies a statement of an endpoint's limit, and returns whether the limit has changed.
+    pub fn on_statement(&mut self, now: Duration, key: &Key, statement: Statement) -> bool {
+        self.rows.get_mut(key).is_some_and(|row| row.on_statement(now, statement))
+    }
+
+    /// Records that an endpoint's limit allows no call until then.
+    pub fn pause_until(&mut self, key: &Key, until: Duration) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.pause_until(until);
+        }
     }
 
     /// Records a report or an order that this daemon requested of an endpoint.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod lag;
 pub mod lease;
 pub mod ledger;
+pub mod limit;
 pub mod load;
 pub mod member;
 pub mod offer;
--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -38,6 +38,13 @@
     },
     /// All engines that have the model and adapter resident have this much prefill time queued.
     Paced(Duration),
+    /// All engines that have the model and adapter resident have reached the limits they state.
+    Limited {
+        /// Number of requests queued before it.
+        ahead: usize,
+        /// Time until the next request can be sent.
+        wait: Duration,
+    },
     /// A model or an adapter must be loaded first, which takes this long.
     Loading(Duration),
     /// No endpoint can serve it.
@@ -57,6 +64,8 @@
     Load,
     /// Any endpoint.
     Endpoint,
+    /// A request per second under the limit that an endpoint states.
+    Limit,
 }
 
 impl Cause {
@@ -65,6 +74,7 @@
         match self {
             Cause::Full { .. } => Shortage::Slot,
             Cause::Paced(_) => Shortage::Prefill,
+            Cause::Limited { .. } => Shortage::Limit,
             Cause::Loading(_) => Shortage::Load,
             Cause::Nothing => Shortage::Endpoint,
         }
@@ -99,6 +109,10 @@
             let wait = Duration::from_secs_f64(((ahead as f64 + 1.0) / rate.max(0.5)).min(60.0));
             wait_within_target(now, request, wait, rng)
         }
+        Cause::Limited { ahead, wait } => {
+            let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+            wait_within_target(now, request, wait.saturating_mul(ahead.saturating_add(1)), rng)
+        }
         Cause::Paced(wait) => wait_within_target(now, request, wait, rng),
         Cause::Loading(load_time) => {
             let max_wait = remaining.mul_f64(MAX_LOAD_RATIO);
