Place what a severely limited engine holds on other engines too

An engine whose limit allows less than an eighth of its slots to be used now counts as no replica: a model that only it holds is loaded on another engine, and its adapters on other engines with the model. It keeps what it holds and takes what its limit allows.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -26,8 +26,10 @@
 use crate::daemon::placer::order::send_next;
 use crate::daemon::settings::Settings;
 use crate::decide::demand::Demand;
+use crate::decide::endpoint::Endpoint;
 use crate::decide::lease::Elector;
 use crate::decide::lease::Holder;
+use crate::decide::limit;
 use crate::decide::orders;
 use crate::decide::orders::Target;
 use crate::decide::orders::Tracker;
@@ -230,11 +232,12 @@
         known.map(|(tracker, key)| (key, tracker.announcement(now))).collect()
     }
 
-    /// Returns the engines on which an adapter is resident or about to be loaded.
+    /// Returns the engines on which an adapter is resident or about to be loaded, without those that
+    /// take few requests.
     fn engines_with_adapter(&self, request: &(ModelId, AdapterId)) -> Vec<Key> {
         let holds = |tracker: &Tracker| {
-            is_resident(&tracker.resident, &request.0, Some(&request.1))
-                || tracker.wanted_adapters.contains(request)
+            let is_loaded = is_resident(&tracker.resident, &request.0, Some(&request.1));
+            !tracker.limited && (is_loaded || tracker.wanted_adapters.contains(request))
         };
         self.trackers
             .iter()
@@ -243,9 +246,11 @@
             .collect()
     }
 
-    /// Updates the models that are requested but not resident on any engine.
+    /// Updates the models that are requested but not resident on any engine, not counting engines
+    /// that take few requests.
     fn track_missing_models(&mut self, now: Duration, engines: &Engines) {
-        let resident = self.trackers.values().flat_map(|tracker| &tracker.resident);
+        let trackers = self.trackers.values().filter(|tracker| !tracker.limited);
+        let resident = trackers.flat_map(|tracker| &tracker.resident);
         let resident_models: HashSet<&ModelId> = resident.map(|row| &row.model).collect();
         let wanted = |model: &ModelId| self.demand.wanted(now, model).is_some();
         self.missing_models.retain(|model, _| !resident_models.contains(model) && wanted(model));
@@ -322,6 +327,7 @@
         });
         let is_idle =
             tracker.next_poll.is_none() && !tracker.order_pending && tracker.target.is_none();
+        tracker.limited = row.limit().is_some_and(|limit| limit::is_severe(limit, instance.slots));
         let validity = if row.limit().is_some() { LIMITED_STATE_VALIDITY } else { STATE_VALIDITY };
         if is_idle && now > tracker.changed_at + validity {
             tracker.next_poll = Some(now);
@@ -399,7 +405,7 @@
 
 /// Plans the placement of a service's models, and sends the orders that are due.
 fn place_models(daemon: &Rc<Daemon>, now: Duration, service: &str, engines: &Engines) {
-    let (requirements, hosts, allowed_loads) = {
+    let (requirements, keys, hosts, allowed_loads) = {
         let fleet = daemon.fleet.borrow();
         let mut placer = daemon.placer.borrow_mut();
         let allowed_loads =
@@ -408,25 +414,22 @@
         let requirements: Vec<Requirement> =
             engines.models.iter().map(|model| placer.requirement(now, model)).collect();
         let rows = fleet.rows().filter(|row| row.instance.service == service && row.is_usable(now));
-        let mut hosts: Vec<Host> = rows
-            .filter_map(|row| {
-                let tracker = placer.trackers.get(&row.instance.key)?;
-                Some(orders::host(
-                    tracker,
-                    row.instance.key.clone(),
-                    fleet.region_of(&row.instance.data_center),
-                    engines,
-                ))
-            })
-            .collect();
-        hosts.sort_by(|a, b| a.key.cmp(&b.key));
-        (requirements, hosts, allowed_loads)
+        let mut rows: Vec<&Endpoint> = rows.collect();
+        rows.sort_by(|a, b| a.instance.key.cmp(&b.instance.key));
+        let host = |row: &&Endpoint| {
+            let tracker = placer.trackers.get(&row.instance.key)?;
+            let region = fleet.region_of(&row.instance.data_center);
+            (!tracker.limited)
+                .then(|| orders::host(tracker, row.instance.key.clone(), region, engines))
+        };
+        let hosts: Vec<Host> = rows.iter().filter_map(host).collect();
+        let keys: Vec<Key> = rows.iter().map(|row| row.instance.key.clone()).collect();
+        (requirements, keys, hosts, allowed_loads)
     };
     log_plan(daemon, now, &requirements, &hosts);
     for placement in spread::plan(&requirements, &hosts, allowed_loads, MAX_STEP_PLACEMENTS) {
         set_target(daemon, now, placement);
     }
-    let keys: Vec<Key> = hosts.into_iter().map(|host| host.key).collect();
     for key in keys {
         send_next(daemon, now, &key, engines);
     }
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -40,6 +40,10 @@
 const SECONDARY_RATIO: f64 = 0.25;
 /// Time after which no daemon asks the previous counter any more.
 const HANDOVER_WINDOW: Duration = Duration::from_secs(3);
+/// Expected time for which a request occupies a slot, in seconds.
+const SLOT_TIME_SECONDS: f64 = 0.6;
+/// Part of its slots below which the load that an engine's limit allows does not count.
+const MIN_LOAD_RATIO: f64 = 0.125;
 /// Time over which requests for permits are counted.
 const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 /// Bounds of the time for which a daemon that was refused does not ask again.
@@ -112,6 +116,11 @@
     Duration::from_secs_f64(1.0 / rate(limit)).min(MAX_INTERVAL)
 }
 
+/// Returns whether a limit allows so little that other engines have to take the requests.
+pub fn is_severe(limit: Limit, slots: u32) -> bool {
+    limit.per_second() * SLOT_TIME_SECONDS < f64::from(slots) * MIN_LOAD_RATIO
+}
+
 /// The permits of one endpoint, as its counter keeps them.
 #[derive(Debug, Clone)]
 pub struct Bucket {
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -70,6 +70,8 @@
     pub changed_at: Duration,
     /// The state last sent to daemons, and when it was sent to the last of them.
     pub last_sent: Option<(Residency, Duration)>,
+    /// Whether it limits its requests so much that what is resident must be resident elsewhere too.
+    pub limited: bool,
 }
 
 /// A model that is to replace others on an engine.
@@ -117,6 +119,7 @@
             unloading_adapters: Vec::new(),
             changed_at: now,
             last_sent: None,
+            limited: false,
         }
     }
 
@@ -386,7 +389,9 @@
     };
     let models = tracker.resident.iter().map(|row| row.model.clone());
     let others = |model: &ModelId| {
-        trackers.iter().any(|(other, tracker)| other != key && tracker.serves(model))
+        trackers
+            .iter()
+            .any(|(other, tracker)| other != key && !tracker.limited && tracker.serves(model))
     };
     models.filter(|model| !others(model)).collect()
 }
