Leave models with little demand on limited engines

A model that only a limited engine holds was loaded elsewhere whatever its demand, and after five seconds evicted replicas of the models with the most requests.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -237,7 +237,7 @@
     fn engines_with_adapter(&self, request: &(ModelId, AdapterId)) -> Vec<Key> {
         let holds = |tracker: &Tracker| {
             let is_loaded = is_resident(&tracker.resident, &request.0, Some(&request.1));
-            !tracker.limited && (is_loaded || tracker.wanted_adapters.contains(request))
+            tracker.max_load.is_none() && (is_loaded || tracker.wanted_adapters.contains(request))
         };
         self.trackers
             .iter()
@@ -249,9 +249,17 @@
     /// Updates the models that are requested but not resident on any engine, not counting engines
     /// that take few requests.
     fn track_missing_models(&mut self, now: Duration, engines: &Engines) {
-        let trackers = self.trackers.values().filter(|tracker| !tracker.limited);
-        let resident = trackers.flat_map(|tracker| &tracker.resident);
-        let resident_models: HashSet<&ModelId> = resident.map(|row| &row.model).collect();
+        let mut resident_models: HashSet<&ModelId> = HashSet::new();
+        for tracker in self.trackers.values() {
+            // A limited engine goes on serving models with little demand.
+            let serves = |model: &ModelId| {
+                let share = 1.0 / tracker.resident.len() as f64;
+                let max_load = tracker.max_load.map(|max_load| max_load * share);
+                max_load.is_none_or(|max_load| self.demand.expected(now, model) <= max_load)
+            };
+            let models = tracker.resident.iter().map(|row| &row.model);
+            resident_models.extend(models.filter(|model| serves(model)));
+        }
         let wanted = |model: &ModelId| self.demand.wanted(now, model).is_some();
         self.missing_models.retain(|model, _| !resident_models.contains(model) && wanted(model));
         let models = engines.models.iter().map(|model| &model.name);
@@ -327,7 +335,7 @@
         });
         let is_idle =
             tracker.next_poll.is_none() && !tracker.order_pending && tracker.target.is_none();
-        tracker.limited = row.limit().is_some_and(|limit| limit::is_severe(limit, instance.slots));
+        tracker.max_load = row.limit().and_then(|limit| limit::max_load(limit, instance.slots));
         let validity = if row.limit().is_some() { LIMITED_STATE_VALIDITY } else { STATE_VALIDITY };
         if is_idle && now > tracker.changed_at + validity {
             tracker.next_poll = Some(now);
@@ -419,7 +427,9 @@
         let host = |row: &&Endpoint| {
             let tracker = placer.trackers.get(&row.instance.key)?;
             let region = fleet.region_of(&row.instance.data_center);
-            (!tracker.limited)
+            tracker
+                .max_load
+                .is_none()
                 .then(|| orders::host(tracker, row.instance.key.clone(), region, engines))
         };
         let hosts: Vec<Host> = rows.iter().filter_map(host).collect();
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -116,9 +116,11 @@
     Duration::from_secs_f64(1.0 / rate(limit)).min(MAX_INTERVAL)
 }
 
-/// Returns whether a limit allows so little that other engines have to take the requests.
-pub fn is_severe(limit: Limit, slots: u32) -> bool {
-    limit.per_second() * SLOT_TIME_SECONDS < f64::from(slots) * MIN_LOAD_RATIO
+/// Returns the number of requests at once that a limit allows, if that is so small a part of an
+/// engine's slots that others have to take its requests.
+pub fn max_load(limit: Limit, slots: u32) -> Option<f64> {
+    let load = limit.per_second() * SLOT_TIME_SECONDS;
+    (load < f64::from(slots) * MIN_LOAD_RATIO).then_some(load)
 }
 
 /// The permits of one endpoint, as its counter keeps them.
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -70,8 +70,8 @@
     pub changed_at: Duration,
     /// The state last sent to daemons, and when it was sent to the last of them.
     pub last_sent: Option<(Residency, Duration)>,
-    /// Whether it limits its requests so much that what is resident must be resident elsewhere too.
-    pub limited: bool,
+    /// Number of requests at once that its limit allows, if that is only a small part of its slots.
+    pub max_load: Option<f64>,
 }
 
 /// A model that is to replace others on an engine.
@@ -119,7 +119,7 @@
             unloading_adapters: Vec::new(),
             changed_at: now,
             last_sent: None,
-            limited: false,
+            max_load: None,
         }
     }
 
@@ -389,9 +389,9 @@
     };
     let models = tracker.resident.iter().map(|row| row.model.clone());
     let others = |model: &ModelId| {
-        trackers
-            .iter()
-            .any(|(other, tracker)| other != key && !tracker.limited && tracker.serves(model))
+        trackers.iter().any(|(other, tracker)| {
+            other != key && tracker.max_load.is_none() && tracker.serves(model)
+        })
     };
     models.filter(|model| !others(model)).collect()
 }
