Bound the search for a permit, and lower what a second counter issues

Found by reading. A broker that did not know a limit yet could choose the same endpoint for a request until its deadline, as each permit was refused: an endpoint whose limit was reached is now excluded for that request, which is refused after four of them. A permit was awaited for up to half a second past the deadline. Two daemons that issue permits beside the counter could exceed what is allowed by a twelfth: each issues a fifth of the limit in place of a quarter.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -52,6 +52,9 @@
 /// the region that the request is redirected to.
 const MAX_BROKERS_ASKED: u32 = 3;
 
+/// Endpoints chosen for one request whose limits turn out to be reached.
+const MAX_LIMITED_TRIES: u32 = 4;
+
 /// Retry-after of a request that has waited without success: a round of orders is complete by then.
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -395,22 +398,40 @@
 
 /// Returns the refusal of an arrival that has waited without success.
 pub fn timeout_refusal(daemon: &Daemon, arrival: &Arrival, shortage: Option<Shortage>) -> Refusal {
-    let left = arrival.deadline.saturating_sub(clock::now());
+    late_refusal(daemon, "waited", arrival.deadline, shortage)
+}
+
+/// Returns the refusal of a request that could not be sent for some time.
+fn late_refusal(
+    daemon: &Daemon,
+    reason: &'static str,
+    deadline: Duration,
+    shortage: Option<Shortage>,
+) -> Refusal {
+    let left = deadline.saturating_sub(clock::now());
     let retry_after =
         wait_policy::retry_after(left, WAIT_TIMEOUT_RETRY_AFTER, &mut daemon.rng.borrow_mut());
-    Refusal { reason: "waited", retry_after, shortage }
+    Refusal { reason, retry_after, shortage }
 }
 
 /// Finds an endpoint for a job, waiting as long as that can help.
 pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Permit, Refusal> {
-    loop {
-        let permit = find_candidate(daemon, job, tried).await?;
-        if limit::acquire(daemon, &permit.key).await {
+    let mut excluded = tried.to_vec();
+    for _ in 0..MAX_LIMITED_TRIES {
+        let permit = find_candidate(daemon, job, &excluded).await?;
+        let left = job.deadline.saturating_sub(clock::now());
+        let timeout = async {
+            Timer::after(left).await;
+            false
+        };
+        if limit::acquire(daemon, &permit.key).or(timeout).await {
             return Ok(permit);
         }
-        // The endpoint is not chosen again at once, so another is found, or the request waits.
+        // A broker may not know the limit yet and choose the same endpoint again.
+        excluded.push(permit.key.clone());
         permit.set_end(End::Limited);
     }
+    Err(late_refusal(daemon, "limited", job.deadline, Some(Shortage::Limit)))
 }
 
 async fn find_candidate(
--- a/src/daemon/limit.rs
+++ b/src/daemon/limit.rs
@@ -185,7 +185,7 @@
 /// Returns whether a limited endpoint is not used now.
 pub fn is_paused(daemon: &Daemon, key: &Key) -> bool {
     let now = clock::now();
-    daemon.fleet.borrow().get(key).is_some_and(|row| !row.pause(now).is_zero())
+    daemon.fleet.borrow().get(key).is_some_and(|row| !row.remaining_pause(now).is_zero())
 }
 
 /// Obtains permission for a report or an order, unless the endpoint is not used now.
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -295,8 +295,7 @@
 ) -> Outcome {
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
-    let replaced = answer.endpoint.as_ref().is_some_and(|id| *id != place.key.id);
-    if (answer.signed || answer.not_run) && !replaced {
+    if (answer.signed || answer.not_run) && !answer.is_from_other(&place.key.id) {
         limit::observe(daemon, &place.key, &parts.headers, Source::Request);
     }
     if let Some(load) = answer.load {
@@ -355,7 +354,7 @@
     if drained.or(timeout).await {
         return_to_pool(daemon, &place.key, link, answer.idle_timeout);
     }
-    let replaced = answer.endpoint.as_ref().is_some_and(|id| *id != place.key.id);
+    let replaced = answer.is_from_other(&place.key.id);
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         return Outcome::NotRun("shed");
     }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -270,7 +270,7 @@
     }
 
     /// Returns how long no permit under the limit is expected.
-    pub fn pause(&self, now: Duration) -> Duration {
+    pub fn remaining_pause(&self, now: Duration) -> Duration {
         let until = if self.statement.limit.is_some() { self.paused_until } else { now };
         until.saturating_sub(now)
     }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -242,7 +242,7 @@
             {
                 continue;
             }
-            let pause = row.pause(now);
+            let pause = row.remaining_pause(now);
             if !pause.is_zero() {
                 shortest_pause = Some(shortest_pause.map_or(pause, |other| other.min(pause)));
                 continue;
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -14,8 +14,9 @@
 //! after it was last stated.
 //!
 //! Bound: while daemons disagree on the counter, each of the others issues `SECONDARY_RATIO` of the
-//! limit. With two of them that is at most 6.25 permits in 4 s for each per second of the limit,
-//! and three more.
+//! limit. With two of them that is at most 5.85 permits in 4 s for each per second of the limit,
+//! and three more. One and a half times the limit and five more are allowed, which leaves room for
+//! permits that are used late.
 
 use std::time::Duration;
 
@@ -37,8 +38,9 @@
 const BURST_SECONDS: f64 = 0.25;
 /// Part of the limit issued by a daemon that has just become the counter, or that is asked although
 /// it considers another daemon the counter.
-const SECONDARY_RATIO: f64 = 0.25;
-/// Time after which no daemon asks the previous counter any more.
+const SECONDARY_RATIO: f64 = 0.2;
+/// Time after which no daemon asks the previous counter any more: a silent daemon is suspected for
+/// less.
 const HANDOVER_WINDOW: Duration = Duration::from_secs(3);
 /// Expected time for which a request occupies a slot, in seconds.
 const SLOT_TIME_SECONDS: f64 = 0.6;
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -129,6 +129,13 @@
     pub close: bool,
 }
 
+impl Answer {
+    /// Returns whether another endpoint than the given one states that it has responded.
+    pub fn is_from_other(&self, endpoint: &str) -> bool {
+        self.endpoint.as_deref().is_some_and(|id| id != endpoint)
+    }
+}
+
 /// Load reported by an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
