--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -268,7 +268,7 @@
         left: progress.written.map(|written_at| millis(progress.lease_end) - millis(written_at)),
         why: if task.adapter.is_some() { "wanted" } else { "demand" },
     });
-    if matches!(ordered, Err(link::Error::Connect)) {
+    if matches!(ordered, Err(link::Error::Connect | link::Error::Refused)) {
         daemon.fleet.borrow_mut().record_unreachable(now, key);
     }
     ordered.ok()?.ok()
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -34,6 +34,7 @@
 use smol::stream::Stream;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::daemon::Daemon;
 use crate::daemon::admission;
@@ -53,6 +54,7 @@
 use crate::decide::shutdown;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
+use crate::table::Fingerprint;
 use crate::table::RequestId;
 use crate::table::instance;
 use crate::table::routing::Config;
@@ -147,6 +149,8 @@
     pub team: Option<Rc<Team>>,
     /// What it counts against the team's quota.
     pub charge: Option<Charge>,
+    /// Hash of team, method, host, URI and body: equal if the request is sent again.
+    pub fingerprint: Fingerprint,
     /// When it arrived.
     pub arrived_at: Duration,
     /// When its final answer is due at the latest.
@@ -420,6 +424,7 @@
         method: head.method.clone(),
         uri: head.uri.clone(),
         config_version: config.version,
+        fingerprint: fingerprint(team.as_deref(), &caller.host, head, &body),
         team,
         charge,
         route,
@@ -430,6 +435,25 @@
     }
 }
 
+/// Returns the hash of what stays equal when a caller sends a request again. Its id and its deadline
+/// do not.
+fn fingerprint(
+    team: Option<&Team>,
+    host: &str,
+    head: &http::request::Parts,
+    body: &[u8],
+) -> Fingerprint {
+    let mut hasher = Xxh3::new();
+    let team = team.map_or("", |team| team.name.as_str());
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    for part in [team, head.method.as_str(), host, path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    hasher.digest()
+}
+
 /// Attempts made for a request so far.
 #[derive(Default)]
 struct Progress {
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -166,6 +166,7 @@
     Sent {
         request: String,
         route: String,
+        content: String,
         team: Option<String>,
         tokens: Option<u32>,
         endpoint: String,
@@ -214,6 +215,15 @@
         until: u64,
         ahead: usize,
     },
+    Transfer {
+        from: String,
+        kind: &'static str,
+        bytes: usize,
+        waited: u64,
+        took: u64,
+        others: usize,
+        complete: bool,
+    },
     Reader {
         address: String,
         kind: &'static str,
@@ -290,6 +300,7 @@
             Event::Ended { .. } => "ended",
             Event::Failed { .. } => "failed",
             Event::Waits { .. } => "waits",
+            Event::Transfer { .. } => "transfer",
             Event::Reader { .. } => "reader",
             Event::Broker { .. } => "broker",
             Event::Counter { .. } => "counter",
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -56,6 +56,8 @@
 pub enum Error {
     /// No connection was established in time.
     Connect,
+    /// The peer's host refused the connection: no process listens at the address.
+    Refused,
     /// The connection turned out to be closed before anything was sent.
     Unsent,
     /// Time ran out before anything was sent.
@@ -71,7 +73,7 @@
 impl Error {
     /// Returns whether no part of the request can have reached the peer.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Error::Connect | Error::Unsent | Error::Expired)
+        matches!(self, Error::Connect | Error::Refused | Error::Unsent | Error::Expired)
     }
 }
 
@@ -85,11 +87,34 @@
 
 /// State of the request that a connection carries.
 #[derive(Debug, Default)]
-struct Progress {
+pub struct Progress {
     /// No bytes are handed to the kernel from this time on (boot clock).
     write_deadline: Cell<Duration>,
     /// When bytes were last handed to the kernel; none while all are still queued.
     written_at: Cell<Option<Duration>>,
+    /// When the head of the response was received; none before.
+    head_at: Cell<Option<Duration>>,
+    /// Bytes of the response's body received by `Link::call`.
+    received: Cell<usize>,
+}
+
+impl Progress {
+    /// Forgets the last request.
+    pub fn reset(&self) {
+        self.written_at.set(None);
+        self.head_at.set(None);
+        self.received.set(0);
+    }
+
+    /// Returns when the head of the response was received; none before.
+    pub fn head_at(&self) -> Option<Duration> {
+        self.head_at.get()
+    }
+
+    /// Returns the number of bytes of the response's body received by `Link::call`.
+    pub fn received(&self) -> usize {
+        self.received.get()
+    }
 }
 
 /// A socket that refuses to write past the deadline of the current request.
@@ -166,6 +191,11 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Returns the progress of the request that this connection carries.
+    pub fn progress(&self) -> Rc<Progress> {
+        self.progress.clone()
+    }
+
     /// Returns when bytes of the last request were last handed to the kernel, if any were.
     pub fn written_at(&self) -> Option<Duration> {
         self.progress.written_at.get()
@@ -179,10 +209,13 @@
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
         self.progress.write_deadline.set(clock::now() + limit);
-        self.progress.written_at.set(None);
+        self.progress.reset();
         let req = req.map(Full::new);
         match self.sender.try_send_request(req).await {
-            Ok(res) => Ok(res),
+            Ok(res) => {
+                self.progress.head_at.set(Some(clock::now()));
+                Ok(res)
+            }
             Err(mut err) => {
                 let unsent = err.take_message().is_some() || self.written_at().is_none();
                 let err = err.into_error();
@@ -220,7 +253,13 @@
     ) -> Result<Response<Bytes>, Error> {
         let complete = async {
             let (head, body) = self.send(req, limit).await?.into_parts();
-            let body = Limited::new(body, max).collect().await.map_err(|_| Error::Broken)?;
+            let progress = self.progress.clone();
+            let counted = Limited::new(body, max).map_frame(|frame| {
+                let len = frame.data_ref().map_or(0, Bytes::len);
+                progress.received.set(progress.received.get() + len);
+                frame
+            });
+            let body = counted.collect().await.map_err(|_| Error::Broken)?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
         let outcome = complete.or(fail_after(limit, Error::Timeout)).await;
@@ -240,7 +279,12 @@
     addr: SocketAddr,
     limit: Duration,
 ) -> Result<Link, Error> {
-    let connecting = async { TcpStream::connect(addr).await.map_err(|_| Error::Connect) };
+    let connecting = async {
+        TcpStream::connect(addr).await.map_err(|err| match err.kind() {
+            io::ErrorKind::ConnectionRefused => Error::Refused,
+            _ => Error::Connect,
+        })
+    };
     let stream = connecting.or(fail_after(limit, Error::Connect)).await?;
     set_socket_options(&stream).map_err(|_| Error::Connect)?;
     let progress = Rc::new(Progress::default());
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -29,6 +29,7 @@
 pub mod store;
 pub mod stream;
 pub mod tally;
+pub mod transfer;
 pub mod updates;
 
 use std::cell::Cell;
@@ -99,6 +100,8 @@
     pub pool: RefCell<Pool>,
     /// Relays data read from the store to other daemons.
     pub relay: relay::Relay,
+    /// Calls for objects that are in progress.
+    pub transfers: transfer::Transfers,
     /// Client of the store.
     pub store: store::Client,
     /// Sender of datagrams to other daemons.
@@ -158,6 +161,7 @@
             pool: RefCell::default(),
             store: store::Client::new(ex.clone(), settings.store),
             relay: relay::Relay::default(),
+            transfers: transfer::Transfers::default(),
             peers,
             journal: RefCell::default(),
             gauges: Gauges::default(),
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -28,6 +28,7 @@
 use crate::daemon::link::Link;
 use crate::daemon::node;
 use crate::daemon::store;
+use crate::daemon::transfer::Transfer;
 use crate::decide::relay;
 use crate::decide::relay::Delta;
 use crate::decide::relay::Feed;
@@ -374,7 +375,13 @@
     limit: Duration,
 ) -> Option<Bytes> {
     let req = Request::get(path).header(http::header::HOST, to.to_string()).body(Bytes::new());
-    let problem = match link.call(req.ok()?, MAX_RESPONSE_BYTES, limit).await {
+    let mut transfer = Transfer::start(daemon, to.to_string(), kind, link);
+    let res = link.call(req.ok()?, MAX_RESPONSE_BYTES, limit).await;
+    if res.is_ok() {
+        transfer.complete();
+    }
+    drop(transfer);
+    let problem = match res {
         Ok(res) if res.status() == StatusCode::OK => return Some(res.into_body()),
         Ok(res) => format!("status {}", res.status().as_u16()),
         Err(err) => err.to_string(),
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -115,6 +115,7 @@
             Some(link) => link,
             None => match connect(daemon, job, &place.key, addr).await {
                 Ok(link) => link,
+                Err(link::Error::Refused) => return Outcome::Unsent("connection_refused"),
                 Err(_) => return Outcome::Unsent("connect"),
             },
         };
@@ -270,6 +271,7 @@
     daemon.note(&Event::Sent {
         request: job.caller.id.clone(),
         route: job.route.name.clone(),
+        content: format!("{:016x}", job.fingerprint),
         team: job.team.as_ref().map(|team| team.name.clone()),
         tokens: job.caller.total_tokens,
         endpoint: key.id.clone(),
@@ -471,7 +473,8 @@
             daemon.note(&failed_event("key_withdrawn", "unsent"));
         }
         Outcome::Unsent(error) => {
-            place.set_end(if *error == "connect" { End::Unreachable } else { End::Unused });
+            let unreachable = matches!(*error, "connect" | "connection_refused");
+            place.set_end(if unreachable { End::Unreachable } else { End::Unused });
             daemon.note(&failed_event(error, "unsent"));
         }
         Outcome::Indeterminate(error) => {
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -29,6 +29,7 @@
 use crate::daemon::tally::Op;
 use crate::daemon::tally::Outcome;
 use crate::daemon::tally::Tally;
+use crate::daemon::transfer::Transfer;
 use crate::edge::dialect;
 use crate::edge::dialect::Change;
 use crate::edge::dialect::Consistency;
@@ -213,37 +214,47 @@
         &self.tally
     }
 
-    /// Makes one call. A connection on which a response was lost is not used again.
-    pub async fn call(
-        &self,
-        req: Request<Bytes>,
-        limit: Duration,
-    ) -> Result<Response<Bytes>, link::Error> {
-        let idle_link = loop {
-            let link = self.idle.borrow_mut().pop();
-            match link {
-                Some(link) if !link.is_ready() => continue,
-                other => break other,
+    /// Returns an idle or new connection.
+    async fn connect(&self) -> Result<Link, link::Error> {
+        loop {
+            let idle_link = self.idle.borrow_mut().pop();
+            match idle_link {
+                Some(link) if link.is_ready() => return Ok(link),
+                Some(_) => {}
+                None => return link::dial(&self.ex, self.addr, CONNECT_TIMEOUT).await,
             }
-        };
-        let mut link = match idle_link {
-            Some(link) => link,
-            None => link::dial(&self.ex, self.addr, CONNECT_TIMEOUT).await?,
-        };
-        let mut req = req;
-        let host = http::HeaderValue::from_str(&self.addr.to_string());
-        if let Ok(host) = host {
-            req.headers_mut().insert(http::header::HOST, host);
         }
-        let res = link.call(req, MAX_RESPONSE_BYTES, limit).await?;
+    }
+
+    /// Keeps a connection whose last response is complete.
+    fn keep(&self, link: Link) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < Self::MAX_IDLE_CONNECTIONS {
             idle.push(link);
         }
-        Ok(res)
     }
 }
 
+/// Makes one call. A connection on which a response was lost is not used again.
+async fn exchange(
+    daemon: &Daemon,
+    kind: Kind,
+    mut req: Request<Bytes>,
+    limit: Duration,
+) -> Result<Response<Bytes>, link::Error> {
+    let client = &daemon.store;
+    let mut link = client.connect().await?;
+    let addr = client.addr.to_string();
+    if let Ok(host) = http::HeaderValue::from_str(&addr) {
+        req.headers_mut().insert(http::header::HOST, host);
+    }
+    let mut transfer = Transfer::start(daemon, addr, kind, &link);
+    let res = link.call(req, MAX_RESPONSE_BYTES, limit).await?;
+    transfer.complete();
+    client.keep(link);
+    Ok(res)
+}
+
 /// Returns whether a status means that the store did not serve the call.
 fn is_rejection(status: StatusCode) -> bool {
     status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error()
@@ -258,7 +269,7 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, Error> {
     let client = &daemon.store;
-    let res = client.call(req, limit).await;
+    let res = exchange(daemon, kind, req, limit).await;
     let (outcome, problem) = match &res {
         Ok(res) if is_rejection(res.status()) => {
             (Outcome::Refused, Some(format!("status {}", res.status().as_u16())))
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -30,6 +30,8 @@
 pub type CallerId = String;
 /// Id of a request within one entry.
 pub type RequestId = u64;
+/// Hash of a request's content: equal if its caller sends it again.
+pub type Fingerprint = u64;
 /// Id of an attempt to run a request at one endpoint; no entry ever uses one twice.
 pub type AttemptId = String;
 /// Id of an order to an endpoint; never used twice.
