Let a transfer of objects go on while bytes arrive, and receive one copy at a time

A response of a reader had 1.5 s for its wait and its body, one of the store 1.5 to 2.2 s, one of another daemon 1 s. A megabyte takes 0.9 s of such a link if it is alone. If a change came late in the reader's wait the transfer was cut off, and the next one started from the first byte; meanwhile a copy was requested from another daemon every 0.6 s, so that three transfers shared the link and none ended in time.

The time limits of a response with objects now apply to its head and to each pause in its body, and a whole transfer has 10 s. No copy is requested from another daemon while bytes of one are arriving, or a request for one is open.

--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -21,11 +21,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use rustix::net::sockopt;
@@ -94,8 +96,10 @@
     written_at: Cell<Option<Duration>>,
     /// When the head of the response was received; none before.
     head_at: Cell<Option<Duration>>,
-    /// Bytes of the response's body received by `Link::call`.
+    /// Bytes of the response's body received by `Link::transfer`.
     received: Cell<usize>,
+    /// When the last of them were received.
+    last_received_at: Cell<Option<Duration>>,
 }
 
 impl Progress {
@@ -104,6 +108,7 @@
         self.written_at.set(None);
         self.head_at.set(None);
         self.received.set(0);
+        self.last_received_at.set(None);
     }
 
     /// Returns when the head of the response was received; none before.
@@ -111,12 +116,28 @@
         self.head_at.get()
     }
 
-    /// Returns the number of bytes of the response's body received by `Link::call`.
+    /// Returns when a part of the response was last received; none before its head.
+    pub fn last_received_at(&self) -> Option<Duration> {
+        self.last_received_at.get().or(self.head_at.get())
+    }
+
+    /// Returns the number of bytes of the response's body received by `Link::transfer`.
     pub fn received(&self) -> usize {
         self.received.get()
     }
 }
 
+/// Time limits of a transfer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Until the head of the response.
+    pub head: Duration,
+    /// Between two parts of its body.
+    pub pause: Duration,
+    /// For all of it.
+    pub total: Duration,
+}
+
 /// A socket that refuses to write past the deadline of the current request.
 struct Socket {
     stream: TcpStream,
@@ -243,6 +264,44 @@
         self.written_at().is_none() && clock::now() >= self.progress.write_deadline.get()
     }
 
+    /// Sends a request and reads a response of any size: it takes as long as it goes on arriving.
+    /// Its head has to arrive within `limits.head`. A body of more than `max` bytes is an error.
+    pub async fn transfer(
+        &mut self,
+        req: Request<Bytes>,
+        max: usize,
+        limits: Limits,
+    ) -> Result<Response<Bytes>, Error> {
+        let complete = async {
+            let head = self.send(req, limits.head);
+            let head = head.or(fail_after(limits.head, Error::Timeout)).await?;
+            let (head, body) = head.into_parts();
+            let mut body = std::pin::pin!(self.count(Limited::new(body, max)));
+            let mut bytes = BytesMut::new();
+            loop {
+                let frame = async { Ok(body.frame().await) };
+                match frame.or(fail_after(limits.pause, Error::Timeout)).await? {
+                    Some(Ok(frame)) => bytes.extend(frame.into_data()),
+                    Some(Err(_)) => return Err(Error::Broken),
+                    None => return Ok(Response::from_parts(head, bytes.freeze())),
+                }
+            }
+        };
+        let outcome = complete.or(fail_after(limits.total, Error::Timeout)).await;
+        outcome.map_err(|err| if self.is_expired() { Error::Expired } else { err })
+    }
+
+    /// Counts the bytes of a body as they are received.
+    fn count<B: Body<Data = Bytes>>(&self, body: B) -> impl Body<Data = Bytes, Error = B::Error> {
+        let progress = self.progress.clone();
+        body.map_frame(move |frame| {
+            let len = frame.data_ref().map_or(0, Bytes::len);
+            progress.received.set(progress.received.get() + len);
+            progress.last_received_at.set(Some(clock::now()));
+            frame
+        })
+    }
+
     /// Sends a request and reads the complete response within `limit`. A body of more than `max`
     /// bytes is an error.
     pub async fn call(
@@ -253,13 +312,7 @@
     ) -> Result<Response<Bytes>, Error> {
         let complete = async {
             let (head, body) = self.send(req, limit).await?.into_parts();
-            let progress = self.progress.clone();
-            let counted = Limited::new(body, max).map_frame(|frame| {
-                let len = frame.data_ref().map_or(0, Bytes::len);
-                progress.received.set(progress.received.get() + len);
-                frame
-            });
-            let body = counted.collect().await.map_err(|_| Error::Broken)?;
+            let body = Limited::new(body, max).collect().await.map_err(|_| Error::Broken)?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
         let outcome = complete.or(fail_after(limit, Error::Timeout)).await;
--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -28,7 +28,7 @@
 use crate::daemon::link::Link;
 use crate::daemon::node;
 use crate::daemon::store;
-use crate::daemon::transfer::Transfer;
+use crate::daemon::transfer;
 use crate::decide::relay;
 use crate::decide::relay::Delta;
 use crate::decide::relay::Feed;
@@ -40,15 +40,13 @@
 
 /// How long a reader holds a request when there is no change.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time allowed for the response in addition to `LONG_POLL_TIMEOUT`.
+/// Time allowed for the head of the response in addition to `LONG_POLL_TIMEOUT`.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 /// Time limit for opening a connection to a reader.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Number of responses older than the known revision after which a reader is no longer used. A
 /// reader that has just started has read the store by then.
 const MAX_OUTDATED_RESPONSES: u32 = 3;
-/// Largest body of a response.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
 /// Time after which a configuration that other daemons have in force is fetched from one of them,
 /// if neither the store nor a reader has delivered it.
@@ -73,6 +71,8 @@
     /// When another daemon first reported a newer configuration in force, or when that was last
     /// fetched, on the boot clock.
     newer_since: Cell<Option<Duration>>,
+    /// Whether a configuration is being fetched from another daemon.
+    is_fetching: Cell<bool>,
 }
 
 impl Relay {
@@ -305,7 +305,8 @@
 
 /// Records the version of the configuration that another daemon has in force. If the store rejects
 /// this daemon and all readers of its region, or has lost the newest version, the configuration is
-/// fetched from that daemon.
+/// fetched from that daemon. While a configuration is being received, a second copy would only slow
+/// the first one down.
 pub fn on_peer_version(daemon: &Rc<Daemon>, from: SocketAddr, version: u64) {
     let (now, newer_since) = (clock::now(), &daemon.relay.newer_since);
     if version <= daemon.config_version() {
@@ -314,9 +315,17 @@
     match newer_since.get() {
         None => newer_since.set(Some(now)),
         Some(since) if now >= since + FETCH_DELAY => {
+            let receiving = daemon.transfers.receiving(now, Kind::Config) > 0;
+            if receiving || daemon.relay.is_fetching.replace(true) {
+                return;
+            }
             newer_since.set(Some(now));
             let shared = daemon.clone();
-            daemon.ex.spawn(async move { fetch_config(&shared, from).await }).detach();
+            let fetch = async move {
+                fetch_config(&shared, from).await;
+                shared.relay.is_fetching.set(false);
+            };
+            daemon.ex.spawn(fetch).detach();
         }
         Some(_) => {}
     }
@@ -375,13 +384,7 @@
     limit: Duration,
 ) -> Option<Bytes> {
     let req = Request::get(path).header(http::header::HOST, to.to_string()).body(Bytes::new());
-    let mut transfer = Transfer::start(daemon, to.to_string(), kind, link);
-    let res = link.call(req.ok()?, MAX_RESPONSE_BYTES, limit).await;
-    if res.is_ok() {
-        transfer.complete();
-    }
-    drop(transfer);
-    let problem = match res {
+    let problem = match transfer::receive(daemon, link, to, kind, req.ok()?, limit).await {
         Ok(res) if res.status() == StatusCode::OK => return Some(res.into_body()),
         Ok(res) => format!("status {}", res.status().as_u16()),
         Err(err) => err.to_string(),
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -29,7 +29,7 @@
 use crate::daemon::tally::Op;
 use crate::daemon::tally::Outcome;
 use crate::daemon::tally::Tally;
-use crate::daemon::transfer::Transfer;
+use crate::daemon::transfer;
 use crate::edge::dialect;
 use crate::edge::dialect::Change;
 use crate::edge::dialect::Consistency;
@@ -40,7 +40,7 @@
 use crate::table::instance::State;
 use crate::table::team::Teams;
 
-/// Timeout of one call: the store answers in milliseconds, or in a few hundred when it is slow.
+/// Timeout of one call, or until the head of a response with objects: the store answers in milliseconds, or in a few hundred when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -72,8 +72,8 @@
 /// Time without an answered call after which the store counts as unavailable. It is longer than one
 /// slow call.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_000);
-/// Maximum size of a response.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
+/// Maximum size of a response without a list of objects: one object of the largest size.
+const MAX_RESPONSE_BYTES: usize = 2 << 20;
 
 /// The reason why a call failed.
 #[derive(Debug, Clone, PartialEq)]
@@ -235,22 +235,28 @@
     }
 }
 
-/// Makes one call. A connection on which a response was lost is not used again.
+/// Makes one call. A connection on which a response was lost is not used again. `limit` applies to
+/// the head of a response with objects, and to any other response as a whole.
 async fn exchange(
     daemon: &Daemon,
     kind: Kind,
+    op: Op,
     mut req: Request<Bytes>,
     limit: Duration,
 ) -> Result<Response<Bytes>, link::Error> {
     let client = &daemon.store;
     let mut link = client.connect().await?;
-    let addr = client.addr.to_string();
-    if let Ok(host) = http::HeaderValue::from_str(&addr) {
+    if let Ok(host) = http::HeaderValue::from_str(&client.addr.to_string()) {
         req.headers_mut().insert(http::header::HOST, host);
     }
-    let mut transfer = Transfer::start(daemon, addr, kind, &link);
-    let res = link.call(req, MAX_RESPONSE_BYTES, limit).await?;
-    transfer.complete();
+    let res = match op {
+        Op::List | Op::ListStale | Op::Watch => {
+            transfer::receive(daemon, &mut link, client.addr, kind, req, limit).await?
+        }
+        Op::Get | Op::GetStale | Op::Create | Op::Replace | Op::Remove => {
+            link.call(req, MAX_RESPONSE_BYTES, limit).await?
+        }
+    };
     client.keep(link);
     Ok(res)
 }
@@ -269,7 +275,7 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, Error> {
     let client = &daemon.store;
-    let res = exchange(daemon, kind, req, limit).await;
+    let res = exchange(daemon, kind, op, req, limit).await;
     let (outcome, problem) = match &res {
         Ok(res) if is_rejection(res.status()) => {
             (Outcome::Refused, Some(format!("status {}", res.status().as_u16())))
