Refuse requests that have crashed three endpoints, at all daemons

Callers saw half of the drafts fail: one request was sent again and again, and each engine that ran it crashed, with up to 67 other requests there. It was passed on 12 times later than 4 s after its third crash; three times are allowed.

A daemon bounds the attempts of one request, and kept nothing from one request of a caller to the next. The product's own side has kept it for long (decide::quarantine); the daemon did not use it.

Daemons now use the same module. What it counts by is the hash of team, method, host, URI and body. A crash is a connection that broke in the middle of a request if the endpoint refuses another one right after; engines that are leaving do not count. The daemons tell each other of crashes, refusals and complete answers: crashes for 1.5 s after more became known of them, refusals for as long as they last. The third crash decides, and a retry waits for the checks that would. A refused request gets 503 and the time that is left at once, also if it waits; 502 if an attempt of it ran.

The module itself changes for both sides: runs that overlap in time count once, so that identical requests are not refused as a rack loses power; crashes and refusals from before a complete answer do not count; and refused requests stay in a full table.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -44,6 +44,7 @@
 use crate::daemon::gauge::Admission;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
+use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::quota::Charge;
 use crate::daemon::reply::Responder;
@@ -437,7 +438,7 @@
 
 /// Returns the hash of what stays equal when a caller sends a request again. Its id and its deadline
 /// do not.
-fn fingerprint(
+pub fn fingerprint(
     team: Option<&Team>,
     host: &str,
     head: &http::request::Parts,
@@ -482,7 +483,7 @@
                 &Refusal::new("timeout", EXHAUSTED_RETRY_AFTER),
             );
         }
-        let permit = match admission::find(daemon, job, &progress.tried).await {
+        let permit = match find(daemon, job, &progress.tried).await {
             Ok(permit) => permit,
             Err(refusal) => {
                 return give_up(daemon, job, &mut tracker, progress, &refusal);
@@ -519,6 +520,9 @@
                 progress.last_error = "endpoint_failure";
                 progress.failure = Some(res);
             }
+            Outcome::Quarantined(refusal) => {
+                return give_up(daemon, job, &mut tracker, progress, &refusal);
+            }
             Outcome::Forbidden if progress.possible_runs == 0 => {
                 tracker.answered = true;
                 return job.responder().unknown_key(daemon);
@@ -551,9 +555,20 @@
             let refusal = Refusal::new(progress.last_error, REJECTED_RETRY_AFTER);
             return give_up(daemon, job, &mut tracker, progress, &refusal);
         }
+        quarantine::settle(daemon, job.fingerprint).await;
     }
 }
 
+/// Finds an endpoint for a job, unless it is refused as it crashes endpoints.
+pub async fn find(
+    daemon: &Rc<Daemon>,
+    job: &Rc<Job>,
+    tried: &[instance::Key],
+) -> Result<admission::Permit, Refusal> {
+    let quarantined = async { Err(quarantine::wait_for_refusal(daemon, job.fingerprint).await) };
+    quarantined.or(admission::find(daemon, job, tried)).await
+}
+
 /// Returns the final answer of a request that no endpoint has answered successfully.
 fn give_up(
     daemon: &Rc<Daemon>,
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -119,6 +119,7 @@
         let version = daemon.config_version();
         let fleet = daemon.fleet.borrow();
         let (grants, waiting) = daemon.broker.borrow().counts();
+        let (suspects, refused) = daemon.suspects.borrow().counts(now);
         let values = [
             ("poplarmux_open_requests", daemon.open_requests.get() as u64),
             ("poplarmux_waiting_requests", daemon.queue.borrow().len() as u64),
@@ -131,6 +132,8 @@
             ("poplarmux_loop_late_ms_max", self.max_lateness.get().as_millis() as u64),
             ("poplarmux_broker_grants", grants as u64),
             ("poplarmux_broker_waiting", waiting as u64),
+            ("poplarmux_suspects", suspects as u64),
+            ("poplarmux_quarantined", refused as u64),
             ("poplarmux_leads", u64::from(daemon.placer.borrow().holds_lease(now))),
         ];
         for (name, value) in values {
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -97,6 +97,14 @@
         ms: u64,
         source: &'static str,
     },
+    Crash {
+        endpoint: String,
+        requests: usize,
+    },
+    Quarantined {
+        content: String,
+        source: &'static str,
+    },
     Gone {
         endpoint: String,
         revision: u64,
@@ -285,6 +293,8 @@
             Event::Limit { .. } => "limit",
             Event::Leaving { .. } => "leaving",
             Event::Backoff { .. } => "backoff",
+            Event::Crash { .. } => "crash",
+            Event::Quarantined { .. } => "quarantined",
             Event::Gone { .. } => "gone",
             Event::Lease { .. } => "lease",
             Event::Renewal { .. } => "renewal",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 pub mod node;
 pub mod peer;
 pub mod placer;
+pub mod quarantine;
 pub mod quota;
 pub mod relay;
 pub mod reply;
@@ -86,6 +87,8 @@
     pub quotas: RefCell<quota::Quotas>,
     /// Permits under the limits of endpoints.
     pub limits: RefCell<limit::Limits>,
+    /// Requests that ran on crashed endpoints.
+    pub suspects: RefCell<quarantine::Suspects>,
     /// Retry budget.
     pub allowance: RefCell<Allowance>,
     /// Other daemons.
@@ -153,6 +156,7 @@
             broker: RefCell::default(),
             quotas: RefCell::default(),
             limits: RefCell::default(),
+            suspects: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
             nodes: RefCell::default(),
             demand: RefCell::default(),
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -27,6 +27,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::limit;
 use crate::daemon::placer;
+use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::relay;
 use crate::decide::demand;
@@ -118,6 +119,8 @@
     Resident(Vec<(Key, Residency)>),
     /// A message about the limit that an endpoint states.
     Limit(limit::Message),
+    /// A message about requests that ran on crashed endpoints.
+    Quarantine(quarantine::Message),
 }
 
 /// Demand of this daemon's callers.
@@ -274,6 +277,7 @@
         Timer::after(GOSSIP_INTERVAL).await;
         send_heartbeat(&daemon);
         limit::announce(&daemon);
+        quarantine::announce(&daemon);
         let Some(leader) = daemon.placer.borrow().leader() else {
             continue;
         };
@@ -289,8 +293,13 @@
 
 /// Returns a random choice of the other daemons, to which a round's messages are sent.
 pub fn choose_peers(daemon: &Daemon) -> Vec<SocketAddr> {
+    choose(daemon, HEARTBEAT_FANOUT)
+}
+
+/// Returns a random choice of `fanout` of the other daemons.
+pub fn choose(daemon: &Daemon, fanout: usize) -> Vec<SocketAddr> {
     let peers = daemon.nodes.borrow().peers();
-    peers.into_iter().choose_multiple(&mut *daemon.rng.borrow_mut(), HEARTBEAT_FANOUT)
+    peers.into_iter().choose_multiple(&mut *daemon.rng.borrow_mut(), fanout)
 }
 
 /// Sends this daemon's heartbeat to a random choice of the others.
@@ -387,6 +396,7 @@
                 limit::on_message(daemon, message, from);
             }
         }
+        Message::Quarantine(message) => quarantine::on_message(daemon, message),
         Message::AdapterRequest { key, model, adapter } => {
             placer::request_adapter(daemon, &key, &model, &adapter, from);
         }
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -17,6 +17,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::admission;
 use crate::daemon::admission::Permit;
+use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::gate;
@@ -24,6 +25,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
+use crate::daemon::quarantine;
 use crate::daemon::quota::Charge;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
@@ -56,6 +58,8 @@
     pub body: Incoming,
     /// The connection that delivers the body.
     pub link: Link,
+    /// When the attempt began, on the boot clock.
+    pub sent_at: Duration,
 }
 
 /// The result of one attempt.
@@ -72,6 +76,8 @@
     Unsent(&'static str),
     /// The request may have been executed, but there is no valid response. Holds the reason.
     Indeterminate(&'static str),
+    /// The request crashes endpoints; it was not sent.
+    Quarantined(Refusal),
     /// The caller's key is no longer in the configuration in force; the request was not sent.
     Forbidden,
 }
@@ -92,6 +98,15 @@
     }
     let elapsed = clock::now().saturating_sub(started_at);
     record_outcome(daemon, job, place, &outcome, elapsed);
+    match &outcome {
+        Outcome::Indeterminate("broken" | "cut") => {
+            quarantine::on_broken(daemon, &place.key, job.fingerprint, started_at);
+        }
+        Outcome::Complete(_) | Outcome::Failure(_) => {
+            quarantine::on_completed(daemon, job.fingerprint);
+        }
+        _ => {}
+    }
     outcome
 }
 
@@ -128,6 +143,9 @@
         if let Err(closed) = gate::check(daemon, &place.key, Call::Request) {
             return Outcome::Unsent(closed.into());
         }
+        if let Some(refusal) = quarantine::refusal(daemon, job.fingerprint) {
+            return Outcome::Quarantined(refusal);
+        }
         let Ok(team) = team(daemon, job) else {
             return Outcome::Forbidden;
         };
@@ -145,7 +163,7 @@
             job.charge.iter().for_each(Charge::record_not_run);
         }
         match head {
-            Ok(res) => return classify(daemon, job, place, link, res, time_left).await,
+            Ok(res) => return classify(daemon, job, place, link, res, time_left, now).await,
             Err(link::Error::Unsent) if reused => force_new = true,
             Err(err) if err.is_unsent() => return Outcome::Unsent(err.into()),
             // Dropping the link discards the queued request, so no part of it can be written later.
@@ -299,6 +317,7 @@
     link: Link,
     res: Response<Incoming>,
     limit: Duration,
+    sent_at: Duration,
 ) -> Outcome {
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
@@ -320,7 +339,7 @@
         return Outcome::Indeterminate("no_seal");
     }
     if parts.status.is_success() && job.route.kind == Kind::Streaming {
-        return Outcome::Stream(Box::new(Head { parts, answer, body, link }));
+        return Outcome::Stream(Box::new(Head { parts, answer, body, link, sent_at }));
     }
     let idle_timeout = answer.idle_timeout;
     let complete = async {
@@ -472,6 +491,10 @@
             place.set_end(End::Unused);
             daemon.note(&failed_event("key_withdrawn", "unsent"));
         }
+        Outcome::Quarantined(_) => {
+            place.set_end(End::Unused);
+            daemon.note(&failed_event("quarantined", "unsent"));
+        }
         Outcome::Unsent(error) => {
             let unreachable = matches!(*error, "connect" | "connection_refused");
             place.set_end(if unreachable { End::Unreachable } else { End::Unused });
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -15,13 +15,14 @@
 use smol::future::FutureExt;
 
 use crate::daemon::Daemon;
-use crate::daemon::admission;
 use crate::daemon::admission::Permit;
 use crate::daemon::clock;
+use crate::daemon::front;
 use crate::daemon::front::Job;
 use crate::daemon::front::Tracker;
 use crate::daemon::front::Truncated;
 use crate::daemon::journal::Event;
+use crate::daemon::quarantine;
 use crate::daemon::send;
 use crate::daemon::send::Head;
 use crate::daemon::send::Outcome;
@@ -108,6 +109,10 @@
                     return (!buffer.is_empty()).then_some(Ok(Frame::data(buffer)));
                 }
                 Received::Broken(reason) => {
+                    if let ("cut", Some(head)) = (reason, &self.head) {
+                        let (key, content) = (&self.place.key, self.job.fingerprint);
+                        quarantine::on_broken(&self.daemon, key, content, head.sent_at);
+                    }
                     if !self.resume(reason).await {
                         self.head = None;
                         self.abort(reason);
@@ -176,11 +181,12 @@
         self.tried.push(self.place.key.clone());
         // Terminates: each iteration returns or uses up an attempt or retry allowance.
         while self.attempts < route.max_attempts {
+            quarantine::settle(&self.daemon, self.job.fingerprint).await;
             let now = clock::now();
             if !self.daemon.allowance.borrow_mut().spend(now, &self.job.spec.service) {
                 return false;
             }
-            let Ok(place) = admission::find(&self.daemon, &self.job, &self.tried).await else {
+            let Ok(place) = front::find(&self.daemon, &self.job, &self.tried).await else {
                 return false;
             };
             self.attempts += 1;
@@ -198,7 +204,7 @@
                     self.head = Some(head);
                     return true;
                 }
-                Outcome::Forbidden => return false,
+                Outcome::Forbidden | Outcome::Quarantined(_) => return false,
                 Outcome::NotRun(_) | Outcome::Unsent(_) => {
                     self.attempts -= 1;
                     self.tried.push(place.key.clone());
@@ -215,6 +221,7 @@
         let now = clock::now();
         self.open_request.answered = true;
         self.daemon.gauges.record_completion(now, self.job.spec.class);
+        quarantine::on_completed(&self.daemon, self.job.fingerprint);
         if let Some(model) = &self.job.caller.model {
             let duration = now.saturating_sub(self.started_at);
             self.daemon.demand.borrow_mut().record_slot_time(model, duration);
--- a/src/decide/dump.rs
+++ b/src/decide/dump.rs
@@ -73,7 +73,7 @@
                 .map(|deadline| deadline.saturating_sub(self.now).as_millis() as u64);
             json!({
                 "fingerprint": format!("{fingerprint:016x}"),
-                "endpoints": row.endpoints,
+                "endpoints": row.runs.iter().map(|run| run.endpoint).collect::<Vec<_>>(),
                 "refused_ms": remaining,
             })
         })
--- a/src/decide/flow.rs
+++ b/src/decide/flow.rs
@@ -49,6 +49,9 @@
 const LONG_RATIO: f64 = 4.0;
 /// Time after a short request within which long and batch requests leave slots free.
 const YIELD_WINDOW: Duration = Duration::from_secs(5);
+/// Number of crashes after which a request is refused. Suspects never run beside each other, so a
+/// second crash identifies the one that causes them.
+const MAX_CRASHES: usize = 2;
 /// Lower and upper bound of retry-after, in seconds.
 const RETRY_AFTER_RANGE_S: (f64, f64) = (0.2, 60.0);
 
@@ -115,7 +118,7 @@
             shares: Shares::default(),
             lengths: Lengths::default(),
             prefix: Index::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(MAX_CRASHES),
             budget: Budget::default(),
             copies: BTreeMap::new(),
             deadlines: BTreeSet::new(),
--- a/src/decide/response.rs
+++ b/src/decide/response.rs
@@ -11,13 +11,18 @@
 use crate::decide::event::Target;
 use crate::decide::flow::Flow;
 use crate::decide::quarantine;
-use crate::decide::quarantine::Quarantine;
+use crate::decide::quarantine::Run;
 use crate::decide::retry::Verdict;
 use crate::edge::endpoint::Error;
 use crate::edge::endpoint::Outcome;
 use crate::table::EndpointId;
 use crate::table::RequestId;
 
+/// Returns whether a failure may mean that the endpoint crashed while it ran the request.
+fn is_crash(error: &Error) -> bool {
+    matches!(error, Error::Broken | Error::Truncated)
+}
+
 impl Flow {
     /// Records tokens, or the first byte of a plain call.
     pub(crate) fn on_progress(&mut self, now: Duration, id: RequestId, tokens: u32) {
@@ -51,7 +56,7 @@
             return;
         };
         self.lengths.record(&open.job.service, open.job.max_tokens, open.delivered);
-        self.quarantine.clear(open.job.fingerprint);
+        self.quarantine.clear(now, open.job.fingerprint);
         if let Some(row) = self.pool.get_mut(&run.endpoint)
             && row.health.on_success(now)
         {
@@ -92,9 +97,8 @@
         let (attempts, ran) = (open.attempts, open.may_have_run);
         self.release(&run);
         self.record_failure(now, &run.endpoint, error, &job.target);
-        if Quarantine::is_crash(error)
-            && self.quarantine.on_crash(now, job.fingerprint, run.endpoint)
-        {
+        let crashed_run = Run { endpoint: run.endpoint, sent_at: run.sent_at, crashed_at: now };
+        if is_crash(error) && self.quarantine.on_crash(job.fingerprint, crashed_run) {
             out.push(Action::Quarantine(job.fingerprint, quarantine::REFUSAL_PERIOD));
             self.refuse(now, id, Refusal::Quarantined(quarantine::REFUSAL_PERIOD), out);
             return;
