Compress large responses between daemons

A reader sends a new configuration to all daemons of its region. At the largest size that the store holds, 1 MiB, and at the target size, 140 daemons of a region, that is 146 MB, 5.9 s of a link of 200 Mbit/s, and a configuration has to be in force within 3 to 4 s of its acknowledgement. Each response was also encoded anew.

Responses from 4 KiB are now compressed (LZ4, lz4_flex, without unsafe code) for a daemon that accepts it, and kept for the other daemons at the same revision; what differs between them, the age of the reader's state, is in the head. A daemon of the version before gets the body as it is.

--- a/src/daemon/relay.rs
+++ b/src/daemon/relay.rs
@@ -9,9 +9,12 @@
 
 use bytes::Bytes;
 use event_listener::Event as Signal;
+use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::request::Parts;
 use http_body_util::Full;
 use serde::Deserialize;
 use serde::Serialize;
@@ -21,6 +24,7 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::compression;
 use crate::daemon::directory::response;
 use crate::daemon::directory::serve_with;
 use crate::daemon::journal::Event;
@@ -51,6 +55,12 @@
 /// Time after which a configuration that other daemons have in force is fetched from one of them,
 /// if neither the store nor a reader has delivered it.
 const FETCH_DELAY: Duration = Duration::from_millis(600);
+/// Headers of a compressed response: how long ago the store last answered and became available
+/// again, in milliseconds.
+const AGE_HEADER: &str = "age-ms";
+const RETURNED_HEADER: &str = "returned-ms";
+/// Compressed responses kept of one topic: most daemons have the same revision.
+const MAX_KEPT_RESPONSES: usize = 8;
 /// Path at which a daemon serves the configuration that it has in force.
 const PUBLISHED_PATH: &str = "/published";
 
@@ -60,6 +70,32 @@
     feed: RefCell<Feed>,
     /// Notified after each change.
     changed: Signal,
+    /// Compressed responses for the present revision, by the revision that a daemon has.
+    compressed: RefCell<Vec<(Delivery, Bytes)>>,
+}
+
+/// The change between two revisions of a topic; from none, if all objects are sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Delivery {
+    from: Option<Revision>,
+    to: Revision,
+}
+
+impl Topic {
+    /// Returns a compressed response that was kept.
+    fn compressed(&self, delivery: Delivery) -> Option<Bytes> {
+        let kept = self.compressed.borrow();
+        kept.iter().find(|(other, _)| *other == delivery).map(|(_, body)| body.clone())
+    }
+
+    /// Keeps a compressed response, and drops those for other revisions.
+    fn keep_compressed(&self, delivery: Delivery, body: Bytes) {
+        let mut kept = self.compressed.borrow_mut();
+        kept.retain(|(other, _)| other.to == delivery.to);
+        if kept.len() < MAX_KEPT_RESPONSES {
+            kept.push((delivery, body));
+        }
+    }
 }
 
 /// The objects that this daemon serves to others.
@@ -73,6 +109,8 @@
     newer_since: Cell<Option<Duration>>,
     /// Whether a configuration is being fetched from another daemon.
     is_fetching: Cell<bool>,
+    /// The configuration in force, compressed, with its version.
+    published: RefCell<Option<(u64, Bytes)>>,
 }
 
 impl Relay {
@@ -126,7 +164,8 @@
     #[serde(rename = "born")]
     incarnation: u64,
     revision: Revision,
-    /// How long ago the store last answered, in milliseconds.
+    /// How long ago the store last answered, in milliseconds. In a response that is compressed, this
+    /// and the next value are in the head.
     #[serde(rename = "age")]
     age_ms: u64,
     /// How long ago the store became available again after an outage, in milliseconds.
@@ -155,7 +194,7 @@
 
 /// Answers the requests of other daemons for as long as this one runs.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    serve_with(daemon, listener, async |daemon, head| respond(daemon, head.uri.path()).await).await;
+    serve_with(daemon, listener, async |daemon, head| respond(daemon, &head).await).await;
 }
 
 /// The revision of a kind up to which a daemon has received objects.
@@ -181,13 +220,11 @@
     Some((kind, Position { incarnation, revision: Revision { era, number } }))
 }
 
-async fn respond(daemon: &Daemon, path: &str) -> Response<Full<Bytes>> {
+async fn respond(daemon: &Daemon, head: &Parts) -> Response<Full<Bytes>> {
+    let path = head.uri.path();
+    let compresses = compression::is_accepted(&head.headers);
     if path == PUBLISHED_PATH {
-        let body = daemon.published.borrow().as_ref().map(|spec| Bytes::from(spec.to_string()));
-        return match body {
-            Some(body) => response(StatusCode::OK, body),
-            None => response(StatusCode::NOT_FOUND, Bytes::new()),
-        };
+        return respond_published(daemon, compresses);
     }
     let parsed = parse_path(path);
     let topic = parsed.and_then(|(kind, known)| Some((daemon.relay.topic(kind)?, known)));
@@ -216,18 +253,76 @@
         };
         changed.or(timeout).await;
     }
-    let body =
-        encode_update(daemon, &topic.feed.borrow(), same_incarnation.then_some(known.revision));
-    match body {
-        Some(body) => response(StatusCode::OK, body),
-        None => response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+    let known = same_incarnation.then_some(known.revision);
+    respond_update(daemon, topic, known, compresses)
+        .unwrap_or_else(|| response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()))
+}
+
+fn respond_published(daemon: &Daemon, compresses: bool) -> Response<Full<Bytes>> {
+    let Some(spec) = &*daemon.published.borrow() else {
+        return response(StatusCode::NOT_FOUND, Bytes::new());
+    };
+    if !compresses {
+        return response(StatusCode::OK, Bytes::from(spec.to_string()));
+    }
+    let version = daemon.config_version();
+    let mut kept = daemon.relay.published.borrow_mut();
+    if let Some((_, body)) = kept.as_ref().filter(|(other, _)| *other == version) {
+        return compressed_response(body.clone());
+    }
+    let body = Bytes::from(spec.to_string());
+    match compression::compress(&body) {
+        Some(compressed) => {
+            *kept = Some((version, compressed.clone()));
+            compressed_response(compressed)
+        }
+        None => response(StatusCode::OK, body),
     }
 }
 
-/// Encodes the response; none if this daemon does not follow the store, or is about to stop.
-fn encode_update(daemon: &Daemon, feed: &Feed, known: Option<Revision>) -> Option<Bytes> {
-    let now = clock::now();
+fn compressed_response(body: Bytes) -> Response<Full<Bytes>> {
+    let mut res = response(StatusCode::OK, body);
+    compression::mark(res.headers_mut());
+    res
+}
+
+/// Returns the response with what changed since a revision; none if this daemon does not follow the
+/// store, or is about to stop.
+fn respond_update(
+    daemon: &Daemon,
+    topic: &Topic,
+    known: Option<Revision>,
+    compresses: bool,
+) -> Option<Response<Full<Bytes>>> {
+    let (now, feed) = (clock::now(), topic.feed.borrow());
     let age = feed.age(now).filter(|age| *age < MAX_AGE && !daemon.shutting_down.get())?;
+    let returned = daemon.store.recovered_at().map(|at| now.saturating_sub(at));
+    let delivery = Delivery { from: known, to: feed.revision() };
+    let mut compressed = topic.compressed(delivery).filter(|_| compresses);
+    if compressed.is_none() {
+        let body = encode_update(daemon, &feed, known, age, returned)?;
+        compressed = compression::compress(&body).filter(|_| compresses);
+        match &compressed {
+            Some(compressed) => topic.keep_compressed(delivery, compressed.clone()),
+            None => return Some(response(StatusCode::OK, body)),
+        }
+    }
+    let mut res = compressed_response(compressed?);
+    res.headers_mut().insert(AGE_HEADER, HeaderValue::from(age.as_millis() as u64));
+    if let Some(returned) = returned {
+        let returned_ms = returned.as_millis() as u64;
+        res.headers_mut().insert(RETURNED_HEADER, HeaderValue::from(returned_ms));
+    }
+    Some(res)
+}
+
+fn encode_update(
+    daemon: &Daemon,
+    feed: &Feed,
+    known: Option<Revision>,
+    age: Duration,
+    returned: Option<Duration>,
+) -> Option<Bytes> {
     let (snapshot, changes) = match feed.since(known) {
         Delta::Snapshot(objects) => (Some(objects), Vec::new()),
         Delta::Changes(changes) => (None, changes),
@@ -236,10 +331,7 @@
         incarnation: daemon.started_at,
         revision: feed.revision(),
         age_ms: age.as_millis() as u64,
-        returned_ms: daemon
-            .store
-            .recovered_at()
-            .map(|returned_at| now.saturating_sub(returned_at).as_millis() as u64),
+        returned_ms: returned.map(|returned| returned.as_millis() as u64),
         snapshot,
         changes,
     };
@@ -340,8 +432,9 @@
     else {
         return;
     };
+    let body = res.into_body();
     let name = daemon.dialect.config_name().to_string();
-    match serde_json::from_slice(&res) {
+    match serde_json::from_slice(&body) {
         Ok(spec) => {
             store::adopt(daemon, &Object { name, revision: Revision::default(), spec });
         }
@@ -356,7 +449,7 @@
     kind: Kind,
     position: Position,
 ) -> Option<Update> {
-    let body = get(
+    let (head, body) = get(
         daemon,
         link,
         reader,
@@ -364,9 +457,16 @@
         &request_path(kind, position),
         LONG_POLL_TIMEOUT + RESPONSE_MARGIN,
     )
-    .await?;
-    match serde_json::from_slice(&body) {
-        Ok(update) => Some(update),
+    .await?
+    .into_parts();
+    match serde_json::from_slice::<Update>(&body) {
+        Ok(mut update) => {
+            if let Some(age_ms) = millis(&head.headers, AGE_HEADER) {
+                update.age_ms = age_ms;
+                update.returned_ms = millis(&head.headers, RETURNED_HEADER);
+            }
+            Some(update)
+        }
         Err(err) => {
             log_problem(daemon, reader, kind, err.to_string());
             None
@@ -374,7 +474,11 @@
     }
 }
 
-/// Returns the body of another daemon's response; logs the problem and returns none if it fails.
+fn millis(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns another daemon's response, decompressed; logs the problem and returns none if it fails.
 async fn get(
     daemon: &Daemon,
     link: &mut Link,
@@ -382,10 +486,15 @@
     kind: Kind,
     path: &str,
     limit: Duration,
-) -> Option<Bytes> {
+) -> Option<Response<Bytes>> {
     let req = Request::get(path).header(http::header::HOST, to.to_string()).body(Bytes::new());
-    let problem = match transfer::receive(daemon, link, to, kind, req.ok()?, limit).await {
-        Ok(res) if res.status() == StatusCode::OK => return Some(res.into_body()),
+    let mut req = req.ok()?;
+    compression::accept(req.headers_mut());
+    let problem = match transfer::receive(daemon, link, to, kind, req, limit).await {
+        Ok(res) if res.status() == StatusCode::OK => match compression::decompress(res) {
+            Ok(res) => return Some(res),
+            Err(err) => err.to_string(),
+        },
         Ok(res) => format!("status {}", res.status().as_u16()),
         Err(err) => err.to_string(),
     };
