--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -119,7 +119,7 @@
         let version = daemon.config_version();
         let fleet = daemon.fleet.borrow();
         let (grants, waiting) = daemon.broker.borrow().counts();
-        let (suspects, refused) = daemon.suspects.borrow().counts(now);
+        let (suspects, refused) = daemon.quarantine.borrow().counts(now);
         let values = [
             ("poplarmux_open_requests", daemon.open_requests.get() as u64),
             ("poplarmux_waiting_requests", daemon.queue.borrow().len() as u64),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -89,7 +89,7 @@
     /// Permits under the limits of endpoints.
     pub limits: RefCell<limit::Limits>,
     /// Requests that ran on crashed endpoints.
-    pub suspects: RefCell<quarantine::Suspects>,
+    pub quarantine: RefCell<quarantine::Observer>,
     /// Retry budget.
     pub allowance: RefCell<Allowance>,
     /// Other daemons.
@@ -157,7 +157,7 @@
             broker: RefCell::default(),
             quotas: RefCell::default(),
             limits: RefCell::default(),
-            suspects: RefCell::default(),
+            quarantine: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
             nodes: RefCell::default(),
             demand: RefCell::default(),
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -31,6 +31,7 @@
 use crate::daemon::quota;
 use crate::daemon::relay;
 use crate::decide::demand;
+use crate::decide::suspects;
 use crate::decide::updates;
 use crate::table::AdapterId;
 use crate::table::ModelId;
@@ -120,7 +121,7 @@
     /// A message about the limit that an endpoint states.
     Limit(limit::Message),
     /// A message about requests that ran on crashed endpoints.
-    Quarantine(quarantine::Message),
+    Quarantine(suspects::Message),
 }
 
 /// Demand of this daemon's callers.
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -1,22 +1,15 @@
 //! Finds out which requests ran on endpoints that crashed, and tells the other daemons;
-//! `decide::quarantine` decides which of them are refused.
+//! `decide::quarantine` and `decide::suspects` decide which of them are refused.
 //!
 //! A connection may break although its endpoint goes on. Therefore the daemon opens another one: an
 //! endpoint has crashed if that is refused. An endpoint that can't be reached at all may have been
 //! cut off, and one that is leaving ends without a crash.
-//!
-//! All messages are datagrams. Crashes are repeated for `ANNOUNCEMENT_PERIOD` by each daemon that
-//! learns of them; refusals are repeated for as long as they last, so that daemons that start or
-//! were cut off learn of them, too.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use event_listener::Event as Notifier;
-use serde::Deserialize;
-use serde::Serialize;
 use smol::Timer;
 use smol::future::FutureExt;
 
@@ -26,112 +19,55 @@
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::peer;
-use crate::decide::quarantine::Quarantine;
-use crate::decide::quarantine::Run;
+use crate::decide::suspects::Breakage;
+use crate::decide::suspects::MAX_CRASHES;
+use crate::decide::suspects::Message;
+use crate::decide::suspects::News;
+use crate::decide::suspects::Suspects;
 use crate::table::Fingerprint;
 use crate::table::instance::Key;
 use crate::table::instance::State;
 
-/// Number of crashes after which a request is refused: suspects run beside each other.
-const MAX_CRASHES: usize = 3;
 /// Time limit of the connection that shows whether an endpoint still runs.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest time for which a retry waits until it is known whether the last endpoint crashed.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(300);
-/// Time for which a crash is announced after more became known of it, in each round to some of the
-/// other daemons.
-const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
-/// Time for which a crash is kept, so that repeated announcements of it are known.
-const CRASH_RETENTION: Duration = Duration::from_secs(15);
 /// Daemons that are sent all refusals in each round.
 const REFUSAL_FANOUT: usize = 2;
-/// Fingerprints in one datagram.
-const MAX_FINGERPRINTS: usize = 100;
-
-/// A message between daemons about requests that ran on crashed endpoints.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Requests ran on an endpoint when it crashed.
-    Crashed {
-        /// The endpoint.
-        key: Key,
-        /// Time since the crash, in milliseconds.
-        age_ms: u32,
-        /// The requests, each with the time for which it had run in milliseconds.
-        runs: Vec<(Fingerprint, u32)>,
-    },
-    /// Requests that the sender refuses, each for how many more milliseconds.
-    Refused(Vec<(Fingerprint, u32)>),
-    /// Suspects whose answers were complete, each with the time since then in milliseconds.
-    Completed(Vec<(Fingerprint, u32)>),
-}
-
-/// A crash of an endpoint.
-#[derive(Debug)]
-struct Crash {
-    at: Duration,
-    /// When a request was last added.
-    changed_at: Duration,
-    /// Requests that ran there, each with the time when it was last sent there.
-    runs: BTreeMap<Fingerprint, Duration>,
-}
 
-/// An endpoint that is being checked.
-#[derive(Debug)]
-struct Check {
-    /// When the first connection to it broke.
-    broken_at: Duration,
-    /// Requests whose connections broke, each with the time when it was sent.
-    runs: Vec<(Fingerprint, Duration)>,
-}
-
-/// Requests that ran on crashed endpoints, as far as this daemon knows.
-pub struct Suspects {
-    table: Quarantine<Key>,
-    crashes: HashMap<Key, Crash>,
-    /// When answers to suspects were complete, and when this daemon learned of it.
-    completed: HashMap<Fingerprint, (Duration, Duration)>,
+/// Requests that ran on crashed endpoints, and endpoints that may have crashed.
+#[derive(Default)]
+pub struct Observer {
+    suspects: Suspects,
     /// Endpoints that are being checked.
-    checks: HashMap<Key, Check>,
+    checks: HashMap<Key, Breakage>,
     /// Notified when a check has ended and when a request is refused from now on.
     changed: Rc<Notifier>,
 }
 
-impl Default for Suspects {
-    fn default() -> Self {
-        Suspects {
-            table: Quarantine::new(MAX_CRASHES),
-            crashes: HashMap::new(),
-            completed: HashMap::new(),
-            checks: HashMap::new(),
-            changed: Rc::default(),
-        }
-    }
-}
-
-impl Suspects {
+impl Observer {
     /// Returns the number of suspects, and how many of them are refused.
     pub fn counts(&self, now: Duration) -> (usize, usize) {
-        (self.table.rows().count(), self.table.refused(now).count())
+        self.suspects.counts(now)
     }
 
     /// Returns whether checks that have not ended yet may lead to the refusal of a request.
     fn is_undecided(&self, fingerprint: Fingerprint) -> bool {
-        let is_in = |check: &&Check| check.runs.iter().any(|(other, _)| *other == fingerprint);
+        let is_in = |check: &&Breakage| check.runs.iter().any(|(other, _)| *other == fingerprint);
         let pending = self.checks.values().filter(is_in).count();
-        pending > 0 && self.table.crash_count(fingerprint) + pending >= MAX_CRASHES
+        pending > 0 && self.suspects.crash_count(fingerprint) + pending >= MAX_CRASHES
     }
 }
 
 /// Returns the refusal of a request that crashes endpoints.
 pub fn refusal(daemon: &Daemon, fingerprint: Fingerprint) -> Option<Refusal> {
-    let remaining = daemon.suspects.borrow().table.remaining(clock::now(), fingerprint)?;
+    let remaining = daemon.quarantine.borrow().suspects.remaining(clock::now(), fingerprint)?;
     Some(Refusal::new("quarantined", remaining))
 }
 
 /// Waits until a request is refused.
 pub async fn wait_for_refusal(daemon: &Daemon, fingerprint: Fingerprint) -> Refusal {
-    let changed = daemon.suspects.borrow().changed.clone();
+    let changed = daemon.quarantine.borrow().changed.clone();
     loop {
         let next = changed.listen();
         if let Some(refusal) = refusal(daemon, fingerprint) {
@@ -144,11 +80,11 @@
 /// Waits before a retry until it is known whether the request crashed its endpoint, if that decides
 /// on its refusal.
 pub async fn settle(daemon: &Daemon, fingerprint: Fingerprint) {
-    let changed = daemon.suspects.borrow().changed.clone();
+    let changed = daemon.quarantine.borrow().changed.clone();
     let settled = async {
         loop {
             let next = changed.listen();
-            if !daemon.suspects.borrow().is_undecided(fingerprint) {
+            if !daemon.quarantine.borrow().is_undecided(fingerprint) {
                 return;
             }
             next.await;
@@ -170,10 +106,10 @@
     if is_leaving {
         return;
     }
-    let mut suspects = daemon.suspects.borrow_mut();
-    let is_checked = suspects.checks.contains_key(key);
-    let check = suspects.checks.entry(key.clone());
-    let check = check.or_insert_with(|| Check { broken_at: clock::now(), runs: Vec::new() });
+    let mut observer = daemon.quarantine.borrow_mut();
+    let is_checked = observer.checks.contains_key(key);
+    let check = observer.checks.entry(key.clone());
+    let check = check.or_insert_with(|| Breakage { at: clock::now(), runs: Vec::new() });
     check.runs.push((fingerprint, sent_at));
     if !is_checked {
         let (shared, key) = (daemon.clone(), key.clone());
@@ -183,15 +119,18 @@
 
 async fn run_check(daemon: &Rc<Daemon>, key: &Key) {
     let crashed = has_crashed(daemon, key).await;
-    let check = daemon.suspects.borrow_mut().checks.remove(key);
+    let check = daemon.quarantine.borrow_mut().checks.remove(key);
     if let Some(check) = check.filter(|_| crashed) {
         let now = clock::now();
         daemon.note(&Event::Crash { endpoint: key.id.clone(), requests: check.runs.len() });
-        if add_crash(daemon, now, key, &check, "connection") {
-            announce_crash(daemon, now, key);
+        let news = daemon.quarantine.borrow_mut().suspects.add_crash(now, key, &check);
+        apply(daemon, &news, "connection");
+        if news.has_new_runs {
+            let messages = daemon.quarantine.borrow().suspects.announcements(now, key);
+            messages.into_iter().for_each(|message| send(daemon, message));
         }
     }
-    daemon.suspects.borrow().changed.notify(usize::MAX);
+    daemon.quarantine.borrow().changed.notify(usize::MAX);
 }
 
 async fn has_crashed(daemon: &Rc<Daemon>, key: &Key) -> bool {
@@ -210,143 +149,42 @@
             daemon.pool.borrow_mut().put(addr, link, None);
             false
         }
-        Err(err) => err == link::Error::Refused,
-    }
-}
-
-/// Adds requests to a crash; returns whether any of them was new.
-fn add_crash(
-    daemon: &Daemon,
-    now: Duration,
-    key: &Key,
-    check: &Check,
-    source: &'static str,
-) -> bool {
-    let mut suspects = daemon.suspects.borrow_mut();
-    let Suspects { table, crashes, .. } = &mut *suspects;
-    let crash = crashes.entry(key.clone()).or_insert_with(|| Crash {
-        at: check.broken_at,
-        changed_at: now,
-        runs: BTreeMap::new(),
-    });
-    let mut refused = Vec::new();
-    let mut has_new = false;
-    for (fingerprint, sent_at) in &check.runs {
-        has_new |= crash.runs.insert(*fingerprint, *sent_at).is_none();
-        let run = Run { endpoint: key.clone(), sent_at: *sent_at, crashed_at: crash.at };
-        if table.on_crash(*fingerprint, run) {
-            refused.push(*fingerprint);
+        Err(err) => {
+            daemon.fleet.borrow_mut().record_unreachable(clock::now(), key);
+            err == link::Error::Refused
         }
     }
-    if has_new {
-        crash.changed_at = now;
-    }
-    drop(suspects);
-    note_refused(daemon, &refused, source);
-    has_new
 }
 
 /// Logs requests that are refused from now on, and wakes those that wait.
-fn note_refused(daemon: &Daemon, refused: &[Fingerprint], source: &'static str) {
-    for fingerprint in refused {
+fn apply(daemon: &Daemon, news: &News, source: &'static str) {
+    for fingerprint in &news.refused {
         daemon.note(&Event::Quarantined { content: format!("{fingerprint:016x}"), source });
     }
-    if !refused.is_empty() {
-        daemon.suspects.borrow().changed.notify(usize::MAX);
+    if !news.refused.is_empty() {
+        daemon.quarantine.borrow().changed.notify(usize::MAX);
     }
 }
 
 /// Records that an endpoint has answered a request in full.
 pub fn on_completed(daemon: &Daemon, fingerprint: Fingerprint) {
     let now = clock::now();
-    clear(&mut daemon.suspects.borrow_mut(), now, fingerprint, now);
-}
-
-fn clear(suspects: &mut Suspects, now: Duration, fingerprint: Fingerprint, at: Duration) {
-    if suspects.table.clear(at, fingerprint) {
-        suspects.completed.insert(fingerprint, (at, now));
-    }
+    daemon.quarantine.borrow_mut().suspects.clear(now, fingerprint, now);
 }
 
 /// Handles a message of another daemon.
-pub fn on_message(daemon: &Rc<Daemon>, message: Message) {
-    let now = clock::now();
-    let ago = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
-    match message {
-        Message::Crashed { key, age_ms, runs } => {
-            let broken_at = ago(age_ms);
-            let sent_at =
-                |ran_ms: u32| broken_at.saturating_sub(Duration::from_millis(ran_ms.into()));
-            let runs = runs.into_iter().map(|(row, ran_ms)| (row, sent_at(ran_ms))).collect();
-            add_crash(daemon, now, &key, &Check { broken_at, runs }, "peer");
-        }
-        Message::Refused(rows) => {
-            let mut refused = Vec::new();
-            for (fingerprint, remaining_ms) in rows {
-                let remaining = Duration::from_millis(remaining_ms.into());
-                let table = &mut daemon.suspects.borrow_mut().table;
-                if table.add_from_peer(now, fingerprint, remaining) {
-                    refused.push(fingerprint);
-                }
-            }
-            note_refused(daemon, &refused, "peer");
-        }
-        Message::Completed(rows) => {
-            let mut suspects = daemon.suspects.borrow_mut();
-            for (fingerprint, age_ms) in rows {
-                clear(&mut suspects, now, fingerprint, ago(age_ms));
-            }
-        }
-    }
+pub fn on_message(daemon: &Daemon, message: Message) {
+    let news = daemon.quarantine.borrow_mut().suspects.on_message(clock::now(), message);
+    apply(daemon, &news, "peer");
 }
 
-fn millis(span: Duration) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+/// Sends what is due in a round to some of the other daemons.
+pub fn announce(daemon: &Rc<Daemon>) {
+    let messages = daemon.quarantine.borrow_mut().suspects.round(clock::now());
+    messages.into_iter().for_each(|message| send(daemon, message));
 }
 
-fn send(daemon: &Rc<Daemon>, fanout: usize, message: Message) {
+fn send(daemon: &Rc<Daemon>, message: Message) {
+    let fanout = if message.is_permanent() { REFUSAL_FANOUT } else { peer::HEARTBEAT_FANOUT };
     peer::spawn_send(daemon, peer::choose(daemon, fanout), peer::Message::Quarantine(message));
 }
-
-fn announce_crash(daemon: &Rc<Daemon>, now: Duration, key: &Key) {
-    let suspects = daemon.suspects.borrow();
-    let Some(crash) = suspects.crashes.get(key) else {
-        return;
-    };
-    let age_ms = millis(now.saturating_sub(crash.at));
-    let ran_ms = |sent_at: Duration| millis(crash.at.saturating_sub(sent_at));
-    let runs: Vec<(Fingerprint, u32)> =
-        crash.runs.iter().map(|(row, sent_at)| (*row, ran_ms(*sent_at))).collect();
-    for chunk in runs.chunks(MAX_FINGERPRINTS) {
-        let message = Message::Crashed { key: key.clone(), age_ms, runs: chunk.to_vec() };
-        send(daemon, peer::HEARTBEAT_FANOUT, message);
-    }
-}
-
-/// Announces recent crashes and all refusals to some of the other daemons, and removes what has
-/// expired.
-pub fn announce(daemon: &Rc<Daemon>) {
-    let now = clock::now();
-    let is_recent = |changed_at: Duration| now < changed_at + ANNOUNCEMENT_PERIOD;
-    let mut suspects = daemon.suspects.borrow_mut();
-    suspects.table.tick(now);
-    suspects.crashes.retain(|_, crash| now < crash.at + CRASH_RETENTION);
-    suspects.completed.retain(|_, (_, changed_at)| is_recent(*changed_at));
-    let crashes = suspects.crashes.iter().filter(|(_, crash)| is_recent(crash.changed_at));
-    let crashes: Vec<Key> = crashes.map(|(key, _)| key.clone()).collect();
-    let completed = suspects.completed.iter();
-    let completed: Vec<(Fingerprint, u32)> =
-        completed.map(|(row, (at, _))| (*row, millis(now.saturating_sub(*at)))).collect();
-    let refused: Vec<(Fingerprint, u32)> =
-        suspects.table.refused(now).map(|(row, remaining)| (row, millis(remaining))).collect();
-    drop(suspects);
-    for key in &crashes {
-        announce_crash(daemon, now, key);
-    }
-    for chunk in completed.chunks(MAX_FINGERPRINTS) {
-        send(daemon, peer::HEARTBEAT_FANOUT, Message::Completed(chunk.to_vec()));
-    }
-    for chunk in refused.chunks(MAX_FINGERPRINTS) {
-        send(daemon, REFUSAL_FANOUT, Message::Refused(chunk.to_vec()));
-    }
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,6 +42,7 @@
 pub mod shutdown;
 pub mod speed;
 pub mod spread;
+pub mod suspects;
 pub mod trend;
 pub mod updates;
 pub mod wait_policy;
--- /dev/null
+++ b/src/decide/suspects.rs
@@ -0,0 +1,219 @@
+//! What a daemon knows of requests that ran on crashed endpoints, and what it tells the others.
+//!
+//! Load pattern: a request is sent again through any of hundreds of daemons, and each crash that it
+//! causes is seen by those whose requests were running there. Without this module each daemon would
+//! have to see three crashes itself.
+//!
+//! Datagrams may be lost, so all messages are repeated. Crashes and complete answers are passed on
+//! by each daemon that learns of them, for `ANNOUNCEMENT_PERIOD` after more became known of them.
+//! Refusals are repeated for as long as they last, so that daemons that start or were cut off learn
+//! of them, too.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::decide::quarantine::Quarantine;
+use crate::decide::quarantine::Run;
+use crate::table::Fingerprint;
+use crate::table::instance::Key;
+
+/// Number of crashes after which a request is refused: suspects run beside each other.
+pub const MAX_CRASHES: usize = 3;
+/// Time for which a crash is announced after more became known of it, in each round to some of the
+/// other daemons.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
+/// Time for which a crash is kept, so that repeated announcements of it are known.
+const CRASH_RETENTION: Duration = Duration::from_secs(15);
+/// Fingerprints in one message, which has to fit into a datagram.
+const MAX_FINGERPRINTS: usize = 100;
+
+/// A message between daemons about requests that ran on crashed endpoints. Times are in
+/// milliseconds, and relative, as clocks of daemons differ.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Requests ran on an endpoint when it crashed.
+    Crashed {
+        /// The endpoint.
+        key: Key,
+        /// Time since the crash.
+        age_ms: u32,
+        /// The requests, each with the time for which it had run.
+        runs: Vec<(Fingerprint, u32)>,
+    },
+    /// Requests that the sender refuses, each for how much longer.
+    Refused(Vec<(Fingerprint, u32)>),
+    /// Suspects whose answers were complete, each with the time since then.
+    Completed(Vec<(Fingerprint, u32)>),
+}
+
+impl Message {
+    /// Returns whether a few daemons are enough, as the message is repeated all the time.
+    pub fn is_permanent(&self) -> bool {
+        matches!(self, Message::Refused(_))
+    }
+}
+
+/// Requests whose connections to an endpoint broke.
+#[derive(Debug, Clone)]
+pub struct Breakage {
+    /// When the first connection broke.
+    pub at: Duration,
+    /// The requests, each with the time when it was sent.
+    pub runs: Vec<(Fingerprint, Duration)>,
+}
+
+/// What was new in a message or an observation.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct News {
+    /// Whether a request was added to a crash.
+    pub has_new_runs: bool,
+    /// Requests that are refused from now on.
+    pub refused: Vec<Fingerprint>,
+}
+
+/// A crash of an endpoint.
+#[derive(Debug)]
+struct Crash {
+    at: Duration,
+    /// When a request was last added.
+    changed_at: Duration,
+    /// Requests that ran there, each with the time when it was last sent there.
+    runs: BTreeMap<Fingerprint, Duration>,
+}
+
+/// Requests that ran on crashed endpoints.
+#[derive(Debug)]
+pub struct Suspects {
+    table: Quarantine<Key>,
+    crashes: HashMap<Key, Crash>,
+    /// When answers to suspects were complete, and when this daemon learned of it.
+    completed: HashMap<Fingerprint, (Duration, Duration)>,
+}
+
+impl Default for Suspects {
+    fn default() -> Self {
+        Suspects {
+            table: Quarantine::new(MAX_CRASHES),
+            crashes: HashMap::new(),
+            completed: HashMap::new(),
+        }
+    }
+}
+
+impl Suspects {
+    /// Returns the time for which a request is still refused; none if it is not.
+    pub fn remaining(&self, now: Duration, fingerprint: Fingerprint) -> Option<Duration> {
+        self.table.remaining(now, fingerprint)
+    }
+
+    /// Returns the number of crashes that a request was part of.
+    pub fn crash_count(&self, fingerprint: Fingerprint) -> usize {
+        self.table.crash_count(fingerprint)
+    }
+
+    /// Returns the number of suspects, and how many of them are refused.
+    pub fn counts(&self, now: Duration) -> (usize, usize) {
+        (self.table.rows().count(), self.table.refused(now).count())
+    }
+
+    /// Adds requests to the crash of an endpoint.
+    pub fn add_crash(&mut self, now: Duration, key: &Key, breakage: &Breakage) -> News {
+        let crash = self.crashes.entry(key.clone()).or_insert_with(|| Crash {
+            at: breakage.at,
+            changed_at: now,
+            runs: BTreeMap::new(),
+        });
+        let mut news = News::default();
+        for (fingerprint, sent_at) in &breakage.runs {
+            news.has_new_runs |= crash.runs.insert(*fingerprint, *sent_at).is_none();
+            let run = Run { endpoint: key.clone(), sent_at: *sent_at, crashed_at: crash.at };
+            if self.table.on_crash(*fingerprint, run) {
+                news.refused.push(*fingerprint);
+            }
+        }
+        if news.has_new_runs {
+            crash.changed_at = now;
+        }
+        news
+    }
+
+    /// Records that an answer to a request was complete at `at`.
+    pub fn clear(&mut self, now: Duration, fingerprint: Fingerprint, at: Duration) {
+        if self.table.clear(at, fingerprint) {
+            self.completed.insert(fingerprint, (at, now));
+        }
+    }
+
+    /// Applies a message of another daemon.
+    pub fn on_message(&mut self, now: Duration, message: Message) -> News {
+        let ago = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        match message {
+            Message::Crashed { key, age_ms, runs } => {
+                let at = ago(age_ms);
+                let sent_at = |ran_ms: u32| at.saturating_sub(Duration::from_millis(ran_ms.into()));
+                let runs = runs.into_iter().map(|(row, ran_ms)| (row, sent_at(ran_ms))).collect();
+                self.add_crash(now, &key, &Breakage { at, runs })
+            }
+            Message::Refused(rows) => {
+                let mut news = News::default();
+                for (fingerprint, remaining_ms) in rows {
+                    let remaining = Duration::from_millis(remaining_ms.into());
+                    if self.table.add_from_peer(now, fingerprint, remaining) {
+                        news.refused.push(fingerprint);
+                    }
+                }
+                news
+            }
+            Message::Completed(rows) => {
+                for (fingerprint, age_ms) in rows {
+                    self.clear(now, fingerprint, ago(age_ms));
+                }
+                News::default()
+            }
+        }
+    }
+
+    /// Returns the messages about a crash.
+    pub fn announcements(&self, now: Duration, key: &Key) -> Vec<Message> {
+        let Some(crash) = self.crashes.get(key) else {
+            return Vec::new();
+        };
+        let age_ms = millis(now.saturating_sub(crash.at));
+        let ran_ms = |sent_at: Duration| millis(crash.at.saturating_sub(sent_at));
+        let runs: Vec<(Fingerprint, u32)> =
+            crash.runs.iter().map(|(row, sent_at)| (*row, ran_ms(*sent_at))).collect();
+        let chunks = runs.chunks(MAX_FINGERPRINTS);
+        chunks
+            .map(|runs| Message::Crashed { key: key.clone(), age_ms, runs: runs.to_vec() })
+            .collect()
+    }
+
+    /// Removes what has expired, and returns the messages that are due in a round.
+    pub fn round(&mut self, now: Duration) -> Vec<Message> {
+        let is_recent = |changed_at: Duration| now < changed_at + ANNOUNCEMENT_PERIOD;
+        self.table.tick(now);
+        self.crashes.retain(|_, crash| now < crash.at + CRASH_RETENTION);
+        self.completed.retain(|_, (_, changed_at)| is_recent(*changed_at));
+        let crashes = self.crashes.iter().filter(|(_, crash)| is_recent(crash.changed_at));
+        let mut messages: Vec<Message> =
+            crashes.flat_map(|(key, _)| self.announcements(now, key)).collect();
+        let completed = self.completed.iter();
+        let completed: Vec<(Fingerprint, u32)> =
+            completed.map(|(row, (at, _))| (*row, millis(now.saturating_sub(*at)))).collect();
+        let chunks = completed.chunks(MAX_FINGERPRINTS);
+        messages.extend(chunks.map(|rows| Message::Completed(rows.to_vec())));
+        let refused: Vec<(Fingerprint, u32)> =
+            self.table.refused(now).map(|(row, remaining)| (row, millis(remaining))).collect();
+        let chunks = refused.chunks(MAX_FINGERPRINTS);
+        messages.extend(chunks.map(|rows| Message::Refused(rows.to_vec())));
+        messages
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
