--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -94,7 +94,9 @@
             // A long run overlaps with more others, so it adds the least to the count.
             let lengths = self.runs.iter().map(|run| run.crashed_at.saturating_sub(run.sent_at));
             let longest = lengths.enumerate().max_by_key(|(_, length)| *length);
-            longest.map(|(position, _)| self.runs.remove(position));
+            if let Some((position, _)) = longest {
+                self.runs.remove(position);
+            }
         }
     }
 
