Log decisions on retries, and count them

Nothing told what was left of a daemon's retries, by how many daemons it divides the fixed number, or whether a repeat was granted, so that the hypotheses on the incident could not be told apart. A line `retry`, `retries_total`, `retries_left` and `retry_daemons` do. No decision changes.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -49,6 +49,7 @@
 use crate::daemon::quota::Charge;
 use crate::daemon::reply::Responder;
 use crate::daemon::reply::error_response;
+use crate::daemon::retry;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Forwarder;
@@ -489,9 +490,7 @@
                 return give_up(daemon, job, &mut tracker, progress, &refusal);
             }
         };
-        if progress.delivered > 0
-            && !daemon.allowance.borrow_mut().spend(clock::now(), &job.spec.service)
-        {
+        if progress.delivered > 0 && !retry::spend(daemon, job) {
             return give_up(
                 daemon,
                 job,
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -157,6 +157,15 @@
             let outcome: &str = outcome.into();
             writeln!(out, "poplarmux_permits_total{{outcome=\"{outcome}\"}} {count}")?;
         }
+        for (outcome, count) in daemon.retries.borrow().iter() {
+            let outcome: &str = outcome.into();
+            writeln!(out, "poplarmux_retries_total{{outcome=\"{outcome}\"}} {count}")?;
+        }
+        let mut allowance = daemon.allowance.borrow_mut();
+        writeln!(out, "poplarmux_retry_daemons {}", allowance.daemons())?;
+        for (service, left) in allowance.rows(now) {
+            writeln!(out, "poplarmux_retries_left{{service=\"{service}\"}} {left:.1}")?;
+        }
         for row in fleet.rows() {
             let (id, service) = (&row.instance.key.id, &row.instance.service);
             let labels = format!("endpoint=\"{id}\",service=\"{service}\"");
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -255,6 +255,13 @@
         waited: u64,
         version: u64,
     },
+    Retry {
+        request: String,
+        service: String,
+        outcome: &'static str,
+        left: f64,
+        daemons: usize,
+    },
     Resumed {
         request: String,
         endpoint: String,
@@ -315,6 +322,7 @@
             Event::Broker { .. } => "broker",
             Event::Counter { .. } => "counter",
             Event::Refused { .. } => "refused",
+            Event::Retry { .. } => "retry",
             Event::Resumed { .. } => "resumed",
             Event::Cut { .. } => "cut",
             Event::Left { .. } => "left",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -25,6 +25,7 @@
 pub mod quota;
 pub mod relay;
 pub mod reply;
+pub mod retry;
 pub mod send;
 pub mod settings;
 pub mod statement;
@@ -92,6 +93,8 @@
     pub quarantine: RefCell<quarantine::Observer>,
     /// Retry budget.
     pub allowance: RefCell<Allowance>,
+    /// Decisions on retries.
+    pub retries: RefCell<retry::Outcomes>,
     /// Other daemons.
     pub nodes: RefCell<node::Table>,
     /// Callers' demand for models, collected for the placer.
@@ -159,6 +162,7 @@
             limits: RefCell::default(),
             quarantine: RefCell::default(),
             allowance: RefCell::new(Allowance::new(settings.retries)),
+            retries: RefCell::default(),
             nodes: RefCell::default(),
             demand: RefCell::default(),
             placer: RefCell::new(placer::Placer::new(&settings, started_at)),
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -23,6 +23,7 @@
 use crate::daemon::front::Truncated;
 use crate::daemon::journal::Event;
 use crate::daemon::quarantine;
+use crate::daemon::retry;
 use crate::daemon::send;
 use crate::daemon::send::Head;
 use crate::daemon::send::Outcome;
@@ -182,8 +183,7 @@
         // Terminates: each iteration returns or uses up an attempt or retry allowance.
         while self.attempts < route.max_attempts {
             quarantine::settle(&self.daemon, self.job.fingerprint).await;
-            let now = clock::now();
-            if !self.daemon.allowance.borrow_mut().spend(now, &self.job.spec.service) {
+            if !retry::spend(&self.daemon, &self.job) {
                 return false;
             }
             let Ok(place) = front::find(&self.daemon, &self.job, &self.tried).await else {
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -57,6 +57,21 @@
         self.daemons = daemons.max(1);
     }
 
+    /// Returns the number of daemons.
+    pub fn daemons(&self) -> usize {
+        self.daemons
+    }
+
+    /// Returns the number of retries left at `now` for each service.
+    pub fn rows(&mut self, now: Duration) -> Vec<(ServiceId, f64)> {
+        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
+        let row = |service: ServiceId| {
+            let left = self.remaining(now, &service);
+            (service, left)
+        };
+        services.into_iter().map(row).collect()
+    }
+
     /// Records a request from a caller.
     pub fn record_request(&mut self, now: Duration, service: &str) {
         self.bucket(now, service).requests += 1;
