Pay for each retry with requests that the same daemon has served

Cause: each daemon took a part of the fixed number of retries, so that the sum depended on what each believed (how many daemons there are; one without the list took all of it) and on what none had forgotten (a restart gave the part again).

Each request is counted at one daemon, so the sum needs no number of daemons and no memory. The fixed number is left as a margin. A service with few requests retries less than it might.

--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -161,10 +161,8 @@
             let outcome: &str = outcome.into();
             writeln!(out, "poplarmux_retries_total{{outcome=\"{outcome}\"}} {count}")?;
         }
-        let mut allowance = daemon.allowance.borrow_mut();
-        writeln!(out, "poplarmux_retry_daemons {}", allowance.daemons())?;
-        for (service, left) in allowance.rows(now) {
-            writeln!(out, "poplarmux_retries_left{{service=\"{service}\"}} {left:.1}")?;
+        for (service, left) in daemon.allowance.borrow().rows(now) {
+            writeln!(out, "poplarmux_retries_left{{service=\"{service}\"}} {left}")?;
         }
         for row in fleet.rows() {
             let (id, service) = (&row.instance.key.id, &row.instance.service);
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -259,8 +259,7 @@
         request: String,
         service: String,
         outcome: &'static str,
-        left: f64,
-        daemons: usize,
+        left: usize,
     },
     Resumed {
         request: String,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -146,6 +146,8 @@
     ) -> Rc<Self> {
         let started_at = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
         let seed = started_at ^ xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let allowance = Allowance::new(settings.retries, SmallRng::from_rng(&mut rng));
         let fleet = Fleet::new(
             settings.region.clone(),
             settings.data_center.clone(),
@@ -161,7 +163,7 @@
             quotas: RefCell::default(),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
-            allowance: RefCell::new(Allowance::new(settings.retries)),
+            allowance: RefCell::new(allowance),
             retries: RefCell::default(),
             nodes: RefCell::default(),
             demand: RefCell::default(),
@@ -174,7 +176,7 @@
             peers,
             journal: RefCell::default(),
             gauges: Gauges::default(),
-            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            rng: RefCell::new(rng),
             lag: Cell::default(),
             shutting_down: Cell::new(false),
             shutdown_period: Cell::new(None),
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -356,7 +356,6 @@
             .restored_at()
             .is_some_and(|restored_at| clock::now() < restored_at + REREGISTRATION_WINDOW);
         daemon.nodes.borrow_mut().on_list(&daemon.settings.name, list, restored);
-        update_daemon_count(&daemon);
     };
     let apply = |change: Change| {
         let parsed = if change.removed { None } else { parse(&daemon, &change.object) };
@@ -366,8 +365,6 @@
             None if change.removed => nodes.remove(&change.object.name),
             None => {}
         }
-        drop(nodes);
-        update_daemon_count(&daemon);
     };
     store::follow(&daemon, Kind::Nodes, replace_all, apply).await;
 }
@@ -387,18 +384,12 @@
     }
 }
 
-fn update_daemon_count(daemon: &Daemon) {
-    let count = daemon.nodes.borrow().live_count(clock::now());
-    daemon.allowance.borrow_mut().set_daemons(count);
-}
-
 /// Checks periodically, while the store answers, whose heartbeat number has not risen.
 pub async fn heartbeat_check_loop(daemon: Rc<Daemon>) {
     loop {
         Timer::after(HEARTBEAT_CHECK_INTERVAL).await;
         if clock::now() < daemon.store.nodes_answered_at() + MAX_LIST_AGE {
             daemon.nodes.borrow_mut().count_missed_checks();
-            update_daemon_count(&daemon);
             remove_dead(&daemon).await;
         }
     }
--- a/src/daemon/retry.rs
+++ b/src/daemon/retry.rs
@@ -33,7 +33,6 @@
         service: service.clone(),
         outcome: outcome.into(),
         left,
-        daemons: allowance.daemons(),
     });
     outcome == Outcome::Granted
 }
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -211,7 +211,7 @@
 /// the job now.
 fn can_send_elsewhere(daemon: &Daemon, job: &Job, key: &Key) -> bool {
     let now = clock::now();
-    let has_allowance = daemon.allowance.borrow_mut().remaining(now, &job.spec.service) >= 1.0;
+    let has_allowance = daemon.allowance.borrow().remaining(now, &job.spec.service) > 0;
     has_allowance && admission::has_alternative(daemon, now, job, key)
 }
 
