Pay for a retry when it is sent, and not before it waits

The credit is now spent after the connection is open and all other checks have passed. A request that has no credit when an endpoint is searched for it is answered at once. As an attempt that is not sent is free now, a resumed stream tries as many endpoints as a request does at most.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -73,7 +73,7 @@
 /// Minimum for the limit on the size of a request's head, used alone while no limits are published.
 const MIN_HEAD_LIMIT_BYTES: usize = 64 << 10;
 /// Endpoints tried for one request, including those that did not run it.
-const MAX_ENDPOINTS_TRIED: u32 = 4;
+pub const MAX_ENDPOINTS_TRIED: u32 = 4;
 /// Retry-after of a daemon that has just started, and has no configuration or no list of daemons
 /// yet.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -484,26 +484,22 @@
                 &Refusal::new("timeout", EXHAUSTED_RETRY_AFTER),
             );
         }
+        let is_repeat = progress.delivered > 0;
+        if is_repeat && !retry::is_possible(daemon, job) {
+            return give_up(daemon, job, &mut tracker, progress, &no_credit());
+        }
         let permit = match find(daemon, job, &progress.tried).await {
             Ok(permit) => permit,
             Err(refusal) => {
                 return give_up(daemon, job, &mut tracker, progress, &refusal);
             }
         };
-        if progress.delivered > 0 && !retry::spend(daemon, job) {
-            return give_up(
-                daemon,
-                job,
-                &mut tracker,
-                progress,
-                &Refusal::new("no_allowance", EXHAUSTED_RETRY_AFTER),
-            );
-        }
         progress.endpoints_tried += 1;
         let may_repeat =
             job.route.is_idempotent() && progress.possible_runs + 1 < job.route.max_attempts;
+        let number = progress.endpoints_tried;
         let outcome =
-            send::attempt(daemon, job, &permit, progress.endpoints_tried, None, may_repeat).await;
+            send::attempt(daemon, job, &permit, number, None, is_repeat, may_repeat).await;
         match outcome {
             Outcome::Complete(res) => {
                 tracker.answered = true;
@@ -522,6 +518,9 @@
             Outcome::Quarantined(refusal) => {
                 return give_up(daemon, job, &mut tracker, progress, &refusal);
             }
+            Outcome::NoCredit => {
+                return give_up(daemon, job, &mut tracker, progress, &no_credit());
+            }
             Outcome::Forbidden if progress.possible_runs == 0 => {
                 tracker.answered = true;
                 return job.responder().unknown_key(daemon);
@@ -558,6 +557,11 @@
     }
 }
 
+/// Returns the refusal of a request that may not be sent again.
+fn no_credit() -> Refusal {
+    Refusal::new("no_allowance", EXHAUSTED_RETRY_AFTER)
+}
+
 /// Finds an endpoint for a job, unless it is refused as it crashes endpoints.
 pub async fn find(
     daemon: &Rc<Daemon>,
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -27,6 +27,7 @@
 use crate::daemon::link::Link;
 use crate::daemon::quarantine;
 use crate::daemon::quota::Charge;
+use crate::daemon::retry;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
 use crate::decide::endpoint::End;
@@ -78,21 +79,25 @@
     Indeterminate(&'static str),
     /// The request crashes endpoints; it was not sent.
     Quarantined(Refusal),
+    /// The request would be sent again and its service has no credit; it was not sent.
+    NoCredit,
     /// The caller's key is no longer in the configuration in force; the request was not sent.
     Forbidden,
 }
 
-/// Sends a job to the endpoint that admission has chosen, and records the result.
+/// Sends a job to the endpoint that admission has chosen, and records the result. `is_repeat` says
+/// whether it has reached an endpoint before.
 pub async fn attempt(
     daemon: &Rc<Daemon>,
     job: &Rc<Job>,
     place: &Permit,
     number: u32,
     last_event: Option<&str>,
+    is_repeat: bool,
     can_retry: bool,
 ) -> Outcome {
     let started_at = clock::now();
-    let outcome = exchange(daemon, job, place, number, last_event, can_retry).await;
+    let outcome = exchange(daemon, job, place, number, last_event, is_repeat, can_retry).await;
     if let (Outcome::NotRun(_), Some(charge)) = (&outcome, &job.charge) {
         charge.record_not_run();
     }
@@ -110,6 +115,7 @@
         | Outcome::Unsent(_)
         | Outcome::Indeterminate(_)
         | Outcome::Quarantined(_)
+        | Outcome::NoCredit
         | Outcome::Forbidden => {}
     }
     outcome
@@ -121,6 +127,7 @@
     place: &Permit,
     number: u32,
     last_event: Option<&str>,
+    is_repeat: bool,
     can_retry: bool,
 ) -> Outcome {
     let Some(addr) = daemon.fleet.borrow().get(&place.key).map(|row| row.instance.address) else {
@@ -128,6 +135,7 @@
     };
     // A pooled connection may turn out to be closed; then a new one is opened.
     let mut force_new = false;
+    let mut is_paid = false;
     loop {
         let pooled = if force_new { None } else { daemon.pool.borrow_mut().take(addr) };
         let reused = pooled.is_some();
@@ -159,6 +167,11 @@
             Ok(req) => req,
             Err(_) => return Outcome::Unsent("unencodable"),
         };
+        // Last, so that a credit is spent when the request is sent and only then.
+        if is_repeat && !is_paid && !retry::spend(daemon, job) {
+            return Outcome::NoCredit;
+        }
+        is_paid = true;
         log_sent(daemon, job, place, number, now, time_left);
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
@@ -500,6 +513,10 @@
             place.set_end(End::Unused);
             daemon.note(&failed_event("quarantined", "unsent"));
         }
+        Outcome::NoCredit => {
+            place.set_end(End::Unused);
+            daemon.note(&failed_event("no_allowance", "unsent"));
+        }
         Outcome::Unsent(error) => {
             let unreachable = matches!(*error, "connect" | "connection_refused");
             place.set_end(if unreachable { End::Unreachable } else { End::Unused });
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -180,10 +180,11 @@
         self.place.set_end(End::Failed);
         self.buffer.clear();
         self.tried.push(self.place.key.clone());
-        // Terminates: each iteration returns or uses up an attempt or retry allowance.
-        while self.attempts < route.max_attempts {
+        while self.attempts < route.max_attempts
+            && self.tried.len() <= front::MAX_ENDPOINTS_TRIED as usize
+        {
             quarantine::settle(&self.daemon, self.job.fingerprint).await;
-            if !retry::spend(&self.daemon, &self.job) {
+            if !retry::is_possible(&self.daemon, &self.job) {
                 return false;
             }
             let Ok(place) = front::find(&self.daemon, &self.job, &self.tried).await else {
@@ -191,8 +192,9 @@
             };
             self.attempts += 1;
             let last_id = self.last_event_id.as_deref();
+            let number = self.attempts;
             let outcome =
-                send::attempt(&self.daemon, &self.job, &place, self.attempts, last_id, false).await;
+                send::attempt(&self.daemon, &self.job, &place, number, last_id, true, false).await;
             match outcome {
                 Outcome::Stream(head) => {
                     self.daemon.note(&Event::Resumed {
@@ -204,7 +206,7 @@
                     self.head = Some(head);
                     return true;
                 }
-                Outcome::Forbidden | Outcome::Quarantined(_) => return false,
+                Outcome::Forbidden | Outcome::NoCredit | Outcome::Quarantined(_) => return false,
                 Outcome::NotRun(_) | Outcome::Unsent(_) => {
                     self.attempts -= 1;
                     self.tried.push(place.key.clone());
