Divide a quota by registered daemons, not by those believed alive

The same cause as in the retries beyond their budget, in the quota of a team: a daemon that reaches no counter uses an even share of the limit, and divided it by the daemons that it heard from. One that is cut off hears from none and used the shares of all; so may each of them. The test has eight registered daemons that answer nothing: 16 requests admitted before, a share of 10; the number of registrations does not shrink with a cut, and is what the choice of the counter goes by already. Shares of daemons that are really dead are lost for the 12 s until their registrations are outdated, and only while no counter answers.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -194,6 +194,12 @@
         self.rows.values().filter(|row| row.missed_checks < MAX_MISSED_CHECKS).map(|row| &row.node)
     }
 
+    /// Returns the number of daemons that recently renewed their registration, this one included.
+    /// Unlike `live_count` it does not shrink when this daemon is cut off from the others.
+    pub fn registered_count(&self) -> usize {
+        1 + self.registered().count()
+    }
+
     /// Returns whether another live daemon has more than `millicores` of processor.
     pub fn has_larger(&self, now: Duration, millicores: u32) -> bool {
         self.live(now).any(|node| node.millicores > millicores)
--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -243,7 +243,7 @@
     quota: &Quota,
     cost: u32,
 ) -> Result<(), Duration> {
-    let daemons = daemon.nodes.borrow().live_count(now);
+    let daemons = daemon.nodes.borrow().registered_count();
     let mut quotas = daemon.quotas.borrow_mut();
     let usage = quotas.usages.entry(team.name.clone()).or_insert_with(|| Usage::new(now));
     usage.meter.charge_local_share(now, quota, daemons, cost)
@@ -287,7 +287,7 @@
 
 /// Sends a counter the spending report of a team if one is due.
 fn send_due_report(daemon: &Rc<Daemon>, now: Duration, team: &str, quota: &Quota, to: SocketAddr) {
-    let daemons = daemon.nodes.borrow().live_count(now);
+    let daemons = daemon.nodes.borrow().registered_count();
     let due = {
         let mut quotas = daemon.quotas.borrow_mut();
         quotas.usages.get_mut(team).and_then(|usage| usage.meter.due_report(now, quota, daemons))
