Stop following a reader when this daemon has become one

A daemon that starts knows few others, follows the first reader and did not look again whether it is a reader itself until that one failed. It now looks before each request.

--- a/src/daemon/relay/client.rs
+++ b/src/daemon/relay/client.rs
@@ -16,6 +16,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
+use crate::daemon::relay;
 use crate::daemon::relay::AGE_HEADER;
 use crate::daemon::relay::LONG_POLL_TIMEOUT;
 use crate::daemon::relay::PUBLISHED_PATH;
@@ -41,7 +42,7 @@
 /// if neither the store nor a reader has delivered it.
 const FETCH_DELAY: Duration = Duration::from_millis(600);
 
-/// Follows a kind at a reader until the reader fails. `known` is the highest revision received.
+/// Follows a kind at a reader until the reader fails or this daemon becomes a reader. `known` is the highest revision received.
 pub async fn follow(
     daemon: &Rc<Daemon>,
     kind: Kind,
@@ -55,7 +56,7 @@
     };
     let mut incarnation = 0;
     let mut outdated = 0;
-    loop {
+    while !relay::readers(daemon).is_empty() {
         let position = Position { incarnation, revision: *known };
         let Some(update) = request_update(daemon, &mut link, reader, kind, position).await else {
             return;
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -412,6 +412,9 @@
             daemon.relay.stop(kind);
         }
         for reader in readers {
+            if relay::readers(daemon).is_empty() {
+                break;
+            }
             relay::follow(daemon, kind, reader, &mut known, &mut on_list, &mut on_change).await;
         }
     }
