Issue the part of a limit for the daemons that a counter hears

A counter that hears k of n registered daemons, itself included, issues k parts in n of an endpoint's limit. If the others are dead, their parts are lost until their registrations are outdated, about 12 s.

--- a/src/daemon/limit.rs
+++ b/src/daemon/limit.rs
@@ -230,7 +230,7 @@
         .get(key)
         .map_or_else(|| own.region.clone(), |row| fleet.region_of(&row.instance.data_center));
     let candidates = nodes.registered().chain(Some(&own));
-    let hears_all = nodes.other_count() <= peer::HEARTBEAT_FANOUT;
+    let hears_all = hears_all(&nodes);
     let is_silent = |node: &Node| hears_all && node.name != own.name && !nodes.is_alive(now, node);
     let suspected = |node: &Node| limits.suspects.has(now, node.peer) || is_silent(node);
     match limit::pick(candidates, &key.id, &region, suspected) {
@@ -239,6 +239,22 @@
     }
 }
 
+/// Returns whether this daemon receives the heartbeats of all live daemons in each round.
+fn hears_all(nodes: &node::Table) -> bool {
+    nodes.other_count() <= peer::HEARTBEAT_FANOUT
+}
+
+/// Returns the ratio of the registered daemons that this one hears. The others may be dead, or cut
+/// off from this one and issuing permits among themselves.
+fn heard_ratio(daemon: &Daemon, now: Duration) -> f64 {
+    let nodes = daemon.nodes.borrow();
+    if !hears_all(&nodes) {
+        return 1.0;
+    }
+    let heard = 1 + nodes.registered().filter(|node| nodes.is_alive(now, node)).count();
+    heard as f64 / nodes.registered_count() as f64
+}
+
 /// Issues a permit of an endpoint, or refuses it; returns also what this daemon knows of the limit.
 fn issue(daemon: &Daemon, now: Duration, key: &Key, statement: Statement) -> (Verdict, Statement) {
     apply(daemon, now, key, statement, Source::Peer);
@@ -251,6 +267,7 @@
         Counter::Local => Role::Counter,
         Counter::Remote(_) => Role::Deputy,
     };
+    let limit = limit.scaled(heard_ratio(daemon, now));
     let mut limits = daemon.limits.borrow_mut();
     let bucket = limits.buckets.entry(key.clone()).or_insert_with(|| Bucket::new(now));
     let verdict = match bucket.take(now, limit, role) {
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -50,6 +50,11 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Returns a part of the limit; `ratio` is at least 0 and at most 1.
+    pub fn scaled(self, ratio: f64) -> Self {
+        Limit(self.0 * ratio)
+    }
 }
 
 impl TryFrom<f64> for Limit {
