--- a/tests/decide_quota.rs
+++ b/tests/decide_quota.rs
@@ -48,8 +48,18 @@
     /// Whether another counter takes over when demand jumps and again at `SECOND_MOVE`. Half of the
     /// daemons notice it `NOTICE_DELAY` later and keep sending to the previous counter until then.
     counter_moves: bool,
+    /// Whether all daemons, the counter included, start again at each of `RESTARTS`.
+    restarts: bool,
 }
 
+/// When all daemons start again, in some runs.
+const RESTARTS: [Duration; 4] = [
+    Duration::from_millis(7_000),
+    Duration::from_millis(10_500),
+    Duration::from_millis(14_000),
+    Duration::from_millis(17_500),
+];
+
 /// When demand jumps, and when the run ends.
 const START: Duration = Duration::from_secs(5);
 const END: Duration = Duration::from_secs(25);
@@ -163,6 +173,8 @@
     let mut bucket = Bucket::new(Duration::ZERO, &quota, Role::Counter);
     let mut previous = bucket.clone();
     let mut relaxed = false;
+    let mut restarts: VecDeque<Duration> =
+        if plan.restarts { RESTARTS.into() } else { VecDeque::new() };
     let mut changes: VecDeque<Duration> =
         if plan.counter_moves { [START, SECOND_MOVE].into() } else { VecDeque::new() };
     let (mut moved_at, mut counter_index) = (Duration::ZERO, 0);
@@ -182,6 +194,12 @@
             counter_index += 1;
             previous = std::mem::replace(&mut bucket, Bucket::new(at, &quota, Role::Counter));
         }
+        if restarts.front().is_some_and(|restart| at > *restart) {
+            restarts.pop_front();
+            all = (0..plan.daemons).map(|_| Daemon { meter: Meter::new(at), ..new(0) }).collect();
+            bucket = Bucket::new(at, &quota, Role::Counter);
+            relaxed = false;
+        }
         match event {
             Event::Arrival => {
                 let demand = if at < START { plan.base_demand } else { plan.peak_demand };
@@ -259,6 +277,7 @@
                 base_demand: 0.55,
                 peak_demand: 4.2,
                 counter_moves: false,
+                restarts: false,
             });
         }
     }
@@ -287,6 +306,18 @@
     }
 }
 
+/// Guards against a part of the burst that is granted again at each restart of all daemons.
+#[test]
+fn limit_holds_when_all_daemons_restart() {
+    for plan in plans() {
+        let plan = Plan { restarts: true, ..plan };
+        for seed in 0..5 {
+            let max_usage = simulate(&plan, seed).max_usage(&quota(&plan));
+            assert!(max_usage <= 1.0, "{max_usage:.2} of the allowed units, seed {seed}, {plan:?}");
+        }
+    }
+}
+
 /// With even shares, daemons refused requests of a team far below its limit.
 #[test]
 fn demand_below_the_limit_is_accepted() {
@@ -331,6 +362,7 @@
         base_demand: 0.0,
         peak_demand: 0.0,
         counter_moves: false,
+        restarts: false,
     };
     let (quota, now) = (quota(&plan), Duration::from_secs(1));
     let mut bucket = Bucket::new(now, &quota, Role::Counter);
@@ -365,6 +397,7 @@
         base_demand: 0.0,
         peak_demand: 0.0,
         counter_moves: false,
+        restarts: false,
     };
     let quota = quota(&plan);
     let mut accepted = 0;
