--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -1,4 +1,5 @@
-//! A caller: asks which entry to use, drafts, books, and says exactly what it received.
+//! A client of the system: locates entries, requests drafts and bookings, and returns exactly what
+//! it received.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,13 +21,13 @@
 
 use crate::engine::text::Ask;
 
-/// The largest answer that is read.
+/// Maximum size of a response.
 const ANSWER_MAX: usize = 64 << 20;
 
-/// An entry that may be used.
+/// An entry that accepts requests.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct Place {
-    /// Where it serves callers.
+    /// Address at which it serves callers.
     pub address: SocketAddr,
     /// Its region.
     pub region: RegionId,
@@ -34,62 +35,62 @@
     pub data_center: DataCenterId,
 }
 
-/// Which entries to use.
+/// A list of entries.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct Places {
-    /// How long this may be kept, in milliseconds.
+    /// Time to live, in milliseconds.
     pub ttl_ms: u64,
-    /// Near ones first.
+    /// The entries, the nearest first.
     pub entries: Vec<Place>,
 }
 
-/// What a caller received.
+/// A response as a caller received it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Reply {
     /// The status.
     pub status: u16,
-    /// The error's code, of a refusal or of an error event.
+    /// Code of the error in a refusal or an error event.
     pub code: Option<String>,
-    /// What the error says of whether the request ran.
+    /// Whether the request ran, as the error states it.
     pub outcome: Option<Outcome>,
-    /// When to come back.
+    /// Time after which to retry.
     pub after: Option<Duration>,
-    /// The text of a draft, or the body of another answer.
+    /// Text of a draft, or body of another response.
     pub text: String,
-    /// Tokens of a draft.
+    /// Number of tokens of a draft.
     pub tokens: u64,
-    /// Whether the answer came to its explicit end: `[DONE]`, or a whole body.
+    /// Whether the response is complete: ended by `[DONE]`, or a complete body.
     pub whole: bool,
-    /// When the first token came.
+    /// Time to the first token.
     pub first: Option<Duration>,
-    /// The longest time between two tokens.
+    /// Longest time between two tokens.
     pub gap: Duration,
-    /// When all was over.
+    /// Time to the end of the response.
     pub took: Duration,
 }
 
 impl Reply {
-    /// The JSON body of a plain answer.
+    /// Returns the JSON body of a plain response.
     pub fn json(&self) -> Value {
         serde_json::from_str(&self.text).unwrap_or_default()
     }
 
-    /// Whether this is the whole answer to a question, and its own.
+    /// Returns whether this is the complete response to a prompt, and not another's.
     pub fn answers(&self, ask: &Ask) -> bool {
         self.status == 200 && self.whole && self.text == ask.answer()
     }
 }
 
-/// A caller and its connections.
+/// A caller with its connections.
 #[derive(Debug, Clone)]
 pub struct Caller {
     /// Its connections.
     pub pool: Pool,
-    /// How it names itself.
+    /// Name that it sends.
     pub name: String,
-    /// How long it says that it waits.
+    /// Deadline that it sends.
     pub deadline: Option<Duration>,
-    /// How long it waits for the head of an answer.
+    /// Timeout for the head of a response.
     pub patience: Duration,
 }
 
@@ -105,7 +106,7 @@
 }
 
 impl Caller {
-    /// Asks an entry which entries to use.
+    /// Requests the list of entries from an entry.
     pub async fn entries(&self, at: SocketAddr, region: &str) -> Result<Places, http::Error> {
         let path = format!("/v1/entries?region={region}");
         let req = http::request(Method::Get, at, &path)?;
@@ -114,7 +115,7 @@
         serde_json::from_slice(&body).map_err(|_| http::Error::Malformed)
     }
 
-    /// Asks for a chat completion and reads it to its end.
+    /// Requests a chat completion and reads it to its end.
     pub async fn draft(&self, at: SocketAddr, ask: &Ask) -> Result<Reply, http::Error> {
         let begin = Instant::now();
         let path = if ask.prompt.is_some() { "/v1/completions" } else { "/v1/chat/completions" };
@@ -146,7 +147,7 @@
         plain(answer, begin).await
     }
 
-    /// Books or files once: `POST /v1/services/{service}/{path}` with a key.
+    /// Sends a request that must run at most once: `POST /v1/services/{service}/{path}` with a key.
     pub async fn book(
         &self,
         at: SocketAddr,
@@ -229,7 +230,7 @@
     }
 }
 
-/// Takes in an error body or an error event.
+/// Records an error body or an error event.
 fn fail(reply: &mut Reply, body: &Value) {
     let error = &body["error"];
     if let Some(code) = error["code"].as_str() {
--- a/standin/src/gate.rs
+++ b/standin/src/gate.rs
@@ -1,30 +1,30 @@
-//! A gate that can be held shut, as a frozen process holds all its work.
+//! A gate that delays work while it is closed, as a frozen process does.
 
 use std::sync::Mutex;
 
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
-/// Open at first.
+/// A gate, open initially.
 #[derive(Debug, Default)]
 pub struct Gate {
-    /// Set while shut; dropping the sender wakes all who wait.
+    /// Set while closed; dropping the sender wakes all waiting tasks.
     shut: Mutex<Option<(Sender<()>, Receiver<()>)>>,
 }
 
 impl Gate {
-    /// Shuts the gate.
+    /// Closes the gate.
     pub fn freeze(&self) {
         let mut shut = self.shut.lock().expect("gate");
         shut.get_or_insert_with(|| smol::channel::bounded(1));
     }
 
-    /// Opens the gate: what waits goes on.
+    /// Opens the gate; waiting tasks continue.
     pub fn thaw(&self) {
         self.shut.lock().expect("gate").take();
     }
 
-    /// Waits while the gate is shut.
+    /// Waits until the gate is open.
     pub async fn pass(&self) {
         loop {
             let bell = match &*self.shut.lock().expect("gate") {
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -22,16 +22,16 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// The largest body that a stand-in reads.
+/// Maximum size of a request's body.
 const BODY_MAX: usize = 64 << 20;
 
-/// How long a stand-in waits for a body.
+/// Timeout for a request's body.
 const BODY_WAIT: Duration = Duration::from_secs(60);
 
-/// How long to wait before an address that is still taken is tried again.
+/// Interval between attempts to listen on an address that is still in use.
 const AGAIN: Duration = Duration::from_millis(5);
 
-/// The answer to one request, being worked out.
+/// The pending response to a request.
 pub type Answering = Pin<Box<dyn Future<Output = Response> + Send>>;
 
 type Handler = dyn Fn(Request, Link) -> Answering + Send + Sync;
@@ -40,14 +40,14 @@
     addr: SocketAddr,
     limits: Limits,
     handler: Box<Handler>,
-    /// None while closed; else which opening this is, and its drain.
+    /// Number of this opening, and its drain; none while closed.
     open: Mutex<Option<(u64, Drain)>>,
-    /// The connections whose request is being handled.
+    /// Connections whose request is being handled.
     links: Mutex<HashMap<u64, Link>>,
     next: AtomicU64,
 }
 
-/// A stand-in's server.
+/// The server of a stand-in.
 #[derive(Clone)]
 pub struct Host {
     inner: Arc<Inner>,
@@ -75,12 +75,12 @@
         Ok(host)
     }
 
-    /// Where it listens, also while closed.
+    /// Returns its address, also while closed.
     pub fn addr(&self) -> SocketAddr {
         self.inner.addr
     }
 
-    /// Closes the listener and every connection: new ones are refused.
+    /// Closes the listener and all connections; new ones are refused.
     pub fn close(&self) {
         if let Some((_, drain)) = self.inner.open.lock().expect("open").take() {
             drain.close();
@@ -146,7 +146,7 @@
     }
 }
 
-/// Drops a link when its request is handled: a kept clone would keep the connection open.
+/// Drops a link once its request is handled, as a clone keeps the connection open.
 struct Forget<'a>(&'a Inner, u64);
 
 impl Drop for Forget<'_> {
@@ -155,48 +155,48 @@
     }
 }
 
-/// Reads a whole body.
+/// Reads a complete body.
 pub async fn read(req: &mut Request) -> Result<Vec<u8>, http::Error> {
     http::body(req, BODY_MAX, BODY_WAIT).await
 }
 
-/// Reads a JSON body, or gives the answer that refuses it.
+/// Reads a JSON body; the error is the response that rejects it.
 pub async fn parse<T: DeserializeOwned>(req: &mut Request) -> Result<T, Response> {
     let bad = |text: &str| refusal(StatusCode::BadRequest, "malformed_body", text);
     let buf = read(req).await.map_err(|err| bad(&err.to_string()))?;
     serde_json::from_slice(&buf).map_err(|err| bad(&err.to_string()))
 }
 
-/// Breaks the connection: whatever is answered does not arrive.
+/// Breaks the connection, so that no response arrives.
 pub fn cut(link: &Link) -> Response {
     link.close();
     Response::new(StatusCode::InternalServerError)
 }
 
-/// An answer for what was not run, which says so.
+/// Returns a response which states that the request was not run.
 pub fn refusal(status: StatusCode, code: &str, message: &str) -> Response {
     let mut res = http::refusal(status, code, message);
     res.insert_header("x-outcome", "not_run");
     res
 }
 
-/// A JSON answer with status 200.
+/// Returns a JSON response with status 200.
 pub fn ok(body: &impl Serialize) -> Response {
     http::json(StatusCode::Ok, body)
 }
 
-/// The segments of a request's path, decoded.
+/// Returns the decoded segments of a request's path.
 pub fn path(req: &Request) -> Vec<String> {
     let segments = req.url().path_segments();
     segments.map(|all| all.map(decode).collect()).unwrap_or_default()
 }
 
-/// A request header's value.
+/// Returns the value of a request header.
 pub fn header(req: &Request, name: &str) -> Option<String> {
     req.header(name).map(|value| value.as_str().to_string())
 }
 
-/// A value of the query.
+/// Returns the value of a query parameter.
 pub fn query(req: &Request, name: &str) -> Option<String> {
     req.url().query_pairs().find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,7 +1,8 @@
-//! Stand-ins for what poplarmux meets: the platform, engines, plain services and callers.
+//! Stand-ins for the systems that poplarmux communicates with: the platform, engines, plain
+//! services and callers.
 //!
-//! Each is a library, so that a test runs it inside its own process and commands its faults, and
-//! a thin program that takes the same commands as JSON at `POST /control`.
+//! Each is a library, so that a test can run it in its own process and inject faults, and a program
+//! that accepts the same commands as JSON at `POST /control`.
 
 pub mod caller;
 pub mod engine;
--- a/standin/src/process.rs
+++ b/standin/src/process.rs
@@ -1,4 +1,4 @@
-//! Programs run as processes beside a test or a measurement.
+//! Runs programs as processes for a test or a measurement.
 
 use std::fs;
 use std::io;
@@ -20,22 +20,22 @@
 use poplarmux::state::Dump;
 use poplarmux::table::Bytes;
 
-/// Ticks a second of the processor times in `/proc`; the same on every Linux system.
+/// Clock ticks per second of the processor times in `/proc`; the same on all Linux systems.
 const TICKS: u64 = 100;
 
-/// A program as a process; killed when dropped.
+/// A program that runs as a process, which is killed when this is dropped.
 pub struct Process {
     /// The process.
     pub child: Child,
-    /// Where it serves; for a placer the same as `peer`.
+    /// Address at which it serves; for a placer the same as `peer`.
     pub address: SocketAddr,
-    /// Where it answers its peers; for a stand-in the same as `address`.
+    /// Address for its peers; for a stand-in the same as `address`.
     pub peer: SocketAddr,
     settings: Option<PathBuf>,
 }
 
 impl Process {
-    /// Starts a program of the system with a settings file of this text.
+    /// Starts a program of the system with a settings file of this content.
     pub fn start(program: &Path, settings: &str) -> io::Result<Process> {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -51,7 +51,7 @@
         Ok(process)
     }
 
-    /// Starts a program that says in its first line where it listens.
+    /// Starts a program that prints its address in its first line.
     pub fn run(command: &mut Command) -> io::Result<Process> {
         let mut child = command.stdout(Stdio::piped()).spawn()?;
         let mut line = String::new();
@@ -74,17 +74,17 @@
         assert!(done.expect("kill").success());
     }
 
-    /// Waits for its end; whether it ended well.
+    /// Waits until it exits; returns whether it exited successfully.
     pub fn wait(&mut self) -> bool {
         self.child.wait().expect("wait").success()
     }
 
-    /// Its tables.
+    /// Returns its tables.
     pub fn dump(&self) -> Dump {
         self.try_dump().expect("dump")
     }
 
-    /// Its tables, if it answers.
+    /// Returns its tables if it responds.
     pub fn try_dump(&self) -> Option<Dump> {
         let client = peer::Client::new(Pool::new(Duration::from_secs(2), Duration::ZERO));
         let ask = state::Request::default();
@@ -92,14 +92,14 @@
         smol::block_on(client.call(self.peer, state::METHOD, &ask, limit)).ok()
     }
 
-    /// One of its counters.
+    /// Returns one of its counters.
     pub fn count(&self, name: &str) -> u64 {
         let dump = self.dump();
         let row = dump.tables["counters"].iter().find(|row| row["name"] == name);
         row.and_then(|row| row["count"].as_u64()).expect("counter")
     }
 
-    /// Whether an entry is ready and knows what each of these endpoints serves.
+    /// Returns whether an entry is ready and knows what each of these endpoints serves.
     pub fn knows(&self, endpoints: &[SocketAddr]) -> bool {
         let Some(dump) = self.try_dump() else {
             return false;
@@ -113,7 +113,7 @@
         dump.ready && endpoints.iter().all(known)
     }
 
-    /// The configuration that an entry has in force, if it answers at once.
+    /// Returns the configuration that an entry has in force, if it responds at once.
     pub fn version(&self) -> Option<u64> {
         let wait = Duration::from_millis(200);
         let client = peer::Client::new(Pool::new(wait, Duration::ZERO));
@@ -123,7 +123,7 @@
         dump.tables.get("config")?.first()?["version"].as_u64()
     }
 
-    /// Processor time it has used, in steps of 10 ms.
+    /// Returns the processor time it has used, in steps of 10 ms.
     pub fn cpu(&self) -> Duration {
         let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
         let stat = stat.unwrap_or_default();
@@ -134,7 +134,7 @@
         Duration::from_millis(ticks * 1000 / TICKS)
     }
 
-    /// Memory it has resident.
+    /// Returns its resident memory.
     pub fn resident(&self) -> Bytes {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
@@ -154,7 +154,7 @@
     }
 }
 
-/// The program of this name beside the one that runs.
+/// Returns the path of a program in the directory of the running one.
 pub fn beside(name: &str) -> io::Result<PathBuf> {
     let path = std::env::current_exe()?.with_file_name(name);
     if path.exists() { Ok(path) } else { Err(io::Error::other(format!("{name} is not built"))) }
--- a/standin/src/program.rs
+++ b/standin/src/program.rs
@@ -1,4 +1,4 @@
-//! What the stand-ins have in common as programs.
+//! Common parts of the stand-ins' programs.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,19 +22,19 @@
 use crate::platform::Command;
 use crate::site;
 
-/// How often a stand-in tries again to register.
+/// Maximum number of attempts to register.
 const TRIES: u32 = 50;
 
-/// Time between two tries.
+/// Interval between two attempts.
 const AGAIN: Duration = Duration::from_millis(100);
 
-/// The most bytes of the platform's answer.
+/// Maximum size of the platform's response.
 const ANSWER_MAX: usize = 1 << 20;
 
-/// Where a stand-in stands.
+/// Address and location of a stand-in.
 #[derive(Debug, Clone, Args)]
 pub struct Place {
-    /// Where to listen; port 0 takes a free one.
+    /// Address to listen on; with port 0 on a free port.
     #[arg(long, default_value = "127.0.0.1:0")]
     pub listen: SocketAddr,
     /// The platform to register with.
@@ -49,7 +49,7 @@
 }
 
 impl Place {
-    /// Says where it listens, puts it on the platform's list, and runs until SIGTERM or SIGINT.
+    /// Prints its address, registers it with the platform, and runs until SIGTERM or SIGINT.
     pub async fn run(
         &self,
         addr: SocketAddr,
@@ -80,12 +80,12 @@
     Ok(())
 }
 
-/// The start of this process, higher for later ones.
+/// Returns the incarnation of this process, which is higher for later ones.
 pub fn incarnation() -> Incarnation {
     SystemTime::UNIX_EPOCH.elapsed().map_or(1, |time| time.as_millis() as Incarnation)
 }
 
-/// Sends a command to a platform, which may not be up yet, trying `again` so many times.
+/// Sends a command to a platform that may not have started yet, with up to `again` retries.
 async fn register(platform: SocketAddr, command: &Command, again: u32) -> Result<(), Error> {
     let pool = Pool::new(Duration::from_secs(1), Duration::ZERO);
     let mut tries = 0;
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -1,5 +1,4 @@
-//! A plain service: records, bookings, job status. It runs whatever it is asked, and records how
-//! often.
+//! A plain service, such as records or bookings. It runs all requests and counts them.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -26,40 +25,40 @@
 use crate::host;
 use crate::host::Host;
 
-/// Calls that are recorded one by one; beyond it only sums are kept.
+/// Maximum number of calls recorded individually; further ones are only counted.
 const RECORDED_MAX: usize = 100_000;
 
-/// What a service can be told; the same in a test and at `POST /control`.
+/// Commands to a service; the same in a test and at `POST /control`.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case")]
 pub enum Command {
-    /// Begin each call late.
+    /// Delay each call.
     Slow {
-        /// How late.
+        /// The delay.
         ms: u64,
     },
-    /// Stand still: connections stay open, nothing is answered.
+    /// Stop responding; connections stay open.
     Freeze,
-    /// Go on where it stood still.
+    /// Resume responding.
     Thaw,
-    /// Break the connection of the next calls and run nothing.
+    /// Break the connections of the next calls without running them.
     BreakBefore {
-        /// How many calls.
+        /// Number of calls.
         calls: u64,
     },
-    /// Run the next calls and break the connection in place of an answer.
+    /// Run the next calls and break their connections instead of responding.
     BreakAfter {
-        /// How many calls.
+        /// Number of calls.
         calls: u64,
     },
-    /// Refuse every connection for a time, then come back as a new incarnation.
+    /// Refuse all connections for a time, then restart as a new incarnation.
     Crash {
-        /// After how long it listens again.
+        /// Time until it listens again.
         restart_ms: u64,
     },
-    /// Leave: say so in reports and answers at once, refuse new work later.
+    /// Leave: state so in reports and responses at once, and reject new requests later.
     Leave {
-        /// After how long new work is refused.
+        /// Time until new requests are rejected.
         refuse_after_ms: u64,
     },
     /// End all faults.
@@ -77,25 +76,25 @@
     pub key: Option<String>,
     /// Its body.
     pub body: String,
-    /// How often a call with this key ran, this time included; without a key, how many calls ran.
+    /// Number of runs with this key, including this one; without a key, number of all runs.
     pub ran: u64,
 }
 
-/// What a service did.
+/// Record of a service's calls.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Record {
     /// The calls that ran, in order.
     pub calls: Vec<Call>,
-    /// How often the calls with a key ran.
+    /// Number of runs by key.
     pub keys: BTreeMap<String, u64>,
-    /// Calls that ran.
+    /// Number of calls that ran.
     pub ran: u64,
-    /// Calls refused as not run.
+    /// Number of calls rejected as not run.
     pub refused: u64,
 }
 
 impl Record {
-    /// The most that the calls with one key ran.
+    /// Returns the largest number of runs with one key.
     pub fn most(&self) -> u64 {
         self.keys.values().copied().max().unwrap_or(0)
     }
@@ -140,17 +139,17 @@
         Ok(service)
     }
 
-    /// Where it answers.
+    /// Returns its address.
     pub fn addr(&self) -> SocketAddr {
         self.host().addr()
     }
 
-    /// What it did so far.
+    /// Returns the record of its calls.
     pub fn record(&self) -> Record {
         self.state().record.clone()
     }
 
-    /// Does what a command says.
+    /// Executes a command.
     pub fn tell(&self, command: Command) {
         let mut state = self.state();
         match command {
--- a/standin/src/site.rs
+++ b/standin/src/site.rs
@@ -1,4 +1,4 @@
-//! A platform with engines and services in one process: the scene of a test.
+//! A platform with engines and services in one process, for tests.
 
 use std::io;
 use std::net::Ipv4Addr;
@@ -29,12 +29,12 @@
 use crate::process::Process;
 use crate::service::Service;
 
-/// A free port of this machine alone.
+/// Returns a free port of the loopback address.
 pub fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-/// A platform, and what is on its instance list.
+/// A platform and its registered instances.
 #[derive(Clone)]
 pub struct Site {
     /// The platform.
@@ -44,13 +44,13 @@
 }
 
 impl Site {
-    /// Starts a platform with an empty list.
+    /// Starts a platform without instances.
     pub fn start() -> io::Result<Site> {
         let weights = Weights::new(Duration::from_millis(50), Duration::from_millis(7));
         Ok(Site { platform: Platform::start(any_port())?, weights: Arc::new(weights) })
     }
 
-    /// Starts an engine and lists it; `settings.weights` is replaced by the site's own.
+    /// Starts and registers an engine; the site's weight store replaces `settings.weights`.
     pub fn engine(
         &self,
         region: &str,
@@ -64,7 +64,7 @@
         Ok(engine)
     }
 
-    /// Starts a plain service and lists it.
+    /// Starts and registers a plain service.
     pub fn service(&self, name: &str, region: &str, data_center: &str) -> io::Result<Service> {
         let service = Service::start(any_port(), 1)?;
         let row = instance(service.addr(), (region, data_center), Role::Service);
@@ -72,7 +72,7 @@
         Ok(service)
     }
 
-    /// Puts services in force past the publish program.
+    /// Publishes services without the publish program.
     pub fn configure(&self, version: u64, services: Vec<config::service::Service>) {
         let publish = format!("publish-{version}");
         let snapshot = Snapshot { version, publish, services, ..Snapshot::default() };
@@ -83,7 +83,7 @@
         });
     }
 
-    /// The part of a settings file that says where a process stands.
+    /// Returns the part of a settings file that contains a process's location.
     pub fn place(&self, region: &str, peers: &[SocketAddr]) -> String {
         let peers: Vec<String> = peers.iter().map(|peer| format!("\"{peer}\"")).collect();
         let (platform, peers) = (self.platform.addr(), peers.join(", "));
@@ -93,7 +93,7 @@
         )
     }
 
-    /// Starts an entry that is not on the list; `more` is added to its settings.
+    /// Starts an entry without registering it; `more` is added to its settings.
     pub fn unlisted_entry(
         &self,
         program: &Path,
@@ -105,7 +105,7 @@
         start_entry(program, &place, more)
     }
 
-    /// Starts an entry and lists it.
+    /// Starts and registers an entry.
     pub fn entry(
         &self,
         program: &Path,
@@ -119,7 +119,7 @@
         Ok(process)
     }
 
-    /// Sets an instance's state in the list.
+    /// Sets the registered state of an instance.
     pub fn presence(&self, address: SocketAddr, state: Presence) {
         self.platform.tell(platform::Command::SetPresence { address, state });
     }
@@ -131,7 +131,7 @@
     Process::start(program, &format!("{place}{own}{more}"))
 }
 
-/// An engine service of one small model without adapters.
+/// Returns an engine service with one small model and no adapters.
 pub fn drafting(model: &str) -> config::service::Service {
     config::service::Service {
         name: format!("{model}-service"),
@@ -162,7 +162,7 @@
     }
 }
 
-/// A live row of the instance list.
+/// Returns the registration of a live instance.
 pub fn instance(address: SocketAddr, place: (&str, &str), role: Role) -> Instance {
     let incarnation: Incarnation = 1;
     Instance {
@@ -177,7 +177,7 @@
     }
 }
 
-/// A resident model or adapter for `Engine::preload`, on the first accelerator.
+/// Returns a resident model or adapter for `Engine::preload`, on the first accelerator.
 pub fn resident(model: &str, adapter: Option<&str>, memory: Bytes) -> Resident {
     Resident {
         model: model.to_string(),
