--- a/src/daemon/relay/client.rs
+++ b/src/daemon/relay/client.rs
@@ -42,7 +42,8 @@
 /// if neither the store nor a reader has delivered it.
 const FETCH_DELAY: Duration = Duration::from_millis(600);
 
-/// Follows a kind at a reader until the reader fails or this daemon becomes a reader. `known` is the highest revision received.
+/// Follows a kind at a reader until the reader fails or this daemon becomes a reader itself. `known`
+/// is the highest revision received.
 pub async fn follow(
     daemon: &Rc<Daemon>,
     kind: Kind,
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -37,7 +37,7 @@
     pub ratio: f64,
     /// Length of the window.
     pub window: Duration,
-    /// Number of additional retries in each window.
+    /// Number of additional retries in each window; not used, see above.
     pub slack: f64,
 }
 
