Choose the counter of a quota among daemons that are heard

A third of the daemons was cut off from the store and heard the others. The others dropped them as their registrations went out of date, so the two groups chose different counters, and each gave the whole limit: 330,000 to 410,000 tokens a second from 9 s on, 190,000 before. Candidates are now daemons that have renewed their registration or are heard.

--- a/src/daemon/limit.rs
+++ b/src/daemon/limit.rs
@@ -251,7 +251,9 @@
     if !hears_all(&nodes) {
         return 1.0;
     }
-    let heard = 1 + nodes.registered().filter(|node| nodes.is_alive(now, node)).count();
+    let limits = daemon.limits.borrow();
+    let is_heard = |node: &&Node| nodes.is_alive(now, node) && !limits.suspects.has(now, node.peer);
+    let heard = 1 + nodes.registered().filter(is_heard).count();
     heard as f64 / nodes.registered_count() as f64
 }
 
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -194,6 +194,14 @@
         self.rows.values().filter(|row| row.missed_checks < MAX_MISSED_CHECKS).map(|row| &row.node)
     }
 
+    /// Returns the daemons that recently renewed their registration or sent a heartbeat. A daemon
+    /// that only the store does not reach still exchanges messages with the others.
+    pub fn reachable(&self, now: Duration) -> impl Iterator<Item = &Node> {
+        let is_member =
+            move |row: &&Row| row.missed_checks < MAX_MISSED_CHECKS || row.has_heartbeat(now);
+        self.rows.values().filter(is_member).map(|row| &row.node)
+    }
+
     /// Returns the number of daemons that recently renewed their registration, this one included.
     /// Unlike `live_count` it does not shrink when this daemon is cut off from the others.
     pub fn registered_count(&self) -> usize {
@@ -265,9 +273,14 @@
                 .is_none_or(|received_at| now >= received_at + UNKNOWN_DAEMON_WINDOW)
     }
 
+    /// Returns whether a direct heartbeat was received recently.
+    fn has_heartbeat(&self, now: Duration) -> bool {
+        self.last_heartbeat.is_some_and(|received_at| now < received_at + HEARTBEAT_TIMEOUT)
+    }
+
     fn is_alive(&self, now: Duration) -> bool {
         match self.last_heartbeat {
-            Some(received_at) => now < received_at + HEARTBEAT_TIMEOUT,
+            Some(_) => self.has_heartbeat(now),
             None => self.missed_checks < MAX_MISSED_CHECKS_NO_CONTACT,
         }
     }
--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -142,7 +142,7 @@
 fn find_counter(daemon: &Daemon, now: Duration, team: &str) -> Counter {
     let (nodes, quotas) = (daemon.nodes.borrow(), daemon.quotas.borrow());
     let own = node::own_registration(daemon, 0);
-    let candidates = nodes.registered().chain(Some(&own));
+    let candidates = nodes.reachable(now).chain(Some(&own));
     match quota::pick(candidates, team, |node| quotas.suspects.has(now, node.peer)) {
         Some(node) if node.name != own.name => Counter::Remote(node.peer),
         _ => Counter::Local,
--- a/tests/daemon_node.rs
+++ b/tests/daemon_node.rs
@@ -170,3 +170,17 @@
     }
     assert!(table.get("b").is_none());
 }
+
+/// Guards against daemons that choose different counters of a quota, as some of them take one that
+/// only the store does not reach for dead.
+#[test]
+fn daemon_that_only_the_store_does_not_reach_stays_reachable() {
+    let mut table = table();
+    for second in 0..20 {
+        table.count_missed_checks();
+        table.on_heartbeat(ms(second * 1_000), &heartbeat("a", true));
+    }
+    let names: Vec<&str> = table.reachable(ms(20_000)).map(|node| node.name.as_str()).collect();
+    assert_eq!(names, ["a"]);
+    assert_eq!(table.reachable(ms(30_000)).count(), 0);
+}
