Log which endpoints a daemon can't connect to, and count them

A daemon that reaches no endpoint and endpoints that are gone looked the same in the log and in the metrics: failed requests at each, and endpoint_usable 0. A line now says when an endpoint is reached no longer or again, and how many of the known ones are not; two gauges say the same.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -15,6 +15,7 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
 use crate::daemon::journal::Event;
@@ -272,8 +273,8 @@
         left: progress.written.map(|written_at| millis(progress.lease_end) - millis(written_at)),
         why: if task.adapter.is_some() { "wanted" } else { "demand" },
     });
-    if matches!(ordered, Err(link::Error::Connect | link::Error::Refused)) {
-        daemon.fleet.borrow_mut().record_unreachable(now, key);
+    if let Err(err @ (link::Error::Connect | link::Error::Refused)) = ordered {
+        contact::on_failed(daemon, key, err);
     }
     ordered.ok()?.ok()
 }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -129,7 +129,10 @@
         let fleet = daemon.fleet.borrow();
         let (grants, waiting) = daemon.broker.borrow().counts();
         let (suspects, refused) = daemon.quarantine.borrow().counts(now);
+        let (unreached, known) = fleet.unreached_count();
         let values = [
+            ("poplarmux_endpoints", known as u64),
+            ("poplarmux_endpoints_unreached", unreached as u64),
             ("poplarmux_open_requests", daemon.open_requests.get() as u64),
             ("poplarmux_waiting_requests", daemon.queue.borrow().len() as u64),
             ("poplarmux_config_version", version),
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -92,6 +92,13 @@
         endpoint: String,
         source: &'static str,
     },
+    Contact {
+        endpoint: String,
+        reached: bool,
+        error: Option<&'static str>,
+        unreached: usize,
+        known: usize,
+    },
     Backoff {
         endpoint: String,
         ms: u64,
@@ -326,6 +333,7 @@
             Event::Seen { .. } => "seen",
             Event::Limit { .. } => "limit",
             Event::Leaving { .. } => "leaving",
+            Event::Contact { .. } => "contact",
             Event::Backoff { .. } => "backoff",
             Event::Crash { .. } => "crash",
             Event::Quarantined { .. } => "quarantined",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 pub mod broker;
 pub mod clock;
 pub mod compression;
+pub mod contact;
 pub mod directory;
 pub mod engine;
 pub mod front;
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -20,6 +20,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::engine;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
@@ -228,7 +229,7 @@
             }
         }
         Err(err) => {
-            daemon.fleet.borrow_mut().record_unreachable(clock::now(), key);
+            contact::on_failed(daemon, key, err);
             is_replaced || err == link::Error::Refused
         }
     }
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -20,6 +20,7 @@
 use crate::daemon::admission::Permit;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::front::Job;
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
@@ -281,9 +282,9 @@
     match &link {
         Ok(_) => {
             daemon.gauges.record_connection();
-            daemon.fleet.borrow_mut().record_connect(key, now.saturating_sub(started_at));
+            contact::on_connected(daemon, key, now.saturating_sub(started_at));
         }
-        Err(_) => daemon.fleet.borrow_mut().record_unreachable(now, key),
+        Err(err) => contact::on_failed(daemon, key, *err),
     }
     link
 }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -277,6 +277,11 @@
             && self.down_until.is_none_or(|until| until <= now)
     }
 
+    /// Returns whether the last connection that this daemon tried to open was opened.
+    pub fn is_reached(&self) -> bool {
+        self.failed_connects == 0
+    }
+
     /// Returns whether the endpoint is unresponsive although it has requests.
     fn is_unresponsive(&self, now: Duration) -> bool {
         self.running > 0 && now > self.last_activity + UNRESPONSIVE_TIMEOUT
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -412,6 +412,13 @@
         }
     }
 
+    /// Returns the number of endpoints to which this daemon could not open its last connection, and
+    /// the number of all.
+    pub fn unreached_count(&self) -> (usize, usize) {
+        let unreached = self.rows.values().filter(|row| !row.is_reached()).count();
+        (unreached, self.rows.len())
+    }
+
     /// Records how long a connection to an endpoint took to open.
     pub fn record_connect(&mut self, key: &Key, took: Duration) {
         if let Some(row) = self.rows.get_mut(key) {
