Pass requests through daemons that reach the endpoint

What callers saw: for 13 s three of eight daemons reached no endpoint. From 4 s after that they served 5 of 106 requests at the first attempt, the others 667 of 671. Callers waited until they left, or were refused though endpoints were free.

Cause: a daemon had one way to an endpoint, its own connection. What failed there was taken for a failed endpoint, found out endpoint by endpoint at the cost of a caller each, and forgotten after 0.4 to 3 s. Nothing told callers to use other daemons.

Change: an endpoint that a daemon can't connect to is reached through another daemon, which only stands in for a connection: admission, retries, limits and the reading of the answer stay where the caller is. It says explicitly if nothing has reached the endpoint; only then does the endpoint count as failed. Lost endpoints are tried in the background. Silence of several endpoints, or two failed connections, make the daemon try others, and if none opens it takes all for lost. A daemon that has lost most endpoints says so to the others, which name it to callers only if there is no other in the region.

Why it works: the other daemon's result tells a failed endpoint from a failed link, so no rule for the one is applied to the other, and requests that still arrive are served.

--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -1,6 +1,5 @@
 //! Serves the addresses of daemons to callers, readiness to the platform, and metrics to operators.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +10,6 @@
 use http::StatusCode;
 use http::header;
 use http::request;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +19,8 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::daemon::Daemon;
+use crate::daemon::front::Payload;
+use crate::daemon::front::Truncated;
 use crate::daemon::link;
 use crate::daemon::node;
 
@@ -34,14 +34,20 @@
 
 /// Serves callers, the platform and operators as long as the daemon runs.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    serve_with(daemon, listener, async |daemon, head| respond(daemon, &head)).await;
+    serve_with(daemon, listener, async |daemon, req| {
+        let (head, _) = req.into_parts();
+        Ok(respond(&daemon, &head).map(Payload::Complete))
+    })
+    .await;
 }
 
-/// Serves requests without a body as long as the daemon runs.
+/// Answers requests as long as the daemon runs; an error closes the connection.
 pub async fn serve_with(
     daemon: Rc<Daemon>,
     listener: TcpListener,
-    respond: impl AsyncFn(&Daemon, request::Parts) -> Response<Full<Bytes>> + Copy + 'static,
+    respond: impl AsyncFn(Rc<Daemon>, Request<Incoming>) -> Result<Response<Payload>, Truncated>
+    + Copy
+    + 'static,
 ) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -56,7 +62,7 @@
             }
             let service = service_fn(move |req: Request<Incoming>| {
                 let shared = shared.clone();
-                async move { Ok::<_, Infallible>(respond(&shared, req.into_parts().0).await) }
+                async move { respond(shared, req).await }
             });
             // An error on the connection only concerns the client.
             let _ = http1::Builder::new()
@@ -69,7 +75,7 @@
     }
 }
 
-fn respond(daemon: &Daemon, head: &request::Parts) -> Response<Full<Bytes>> {
+fn respond(daemon: &Daemon, head: &request::Parts) -> Response<Bytes> {
     if daemon.dialect.is_readiness_check(head) {
         let ready = daemon.ready();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
@@ -90,9 +96,9 @@
 }
 
 /// Returns a JSON response.
-pub fn response(status: StatusCode, body: Bytes) -> Response<Full<Bytes>> {
+pub fn response(status: StatusCode, body: Bytes) -> Response<Bytes> {
     let json = HeaderValue::from_static("application/json");
-    let mut res = Response::new(Full::new(body));
+    let mut res = Response::new(body);
     *res.status_mut() = status;
     res.headers_mut().insert(header::CONTENT_TYPE, json);
     res
--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -5,7 +5,6 @@
 //! or runs late sends nothing under a lease that another daemon may hold by then.
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,12 +104,12 @@
 pub async fn report(daemon: &Rc<Daemon>, key: &Key) -> Option<Report> {
     let req = daemon.dialect.report(&key.id).ok()?;
     gate::acquire(daemon, key, Call::Report).await.ok()?;
-    let (addr, mut link) = connect(daemon, key).await.ok()?;
+    let mut link = connect(daemon, key).await.ok()?;
     gate::check(daemon, key, Call::Report).ok()?;
     daemon.fleet.borrow_mut().record_control_call(key);
     let res = call(daemon, &mut link, req, ORDER_TIMEOUT).await.ok()?;
     statement::observe(daemon, key, res.status(), res.headers(), Source::Report);
-    daemon.pool.borrow_mut().put(addr, link, None);
+    daemon.pool.borrow_mut().put(link, None);
     daemon.dialect.parse_report(&res).ok()
 }
 
@@ -138,15 +137,14 @@
 }
 
 /// Returns a pooled or new connection to an engine.
-async fn connect(daemon: &Rc<Daemon>, key: &Key) -> Result<(SocketAddr, Link), link::Error> {
+async fn connect(daemon: &Rc<Daemon>, key: &Key) -> Result<Link, link::Error> {
     let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
     let addr = addr.ok_or(link::Error::Connect)?;
     let pooled = daemon.pool.borrow_mut().take(addr);
-    let link = match pooled {
-        Some(link) => link,
-        None => link::dial(&daemon.ex, addr, ORDER_TIMEOUT).await?,
-    };
-    Ok((addr, link))
+    match pooled {
+        Some(link) => Ok(link),
+        None => link::dial(&daemon.ex, addr, ORDER_TIMEOUT).await,
+    }
 }
 
 /// Returns how long an order under a token may still be in flight, or `None` if it must not be sent
@@ -178,7 +176,7 @@
     token: Fence,
     progress: &mut Progress,
 ) -> Result<Response<Bytes>, link::Error> {
-    let (addr, mut link) = connect(daemon, key).await?;
+    let mut link = connect(daemon, key).await?;
     gate::check(daemon, key, Call::Order).map_err(|_| link::Error::Unsent)?;
     let now = clock::now();
     progress.lease_end = now + daemon.placer.borrow().watch.remaining(now);
@@ -194,7 +192,7 @@
     let res = res?;
     statement::observe(daemon, key, res.status(), res.headers(), Source::Order);
     if link.set_unacked_timeout(link::UNACKED_TIMEOUT).is_ok() {
-        daemon.pool.borrow_mut().put(addr, link, None);
+        daemon.pool.borrow_mut().put(link, None);
     }
     Ok(res)
 }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -8,6 +8,7 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
 use crate::decide::trend::Rate;
@@ -133,6 +134,7 @@
         let values = [
             ("poplarmux_endpoints", known as u64),
             ("poplarmux_endpoints_unreached", unreached as u64),
+            ("poplarmux_isolated", u64::from(contact::is_isolated(daemon))),
             ("poplarmux_open_requests", daemon.open_requests.get() as u64),
             ("poplarmux_waiting_requests", daemon.queue.borrow().len() as u64),
             ("poplarmux_config_version", version),
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -99,6 +99,9 @@
         unreached: usize,
         known: usize,
     },
+    Isolated {
+        isolated: bool,
+    },
     Backoff {
         endpoint: String,
         ms: u64,
@@ -193,6 +196,7 @@
         team: Option<String>,
         tokens: Option<u32>,
         endpoint: String,
+        through: Option<String>,
         model: Option<String>,
         adapter: Option<String>,
         prompt: u32,
@@ -334,6 +338,7 @@
             Event::Limit { .. } => "limit",
             Event::Leaving { .. } => "leaving",
             Event::Contact { .. } => "contact",
+            Event::Isolated { .. } => "isolated",
             Event::Backoff { .. } => "backoff",
             Event::Crash { .. } => "crash",
             Event::Quarantined { .. } => "quarantined",
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -212,6 +212,8 @@
 
 /// An open connection.
 pub struct Link {
+    /// The peer's address.
+    pub addr: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     stream: TcpStream,
     progress: Rc<Progress>,
@@ -385,7 +387,7 @@
         http1::handshake(FuturesIo::new(socket)).await.map_err(|_| Error::Connect)?;
     // The sender reports the end of the connection.
     let task = ex.spawn(async move { conn.await.unwrap_or_default() });
-    Ok(Link { sender, stream, progress, _task: task })
+    Ok(Link { addr, sender, stream, progress, _task: task })
 }
 
 /// Sets whether the kernel resets a connection when it is closed, also as the process ends.
@@ -444,14 +446,19 @@
 
     /// Adds a connection whose last response is complete. `idle_timeout` is the endpoint's, if it
     /// states one.
-    pub fn put(&mut self, addr: SocketAddr, link: Link, idle_timeout: Option<Duration>) {
+    pub fn put(&mut self, link: Link, idle_timeout: Option<Duration>) {
         let idle_timeout = Self::usable_for(idle_timeout);
-        let list = self.idle.entry(addr).or_default();
+        let list = self.idle.entry(link.addr).or_default();
         if !idle_timeout.is_zero() && list.len() < MAX_IDLE_PER_ADDRESS {
             list.push_back(Idle { link, expires_at: clock::now() + idle_timeout });
         }
     }
 
+    /// Drops all connections to a peer.
+    pub fn clear(&mut self, addr: SocketAddr) {
+        self.idle.remove(&addr);
+    }
+
     /// Drops connections that have expired or were closed by the peer.
     pub fn remove_expired(&mut self) {
         let now = clock::now();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod contact;
 pub mod directory;
 pub mod engine;
+pub mod forward;
 pub mod front;
 pub mod gate;
 pub mod gauge;
@@ -95,6 +96,10 @@
     pub quarantine: RefCell<quarantine::Observer>,
     /// Connections that show whether endpoints still run.
     pub liveness: RefCell<liveness::Connections>,
+    /// Which endpoints this daemon reaches.
+    pub contact: contact::Observer,
+    /// Daemons that requests could not be passed to.
+    pub forwarders: RefCell<forward::Failures>,
     /// Retry budget.
     pub allowance: RefCell<Allowance>,
     /// Decisions on retries.
@@ -168,6 +173,8 @@
             limits: RefCell::default(),
             quarantine: RefCell::default(),
             liveness: RefCell::default(),
+            contact: contact::Observer::default(),
+            forwarders: RefCell::default(),
             allowance: RefCell::new(allowance),
             retries: RefCell::default(),
             nodes: RefCell::default(),
@@ -247,6 +254,7 @@
             });
         }
         let removed = daemon.fleet.borrow_mut().tick(now);
+        contact::tick(&daemon, now);
         if removed || !daemon.queue.borrow().is_empty() {
             admission::dispatch(&daemon);
         }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -17,6 +17,7 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::journal::Event;
 use crate::daemon::peer;
 use crate::daemon::peer::Heartbeat;
@@ -28,6 +29,7 @@
 use crate::edge::dialect::Object;
 use crate::edge::dialect::Revision;
 use crate::edge::dialect::WriteResult;
+use crate::table::DataCenterId;
 use crate::table::RegionId;
 use crate::table::instance::Node;
 
@@ -76,6 +78,8 @@
     last_heartbeat: Option<Duration>,
     /// When it last reported that it can't reach the store; none if it reaches it.
     outage_reported_at: Option<Duration>,
+    /// When it last reported that it has lost most endpoints; none if it has not.
+    isolation_reported_at: Option<Duration>,
 }
 
 /// The other daemons.
@@ -199,12 +203,44 @@
         self.rows.values().filter(|row| row.missed_checks < MAX_MISSED_CHECKS).map(|row| &row.node)
     }
 
+    /// Records whether the daemon with this datagram address has lost most endpoints.
+    pub fn on_isolation(&mut self, now: Duration, from: SocketAddr, isolated: bool) {
+        if let Some(row) = self.rows.values_mut().find(|row| row.node.peer == from) {
+            row.isolation_reported_at = isolated.then_some(now);
+        }
+    }
+
+    /// Returns whether a daemon has reported recently that it has lost most endpoints.
+    fn is_isolated(&self, now: Duration, row: &Row) -> bool {
+        let limit = self.silence_limit();
+        row.isolation_reported_at.is_some_and(|reported_at| now < reported_at + limit)
+    }
+
+    /// Returns the ready daemons heard of recently that have not lost most endpoints.
+    pub fn in_contact(&self, now: Duration) -> impl Iterator<Item = &Node> {
+        let is_member = move |row: &&Row| {
+            row.node.ready && row.has_heartbeat(now) && !self.is_isolated(now, row)
+        };
+        self.rows.values().filter(is_member).map(|row| &row.node)
+    }
+
+    /// Returns whether there is such a daemon.
+    pub fn has_contact(&self, now: Duration) -> bool {
+        self.in_contact(now).next().is_some()
+    }
+
+    /// Returns the time without a message after which a daemon counts as silent: in each round it
+    /// sends to a choice of the others.
+    fn silence_limit(&self) -> Duration {
+        let rounds = reach::silence_rounds(self.known_count(), peer::HEARTBEAT_FANOUT);
+        HEARTBEAT_TIMEOUT.max(peer::GOSSIP_INTERVAL * rounds)
+    }
+
     /// Returns the daemons that recently renewed their registration or sent a heartbeat, without
     /// those whose heartbeats have ceased. A daemon that only the store does not reach still
     /// exchanges messages with the others; one that only the store reaches does not.
     pub fn reachable(&self, now: Duration) -> impl Iterator<Item = &Node> {
-        let rounds = reach::silence_rounds(self.known_count(), peer::HEARTBEAT_FANOUT);
-        let limit = HEARTBEAT_TIMEOUT.max(peer::GOSSIP_INTERVAL * rounds);
+        let limit = self.silence_limit();
         let is_member = move |row: &&Row| match row.last_heartbeat {
             Some(received_at) => now < received_at + limit,
             None => row.missed_checks < MAX_MISSED_CHECKS,
@@ -256,6 +292,11 @@
         self.rows.values().find(|row| row.node.peer == peer).map(|row| &row.node.region)
     }
 
+    /// Returns the data center of the daemon with this datagram address.
+    pub fn data_center_of(&self, peer: SocketAddr) -> Option<&DataCenterId> {
+        self.rows.values().find(|row| row.node.peer == peer).map(|row| &row.node.data_center)
+    }
+
     /// Returns a daemon by its name.
     pub fn get(&self, name: &str) -> Option<&Node> {
         self.rows.get(name).map(|row| &row.node)
@@ -281,9 +322,11 @@
         missed_checks: 0,
         last_heartbeat: None,
         outage_reported_at: None,
+        isolation_reported_at: None,
     });
     if row.node.started_at != node.started_at {
         (row.last_heartbeat, row.outage_reported_at) = (None, None);
+        row.isolation_reported_at = None;
     }
     (row.revision, row.missed_checks) = (revision, 0);
     row.node.clone_from(node);
@@ -315,33 +358,47 @@
 }
 
 /// Returns the addresses for a caller in `region`: ready live daemons of that region, or all ready
-/// live daemons if the region has none.
+/// live daemons if the region has none. Daemons that have lost most endpoints are left out unless
+/// all have.
 pub fn addresses(daemon: &Daemon, region: Option<&RegionId>) -> Vec<SocketAddr> {
     let now = clock::now();
     let nodes = daemon.nodes.borrow();
-    let mut all: Vec<(RegionId, SocketAddr)> = nodes
-        .live(now)
-        .filter(|node| node.ready)
-        .map(|node| (node.region.clone(), node.front))
+    let others = nodes.rows.values().filter(|row| row.is_alive(now) && row.node.ready);
+    let mut all: Vec<Candidate<'_>> = others
+        .map(|row| Candidate {
+            region: &row.node.region,
+            front: row.node.front,
+            isolated: nodes.is_isolated(now, row),
+        })
         .collect();
     if daemon.ready() {
-        all.push((daemon.settings.region.clone(), daemon.settings.front));
+        all.push(Candidate {
+            region: &daemon.settings.region,
+            front: daemon.settings.front,
+            isolated: contact::is_isolated(daemon),
+        });
     }
-    let in_region: Vec<SocketAddr> = all
-        .iter()
-        .filter(|(other, _)| region.is_some_and(|region| region == other))
-        .map(|(_, front)| *front)
-        .collect();
-    let mut found = if in_region.is_empty() {
-        all.into_iter().map(|(_, front)| front).collect()
-    } else {
-        in_region
-    };
+    let found = prefer(all, |row| region == Some(row.region));
+    let found = prefer(found, |row| !row.isolated);
+    let mut found: Vec<SocketAddr> = found.into_iter().map(|row| row.front).collect();
     found.sort();
     found.truncate(64);
     found
 }
 
+/// A daemon that callers may use.
+struct Candidate<'a> {
+    region: &'a RegionId,
+    front: SocketAddr,
+    isolated: bool,
+}
+
+/// Returns the rows that meet a condition, or all if none does.
+fn prefer<T>(rows: Vec<T>, condition: impl Fn(&T) -> bool) -> Vec<T> {
+    let (preferred, others): (Vec<T>, Vec<T>) = rows.into_iter().partition(condition);
+    if preferred.is_empty() { others } else { preferred }
+}
+
 /// Registers this daemon and renews its heartbeat for as long as it runs.
 pub async fn register(daemon: Rc<Daemon>) {
     let mut beat = 0;
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -24,6 +24,7 @@
 use crate::daemon::admission::Spec;
 use crate::daemon::broker;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::journal::Event;
 use crate::daemon::limit;
 use crate::daemon::placer;
@@ -122,6 +123,8 @@
     Limit(limit::Message),
     /// A message about requests that ran on crashed endpoints.
     Quarantine(suspects::Message),
+    /// Whether the sender has lost most endpoints. Sent in each round while it has.
+    Isolated(bool),
 }
 
 /// Demand of this daemon's callers.
@@ -279,6 +282,7 @@
         send_heartbeat(&daemon);
         limit::announce(&daemon);
         quarantine::announce(&daemon);
+        contact::announce_round(&daemon);
         let Some(leader) = daemon.placer.borrow().leader() else {
             continue;
         };
@@ -398,6 +402,11 @@
             }
         }
         Message::Quarantine(message) => quarantine::on_message(daemon, message),
+        Message::Isolated(isolated) => {
+            if let Some(from) = from {
+                daemon.nodes.borrow_mut().on_isolation(now, from, isolated);
+            }
+        }
         Message::AdapterRequest { key, model, adapter } => {
             placer::request_adapter(daemon, &key, &model, &adapter, from);
         }
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -222,7 +222,7 @@
     match link::dial(&daemon.ex, addr, CHECK_TIMEOUT).await {
         Ok(link) => {
             daemon.gauges.record_connection();
-            daemon.pool.borrow_mut().put(addr, link, None);
+            daemon.pool.borrow_mut().put(link, None);
             match liveness.and_then(|liveness| liveness.shows_crash(clock::now())) {
                 Some(shows_crash) => shows_crash,
                 None => is_replaced || was_replaced(daemon, key).await,
--- a/src/daemon/relay/server.rs
+++ b/src/daemon/relay/server.rs
@@ -8,7 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use http::request::Parts;
-use http_body_util::Full;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
@@ -18,6 +17,8 @@
 use crate::daemon::compression;
 use crate::daemon::directory::response;
 use crate::daemon::directory::serve_with;
+use crate::daemon::forward;
+use crate::daemon::front::Payload;
 use crate::daemon::journal::Event;
 use crate::daemon::relay::AGE_HEADER;
 use crate::daemon::relay::Delivery;
@@ -32,12 +33,20 @@
 use crate::decide::relay::MAX_AGE;
 use crate::edge::dialect::Revision;
 
-/// Answers the requests of other daemons for as long as this one runs.
+/// Answers the requests of other daemons for as long as this one runs: for objects, and to pass a
+/// caller's request on.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    serve_with(daemon, listener, async |daemon, head| respond(daemon, &head).await).await;
+    serve_with(daemon, listener, async |daemon, req| {
+        if forward::is_forwarded(req.headers()) {
+            return forward::respond(&daemon, req).await;
+        }
+        let (head, _) = req.into_parts();
+        Ok(respond(&daemon, &head).await.map(Payload::Complete))
+    })
+    .await;
 }
 
-async fn respond(daemon: &Daemon, head: &Parts) -> Response<Full<Bytes>> {
+async fn respond(daemon: &Daemon, head: &Parts) -> Response<Bytes> {
     let path = head.uri.path();
     let compresses = compression::is_accepted(&head.headers);
     if path == PUBLISHED_PATH {
@@ -75,7 +84,7 @@
         .unwrap_or_else(|| response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()))
 }
 
-fn respond_published(daemon: &Daemon, compresses: bool) -> Response<Full<Bytes>> {
+fn respond_published(daemon: &Daemon, compresses: bool) -> Response<Bytes> {
     let Some(spec) = &*daemon.published.borrow() else {
         return response(StatusCode::NOT_FOUND, Bytes::new());
     };
@@ -97,7 +106,7 @@
     }
 }
 
-fn compressed_response(body: Bytes) -> Response<Full<Bytes>> {
+fn compressed_response(body: Bytes) -> Response<Bytes> {
     let mut res = response(StatusCode::OK, body);
     compression::mark(res.headers_mut());
     res
@@ -110,7 +119,7 @@
     topic: &Topic,
     known: Option<Revision>,
     compresses: bool,
-) -> Option<Response<Full<Bytes>>> {
+) -> Option<Response<Bytes>> {
     let (now, feed) = (clock::now(), topic.feed.borrow());
     let age = feed.age(now).filter(|age| *age < MAX_AGE && !daemon.shutting_down.get())?;
     let returned = daemon.store.recovered_at().map(|at| now.saturating_sub(at));
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and classifies the response.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
 use crate::daemon::contact;
+use crate::daemon::forward;
+use crate::daemon::forward::Target;
 use crate::daemon::front::Job;
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
@@ -161,16 +164,33 @@
     // A pooled connection may turn out to be closed; then a new one is opened.
     let mut force_new = false;
     let mut is_paid = false;
+    let mut tried_daemons = Vec::new();
     loop {
-        let pooled = if force_new { None } else { daemon.pool.borrow_mut().take(addr) };
+        let Ok(through) = forward::route(daemon, &place.key, &tried_daemons) else {
+            contact::on_undelivered(daemon, &place.key);
+            return Outcome::Unsent("undelivered");
+        };
+        let pooled = match through {
+            _ if force_new => None,
+            Some(other) => daemon.pool.borrow_mut().take(other),
+            None => daemon.pool.borrow_mut().take(addr),
+        };
         let reused = pooled.is_some();
-        let mut link = match pooled {
-            Some(link) => link,
-            None => match connect(daemon, job, &place.key, addr).await {
+        let limit = job.deadline.saturating_sub(clock::now());
+        let mut link = match (pooled, through) {
+            (Some(link), _) => link,
+            (None, None) => match connect(daemon, &place.key, addr, limit).await {
                 Ok(link) => link,
                 Err(link::Error::Refused) => return Outcome::Unsent("connection_refused"),
                 Err(_) => return Outcome::Unsent("connect"),
             },
+            (None, Some(other)) => match forward::connect(daemon, other, limit).await {
+                Ok(link) => link,
+                Err(_) => {
+                    tried_daemons.push(other);
+                    continue;
+                }
+            },
         };
         // Checked after connecting: that or a suspension of the machine may have used up the time.
         let now = clock::now();
@@ -188,18 +208,24 @@
             return Outcome::Forbidden;
         };
         let team = team.as_ref().map(|team| team.name.as_str());
-        let req = match request(daemon, job, &place.key, time_left, last_event, team) {
+        let mut req = match request(daemon, job, &place.key, time_left, last_event, team) {
             Ok(req) => req,
             Err(_) => return Outcome::Unsent("unencodable"),
         };
+        let target = Target { key: place.key.clone(), fingerprint: job.fingerprint };
+        if through.is_some() && target.insert(req.headers_mut()).is_err() {
+            return Outcome::Unsent("unencodable");
+        }
         // Last, so that a credit is spent when the request is sent and only then.
         if is_repeat && !is_paid && !retry::spend(daemon, job) {
             return Outcome::NoCredit;
         }
         is_paid = true;
-        let is_engine = job.spec.engine_service;
-        let liveness = if is_engine { None } else { liveness::before_request(daemon, &place.key) };
-        log_sent(daemon, job, place, number, now, time_left);
+        // The endpoint's connections show nothing to a daemon that does not reach it.
+        let is_observed = !job.spec.engine_service && through.is_none();
+        let liveness =
+            if is_observed { liveness::before_request(daemon, &place.key) } else { None };
+        log_sent(daemon, job, place, number, through, now, time_left);
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
         job.charge.iter().for_each(Charge::record_sent);
@@ -208,7 +234,17 @@
             job.charge.iter().for_each(Charge::record_not_run);
         }
         match head {
+            Ok(res) if through.is_some() && forward::is_undelivered(res.headers()) => {
+                job.charge.iter().for_each(Charge::record_not_run);
+                daemon.pool.borrow_mut().put(link, None);
+                tried_daemons.extend(through);
+                force_new = false;
+            }
             Ok(res) => {
+                match through {
+                    Some(_) => daemon.fleet.borrow_mut().record_forwarded(&place.key),
+                    None => daemon.fleet.borrow_mut().record_received(now),
+                }
                 let exchange = Exchange { link, sent_at: now, liveness };
                 return classify(daemon, job, place, exchange, res, time_left).await;
             }
@@ -269,15 +305,15 @@
     limit.max(MIN_ATTEMPT_TIMEOUT)
 }
 
-async fn connect(
+/// Opens a connection to an endpoint within `limit`.
+pub async fn connect(
     daemon: &Rc<Daemon>,
-    job: &Job,
     key: &Key,
-    addr: std::net::SocketAddr,
+    addr: SocketAddr,
+    limit: Duration,
 ) -> Result<Link, link::Error> {
     let started_at = clock::now();
-    let limit = CONNECT_TIMEOUT.min(job.deadline.saturating_sub(started_at));
-    let link = link::dial(&daemon.ex, addr, limit).await;
+    let link = link::dial(&daemon.ex, addr, CONNECT_TIMEOUT.min(limit)).await;
     let now = clock::now();
     match &link {
         Ok(_) => {
@@ -329,6 +365,7 @@
     job: &Job,
     place: &Permit,
     number: u32,
+    through: Option<SocketAddr>,
     now: Duration,
     time_left: Duration,
 ) {
@@ -341,6 +378,7 @@
         team: job.team.as_ref().map(|team| team.name.clone()),
         tokens: job.caller.total_tokens,
         endpoint: key.id.clone(),
+        through: through.map(|addr| addr.to_string()),
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
         prompt: job.caller.prompt_tokens,
@@ -483,11 +521,11 @@
     mut link: Link,
     idle_timeout: Option<Duration>,
 ) {
-    let Some(addr) = daemon.fleet.borrow().get(key).map(|row| row.instance.address) else {
+    if daemon.fleet.borrow().get(key).is_none() {
         return;
-    };
+    }
     if link.is_ready() {
-        daemon.pool.borrow_mut().put(addr, link, idle_timeout);
+        daemon.pool.borrow_mut().put(link, idle_timeout);
         return;
     }
     let shared = daemon.clone();
@@ -500,7 +538,7 @@
             })
             .await
         {
-            shared.pool.borrow_mut().put(addr, link, idle_timeout);
+            shared.pool.borrow_mut().put(link, idle_timeout);
         }
     };
     daemon.ex.spawn(return_later).detach();
@@ -600,7 +638,10 @@
             daemon.note(&failed_event("no_allowance", "unsent"));
         }
         Outcome::Unsent(error) => {
-            let unreachable = matches!(*error, "connect" | "connection_refused");
+            // Others may reach an endpoint that this daemon doesn't reach.
+            let is_down = fleet.get(key).is_some_and(|row| row.is_down(now));
+            let unreachable =
+                is_down && matches!(*error, "connect" | "connection_refused" | "undelivered");
             place.set_end(if unreachable { End::Unreachable } else { End::Unused });
             daemon.note(&failed_event(error, "unsent"));
         }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::contact;
+use crate::decide::contact::Path;
 use crate::decide::limit;
 use crate::decide::limit::Statement;
 use crate::decide::prefill;
@@ -54,6 +56,10 @@
 const ADAPTER_LOAD_TIMEOUT: Duration = Duration::from_millis(350);
 /// How long a requested adapter is remembered.
 const ADAPTER_REQUEST_RETENTION: Duration = Duration::from_secs(2);
+/// Cost of passing a request through another daemon, in milliseconds.
+const FORWARD_COST: f64 = 5.0;
+/// Cost of passing a request through a daemon that may not reach the endpoint either.
+const UNCONFIRMED_COST: f64 = 500.0;
 /// Cost of evicting another adapter first, and of an engine that did not load the adapter in time,
 /// in milliseconds.
 const ADAPTER_EVICTION_COST: f64 = 500.0;
@@ -192,7 +198,13 @@
     /// When the endpoint last sent any byte, or got its first request while idle.
     last_activity: Duration,
     down_until: Option<Duration>,
+    /// Connections that could not be opened since the last one that could.
     failed_connects: u32,
+    path: Path,
+    /// When contact was lost, if the path is not direct.
+    lost_at: Duration,
+    /// When a connection is tried again, if the path is not direct.
+    next_probe: Duration,
     /// Models and adapters that the endpoint refused as not resident, each until it may be
     /// requested again.
     not_resident: HashMap<(String, Option<String>), Duration>,
@@ -251,6 +263,9 @@
             last_activity: now,
             down_until: None,
             failed_connects: 0,
+            path: Path::default(),
+            lost_at: Duration::ZERO,
+            next_probe: Duration::ZERO,
             not_resident: HashMap::new(),
             parts: HashMap::new(),
             recent_prompts: Window::default(),
@@ -272,9 +287,7 @@
 
     /// Returns whether the endpoint accepts new requests.
     pub fn is_usable(&self, now: Duration) -> bool {
-        self.instance.state == State::Live
-            && !self.is_gone
-            && self.down_until.is_none_or(|until| until <= now)
+        self.instance.state == State::Live && !self.is_gone && !self.is_down(now)
     }
 
     /// Returns whether the last connection that this daemon tried to open was opened.
@@ -282,6 +295,40 @@
         self.failed_connects == 0
     }
 
+    /// Returns whether the endpoint is not used for now, as no daemon could reach it.
+    pub fn is_down(&self, now: Duration) -> bool {
+        self.down_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns how this daemon's requests reach the endpoint.
+    pub fn path(&self) -> Path {
+        self.path
+    }
+
+    /// Returns whether this daemon lost contact after `since`.
+    pub fn is_lost_since(&self, since: Duration) -> bool {
+        self.path != Path::Direct && self.lost_at >= since
+    }
+
+    /// Returns whether a connection to the lost endpoint is to be tried.
+    pub fn is_probe_due(&self, now: Duration) -> bool {
+        self.path != Path::Direct && self.next_probe <= now
+    }
+
+    /// Returns the cost of the path, in milliseconds.
+    pub fn path_cost(&self) -> f64 {
+        match self.path {
+            Path::Direct => 0.0,
+            Path::Forwarded => FORWARD_COST,
+            Path::Unconfirmed => UNCONFIRMED_COST,
+        }
+    }
+
+    /// Returns whether requests are under way from which nothing has arrived for that long.
+    pub fn is_silent_for(&self, now: Duration, span: Duration) -> bool {
+        self.path == Path::Direct && self.running > 0 && now >= self.last_activity + span
+    }
+
     /// Returns whether the endpoint is unresponsive although it has requests.
     fn is_unresponsive(&self, now: Duration) -> bool {
         self.running > 0 && now > self.last_activity + UNRESPONSIVE_TIMEOUT
@@ -548,10 +595,34 @@
         let took = took.as_secs_f64() * 1000.0;
         self.connect_ms += (took - self.connect_ms) * 0.3;
         self.failed_connects = 0;
+        self.path = Path::Direct;
+        self.down_until = None;
+    }
+
+    /// Records that this daemon can't connect to the endpoint, although others may.
+    pub fn lose_contact(&mut self, now: Duration) {
+        if self.path == Path::Direct {
+            (self.path, self.lost_at, self.down_until) = (Path::Unconfirmed, now, None);
+        }
+        self.failed_connects += 1;
+        self.next_probe = now + contact::probe_interval(self.failed_connects);
+    }
+
+    /// Lets a connection to the lost endpoint be tried at once.
+    pub fn hasten_probe(&mut self, now: Duration) {
+        self.next_probe = self.next_probe.min(now);
+    }
+
+    /// Records that another daemon has reached the endpoint.
+    pub fn record_forwarded(&mut self) {
+        if self.path == Path::Unconfirmed {
+            self.path = Path::Forwarded;
+        }
     }
 
-    /// Records that the endpoint could not be reached.
+    /// Records that the endpoint could not be reached, by other daemons neither.
     pub fn record_unreachable(&mut self, now: Duration) {
+        self.path = Path::Direct;
         let down_time =
             MIN_DOWN_TIME.saturating_mul(1 << self.failed_connects.min(4)).min(MAX_DOWN_TIME);
         self.down_until = Some(now + down_time);
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -21,7 +21,11 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 
+use crate::decide::contact;
+use crate::decide::contact::Evidence;
+use crate::decide::contact::Path;
 use crate::decide::endpoint::Distance;
 use crate::decide::endpoint::End;
 use crate::decide::endpoint::Endpoint;
@@ -92,6 +96,10 @@
     /// Last records of removed endpoints.
     removed: HashMap<Key, Removed>,
     speeds: Speeds,
+    /// When a connection of this daemon to an endpoint was last opened.
+    last_connect: Duration,
+    /// When bytes last arrived over such a connection.
+    last_received: Duration,
 }
 
 impl Fleet {
@@ -110,6 +118,8 @@
             reused_ids: HashSet::new(),
             removed: HashMap::new(),
             speeds: Speeds::default(),
+            last_connect: Duration::ZERO,
+            last_received: Duration::ZERO,
         }
     }
 
@@ -279,8 +289,12 @@
             let estimate = row.estimate(now, requirements, &self.speeds);
             let delay = max_pause
                 .map_or(Duration::ZERO, |max_pause| row.prefill_delay(now, max_pause, &estimate));
-            let cost =
-                row.cost(now, is_engine, &estimate) + delay.as_secs_f64() * 1000.0 + load_cost;
+            // The daemon of the request has a path of its own.
+            let path_cost = if requirements.excluded.is_none() { row.path_cost() } else { 0.0 };
+            let cost = row.cost(now, is_engine, &estimate)
+                + delay.as_secs_f64() * 1000.0
+                + load_cost
+                + path_cost;
             let cost = cost * noise;
             if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
                 best = Some((cost, row, ready, delay));
@@ -419,10 +433,82 @@
         (unreached, self.rows.len())
     }
 
-    /// Records how long a connection to an endpoint took to open.
-    pub fn record_connect(&mut self, key: &Key, took: Duration) {
+    /// Returns the endpoints that accept requests by their records.
+    fn live_rows(&self) -> impl Iterator<Item = &Endpoint> {
+        self.rows.values().filter(|row| row.instance.state == State::Live)
+    }
+
+    /// Returns whether this daemon has lost most endpoints.
+    pub fn is_isolated(&self) -> bool {
+        let lost = self.live_rows().filter(|row| row.path() != Path::Direct).count();
+        let forwarded = self.live_rows().filter(|row| row.path() == Path::Forwarded).count();
+        contact::is_isolated(self.live_rows().count(), lost, forwarded)
+    }
+
+    /// Returns what suggests that this daemon has lost all endpoints.
+    pub fn evidence(&self, now: Duration) -> Evidence {
+        let is_silent = |row: &&Endpoint| row.is_silent_for(now, contact::SILENCE_TIMEOUT);
+        let is_lost = |row: &&Endpoint| row.is_lost_since(self.last_connect);
+        Evidence {
+            known: self.live_rows().count(),
+            lost: self.live_rows().filter(is_lost).count(),
+            silent: self.live_rows().filter(is_silent).count(),
+            quiet_for: now.saturating_sub(self.last_received),
+        }
+    }
+
+    /// Returns endpoints that are not lost, to show whether all of them are.
+    pub fn sample(&self, rng: &mut SmallRng) -> Vec<Key> {
+        let rows = self.live_rows().filter(|row| row.path() == Path::Direct);
+        rows.map(|row| row.instance.key.clone()).choose_multiple(rng, contact::SAMPLE_SIZE)
+    }
+
+    /// Returns lost endpoints to which connections are to be tried.
+    pub fn due_probes(&self, now: Duration, rng: &mut SmallRng) -> Vec<Key> {
+        let rows = self.rows.values().filter(|row| row.is_probe_due(now));
+        rows.map(|row| row.instance.key.clone()).choose_multiple(rng, contact::MAX_PROBES)
+    }
+
+    /// Records that this daemon can't connect to an endpoint, although others may.
+    pub fn lose_contact(&mut self, now: Duration, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.lose_contact(now);
+        }
+    }
+
+    /// Records that this daemon has lost all endpoints, unless a connection was opened since then.
+    pub fn lose_all_contact(&mut self, now: Duration, since: Duration) {
+        if self.last_connect >= since {
+            return;
+        }
+        for row in self.rows.values_mut().filter(|row| row.path() == Path::Direct) {
+            row.lose_contact(now);
+        }
+    }
+
+    /// Records that bytes arrived from an endpoint over a connection of this daemon.
+    pub fn record_received(&mut self, now: Duration) {
+        self.last_received = now;
+    }
+
+    /// Records that another daemon has reached an endpoint.
+    pub fn record_forwarded(&mut self, key: &Key) {
         if let Some(row) = self.rows.get_mut(key) {
-            row.record_connect(took);
+            row.record_forwarded();
+        }
+    }
+
+    /// Records how long a connection to an endpoint took to open.
+    pub fn record_connect(&mut self, now: Duration, key: &Key, took: Duration) {
+        let Some(row) = self.rows.get_mut(key) else {
+            return;
+        };
+        let was_lost = row.path() != Path::Direct;
+        row.record_connect(took);
+        self.last_connect = now;
+        if was_lost {
+            // The others have probably returned as well.
+            self.rows.values_mut().for_each(|row| row.hasten_probe(now));
         }
     }
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub mod broker;
 pub mod call_latency;
 pub mod claim;
+pub mod contact;
 pub mod demand;
 pub mod drain;
 mod dump;
--- a/tests/decide_speed.rs
+++ b/tests/decide_speed.rs
@@ -206,7 +206,7 @@
     let instance = engine("e");
     let key = instance.key.clone();
     fleet.put(Duration::ZERO, instance);
-    (0..40).for_each(|_| fleet.record_connect(&key, connect_time));
+    (0..40).for_each(|_| fleet.record_connect(Duration::ZERO, &key, connect_time));
     fleet
 }
 
