--- a/src/daemon/contact.rs
+++ b/src/daemon/contact.rs
@@ -97,7 +97,7 @@
     if daemon.contact.probes.get() > 0 || !daemon.nodes.borrow().has_contact(now) {
         return;
     }
-    let due = daemon.fleet.borrow().due_probes(now, &mut daemon.rng.borrow_mut());
+    let due = daemon.fleet.borrow_mut().take_due_probes(now, &mut daemon.rng.borrow_mut());
     for key in due {
         let shared = daemon.clone();
         let probe = async move {
--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -107,7 +107,7 @@
     let mut link = connect(daemon, key).await.ok()?;
     gate::check(daemon, key, Call::Report).ok()?;
     daemon.fleet.borrow_mut().record_control_call(key);
-    let res = call(daemon, &mut link, req, ORDER_TIMEOUT).await.ok()?;
+    let res = call(daemon, key, &mut link, req, ORDER_TIMEOUT).await.ok()?;
     statement::observe(daemon, key, res.status(), res.headers(), Source::Report);
     daemon.pool.borrow_mut().put(link, None);
     daemon.dialect.parse_report(&res).ok()
@@ -116,6 +116,7 @@
 /// Makes a call and records its latency.
 async fn call(
     daemon: &Daemon,
+    key: &Key,
     link: &mut Link,
     req: Request<Bytes>,
     limit: Duration,
@@ -124,8 +125,14 @@
     let res = link.call(req, MAX_RESPONSE_BYTES, limit).await;
     let mut latency = daemon.orders.latency.get();
     match &res {
-        Ok(_) => latency.record_answer(started_at, clock::now()),
-        Err(link::Error::Timeout) => latency.record_timeout(clock::now()),
+        Ok(_) => {
+            latency.record_answer(started_at, clock::now());
+            daemon.fleet.borrow_mut().record_received(clock::now());
+        }
+        Err(link::Error::Timeout) => {
+            latency.record_timeout(clock::now());
+            daemon.fleet.borrow_mut().record_unanswered(clock::now(), key);
+        }
         // Without a response, nothing is known about the latency.
         Err(_) => {}
     }
@@ -143,7 +150,15 @@
     let pooled = daemon.pool.borrow_mut().take(addr);
     match pooled {
         Some(link) => Ok(link),
-        None => link::dial(&daemon.ex, addr, ORDER_TIMEOUT).await,
+        None => {
+            let started_at = clock::now();
+            let link = link::dial(&daemon.ex, addr, ORDER_TIMEOUT).await;
+            match &link {
+                Ok(_) => contact::on_connected(daemon, key, clock::now() - started_at),
+                Err(err) => contact::on_failed(daemon, key, *err),
+            }
+            link
+        }
     }
 }
 
@@ -187,7 +202,7 @@
     let kernel_timeout = limit.min(lease_limit.saturating_sub(KERNEL_TIMEOUT_LAG));
     link.set_unacked_timeout(kernel_timeout).map_err(|_| link::Error::Unsent)?;
     daemon.fleet.borrow_mut().record_control_call(key);
-    let res = call(daemon, &mut link, req, limit).await;
+    let res = call(daemon, key, &mut link, req, limit).await;
     progress.written = link.written_at();
     let res = res?;
     statement::observe(daemon, key, res.status(), res.headers(), Source::Order);
@@ -271,8 +286,5 @@
         left: progress.written.map(|written_at| millis(progress.lease_end) - millis(written_at)),
         why: if task.adapter.is_some() { "wanted" } else { "demand" },
     });
-    if let Err(err @ (link::Error::Connect | link::Error::Refused)) = ordered {
-        contact::on_failed(daemon, key, err);
-    }
     ordered.ok()?.ok()
 }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -205,6 +205,8 @@
     lost_at: Duration,
     /// When a connection is tried again, if the path is not direct.
     next_probe: Duration,
+    /// When a report or an order of this daemon last ran out of time without an answer.
+    unanswered_at: Option<Duration>,
     /// Models and adapters that the endpoint refused as not resident, each until it may be
     /// requested again.
     not_resident: HashMap<(String, Option<String>), Duration>,
@@ -266,6 +268,7 @@
             path: Path::default(),
             lost_at: Duration::ZERO,
             next_probe: Duration::ZERO,
+            unanswered_at: None,
             not_resident: HashMap::new(),
             parts: HashMap::new(),
             recent_prompts: Window::default(),
@@ -324,9 +327,17 @@
         }
     }
 
-    /// Returns whether requests are under way from which nothing has arrived for that long.
-    pub fn is_silent_for(&self, now: Duration, span: Duration) -> bool {
-        self.path == Path::Direct && self.running > 0 && now >= self.last_activity + span
+    /// Returns whether requests are under way from which nothing has arrived for that long, or a
+    /// call was not answered after `last_received`.
+    pub fn is_silent(&self, now: Duration, span: Duration, last_received: Duration) -> bool {
+        let is_unanswered = self.unanswered_at.is_some_and(|at| at >= last_received);
+        let is_waiting = self.running > 0 && now >= self.last_activity + span;
+        self.path == Path::Direct && (is_waiting || is_unanswered)
+    }
+
+    /// Records that a report or an order ran out of time without an answer.
+    pub fn record_unanswered(&mut self, now: Duration) {
+        self.unanswered_at = Some(now);
     }
 
     /// Returns whether the endpoint is unresponsive although it has requests.
@@ -603,7 +614,13 @@
     pub fn lose_contact(&mut self, now: Duration) {
         if self.path == Path::Direct {
             (self.path, self.lost_at, self.down_until) = (Path::Unconfirmed, now, None);
+            self.schedule_probe(now);
         }
+    }
+
+    /// Schedules the next connection to the lost endpoint, as one has failed or is about to be
+    /// tried.
+    pub fn schedule_probe(&mut self, now: Duration) {
         self.failed_connects += 1;
         self.next_probe = now + contact::probe_interval(self.failed_connects);
     }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -447,7 +447,8 @@
 
     /// Returns what suggests that this daemon has lost all endpoints.
     pub fn evidence(&self, now: Duration) -> Evidence {
-        let is_silent = |row: &&Endpoint| row.is_silent_for(now, contact::SILENCE_TIMEOUT);
+        let is_silent =
+            |row: &&Endpoint| row.is_silent(now, contact::SILENCE_TIMEOUT, self.last_received);
         let is_lost = |row: &&Endpoint| row.is_lost_since(self.last_connect);
         Evidence {
             known: self.live_rows().count(),
@@ -463,10 +464,15 @@
         rows.map(|row| row.instance.key.clone()).choose_multiple(rng, contact::SAMPLE_SIZE)
     }
 
-    /// Returns lost endpoints to which connections are to be tried.
-    pub fn due_probes(&self, now: Duration, rng: &mut SmallRng) -> Vec<Key> {
-        let rows = self.rows.values().filter(|row| row.is_probe_due(now));
-        rows.map(|row| row.instance.key.clone()).choose_multiple(rng, contact::MAX_PROBES)
+    /// Returns lost endpoints to which connections are to be tried now.
+    pub fn take_due_probes(&mut self, now: Duration, rng: &mut SmallRng) -> Vec<Key> {
+        let rows = self.rows.values_mut().filter(|row| row.is_probe_due(now));
+        let rows = rows.choose_multiple(rng, contact::MAX_PROBES).into_iter();
+        rows.map(|row| {
+            row.schedule_probe(now);
+            row.instance.key.clone()
+        })
+        .collect()
     }
 
     /// Records that this daemon can't connect to an endpoint, although others may.
@@ -486,6 +492,13 @@
         }
     }
 
+    /// Records that a report or an order ran out of time without an answer.
+    pub fn record_unanswered(&mut self, now: Duration, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.record_unanswered(now);
+        }
+    }
+
     /// Records that bytes arrived from an endpoint over a connection of this daemon.
     pub fn record_received(&mut self, now: Duration) {
         self.last_received = now;
