Hand the lease over when the holder reaches no engines

Cause: the lease was given up when orders were late or the process stopped, not when they could not be sent: a connection that can't be opened has no latency.

Change: a holder that has been isolated for a second, while others are not, returns the lease, and does not acquire it again before that ends.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -9,6 +9,7 @@
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::journal::Event;
 use crate::daemon::store;
 use crate::daemon::tally::Op;
@@ -81,7 +82,7 @@
         && daemon.nodes.borrow().live_count(now) > 1;
     // A lease that was returned may be held again if the response to a renewal arrives later, so
     // this stays true for as long as the daemon is stopping.
-    orders_late || daemon.shutting_down.get()
+    orders_late || contact::should_hand_over(daemon, now) || daemon.shutting_down.get()
 }
 
 /// Acquires or renews the lease if that is due.
@@ -100,6 +101,7 @@
         || (daemon.ready()
             && !unavailable
             && now >= paused_until
+            && !contact::should_hand_over(daemon, now)
             && !defers_to_larger(daemon, now));
     let write = if may_write { daemon.placer.borrow_mut().watch.next_write(now) } else { None };
     if let Some(write) = write {
