Don't take endpoints for crashed that one daemon can't connect to

What callers would see: a request that is sent again is refused everywhere as one that crashes endpoints, though none has crashed.

Cause: a refused connection after a broken one was proof of a crash. A daemon whose connections are reset and whose new ones are refused sees the same at every endpoint.

Change: before it counts a crash, the daemon asks another one, of another data center if possible, to connect. If that succeeds it tries again itself, as the endpoint may listen again; if that fails, it has lost contact. If no other daemon knows, a refusal counts as before unless the daemon is isolated.

--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -22,6 +22,8 @@
 use crate::daemon::clock;
 use crate::daemon::contact;
 use crate::daemon::engine;
+use crate::daemon::forward;
+use crate::daemon::forward::Contact;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::liveness::Connection;
@@ -219,7 +221,22 @@
             (None, None) => return false,
         }
     };
-    match link::dial(&daemon.ex, addr, CHECK_TIMEOUT).await {
+    let mut dialed = link::dial(&daemon.ex, addr, CHECK_TIMEOUT).await;
+    if matches!(dialed, Err(link::Error::Refused)) {
+        // This daemon may have lost contact, or the endpoint may listen again.
+        match forward::ask(daemon, key).await {
+            Contact::Open => dialed = link::dial(&daemon.ex, addr, CHECK_TIMEOUT).await,
+            Contact::Refused => {
+                contact::on_failed(daemon, key, link::Error::Refused);
+                return true;
+            }
+            Contact::Unknown => {
+                contact::on_failed(daemon, key, link::Error::Refused);
+                return is_replaced || !contact::is_isolated(daemon);
+            }
+        }
+    }
+    match dialed {
         Ok(link) => {
             daemon.gauges.record_connection();
             daemon.pool.borrow_mut().put(link, None);
@@ -230,7 +247,7 @@
         }
         Err(err) => {
             contact::on_failed(daemon, key, err);
-            is_replaced || err == link::Error::Refused
+            is_replaced
         }
     }
 }
