Keep connections to endpoints that are silent for two seconds

What callers would see: a stream that waits for its first event is cut, and a call that may not run twice fails, though the endpoint is sound and only silent for a second or so.

Cause: a connection was closed 2.5 s after the last acknowledgement. With TCP_USER_TIMEOUT set the number of keep-alive probes does not count, so on an idle connection the second probe was the last, and bytes that were sent into a silence of 1.4 s or more were not sent again before the end.

Change: 3.5 s. A probe or a retransmission then follows a silence of two seconds at any time, and a dead peer is still found within 4 s. The number of probes is no longer set, as it had no effect.

--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -48,13 +48,12 @@
 use crate::decide::body::End;
 use crate::decide::body::Framing;
 
-/// How long sent bytes may stay unacknowledged by the peer's kernel: several times the longest
-/// round trip, and less than callers wait.
-pub const UNACKED_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Idle time before the first keep-alive probe, and the interval between probes.
+/// How long the peer's kernel may acknowledge nothing, sent bytes and keep-alive probes alike: a
+/// sound peer may be silent for two seconds, and is probed again in the next.
+pub const UNACKED_TIMEOUT: Duration = Duration::from_millis(3_500);
+/// Idle time before the first keep-alive probe, and the interval between probes. Their number does
+/// not matter, as `UNACKED_TIMEOUT` decides.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keep-alive probes after which the connection is closed.
-const MAX_KEEPALIVE_PROBES: u32 = 3;
 /// Largest number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 
@@ -401,8 +400,7 @@
     sockopt::set_tcp_user_timeout(stream, UNACKED_TIMEOUT.as_millis() as u32)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
-    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
-    sockopt::set_tcp_keepcnt(stream, MAX_KEEPALIVE_PROBES)
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)
 }
 
 struct Idle {
