Keep the rejections of brittle endpoints low

What callers would see: an endpoint that says that it is brittle falls over, as it has to reject more than it can bear, and takes what runs there with it.

Cause: nothing read Server-Brittle, and each daemon sent an endpoint up to 1.25 or 2 times its slots by its own view of the load, which is as old as the last report. No daemon sees the others' requests: the class of the limits that engines name.

Change: a brittle endpoint is sent nothing that would have to wait there. Where no broker grants the slots, a daemon has its share of them, by all daemons that are registered; before it knows them it has one request at once. After a rejection it leaves the endpoint alone for a second and tells the others, which do so until its load is known again.

--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -114,7 +114,7 @@
 
 /// Returns whether brokers are needed: there are too many daemons for each to inform all others of
 /// every request that it sends.
-fn is_needed(daemon: &Daemon) -> bool {
+pub fn is_needed(daemon: &Daemon) -> bool {
     daemon.nodes.borrow().other_count() > peer::MAX_BROADCAST_PEERS
 }
 
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -207,6 +207,9 @@
             writeln!(out, "poplarmux_control_calls_total{{{labels}}} {}", row.control_calls)?;
             let backoff = row.remaining_backoff(now).as_millis();
             writeln!(out, "poplarmux_endpoint_backoff_ms{{{labels}}} {backoff}")?;
+            if let Some(max) = row.max_rejections(now) {
+                writeln!(out, "poplarmux_endpoint_max_rejections{{{labels}}} {max}")?;
+            }
             if let Some(limit) = row.limit() {
                 writeln!(out, "poplarmux_endpoint_limit{{{labels}}} {}", limit.per_second())?;
             }
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -92,6 +92,11 @@
         endpoint: String,
         source: &'static str,
     },
+    Brittle {
+        endpoint: String,
+        max: u32,
+        source: &'static str,
+    },
     Contact {
         endpoint: String,
         reached: bool,
@@ -337,6 +342,7 @@
             Event::Seen { .. } => "seen",
             Event::Limit { .. } => "limit",
             Event::Leaving { .. } => "leaving",
+            Event::Brittle { .. } => "brittle",
             Event::Contact { .. } => "contact",
             Event::Isolated { .. } => "isolated",
             Event::Backoff { .. } => "backoff",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -58,6 +58,7 @@
 use crate::daemon::link::Pool;
 use crate::daemon::settings::Settings;
 use crate::decide::allowance::Allowance;
+use crate::decide::brittle::Sharing;
 use crate::decide::fleet::Fleet;
 use crate::decide::lag;
 use crate::decide::lag::Monitor;
@@ -254,6 +255,7 @@
             });
         }
         let removed = daemon.fleet.borrow_mut().tick(now);
+        daemon.fleet.borrow_mut().sharing = sharing(&daemon);
         contact::tick(&daemon, now);
         if removed || !daemon.queue.borrow().is_empty() {
             admission::dispatch(&daemon);
@@ -267,6 +269,16 @@
     }
 }
 
+/// Returns how daemons share the slots of endpoints. Those that this one takes for dead may go on,
+/// and before it has read their list there may be any number.
+fn sharing(daemon: &Daemon) -> Sharing {
+    let nodes = daemon.nodes.borrow();
+    Sharing {
+        daemons: if nodes.is_loaded() { nodes.known_count() } else { usize::MAX },
+        has_brokers: broker::is_needed(daemon),
+    }
+}
+
 /// Runs a future to completion on an executor of its own.
 pub fn block_on<T>(work: impl AsyncFnOnce(Executor) -> T) -> T {
     let ex: Executor = Rc::new(LocalExecutor::new());
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -31,6 +31,7 @@
 use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::relay;
+use crate::daemon::statement;
 use crate::decide::demand;
 use crate::decide::suspects;
 use crate::decide::updates;
@@ -125,6 +126,13 @@
     Quarantine(suspects::Message),
     /// Whether the sender has lost most endpoints. Sent in each round while it has.
     Isolated(bool),
+    /// A brittle endpoint has rejected a request of the sender.
+    Rejected {
+        /// The endpoint.
+        key: Key,
+        /// The number of rejections within a second beyond which it fails.
+        max_rejections: u32,
+    },
 }
 
 /// Demand of this daemon's callers.
@@ -407,6 +415,9 @@
                 daemon.nodes.borrow_mut().on_isolation(now, from, isolated);
             }
         }
+        Message::Rejected { key, max_rejections } => {
+            statement::on_rejected(daemon, &key, max_rejections);
+        }
         Message::AdapterRequest { key, model, adapter } => {
             placer::request_adapter(daemon, &key, &model, &adapter, from);
         }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::brittle;
+use crate::decide::brittle::Sharing;
 use crate::decide::contact;
 use crate::decide::contact::Path;
 use crate::decide::limit;
@@ -239,6 +241,9 @@
     pub(in crate::decide) backoff_until: Duration,
     /// Reports and orders that this daemon requested of it.
     pub control_calls: u64,
+    /// The number of rejections within a second beyond which it fails, if it stated one, and when
+    /// it last did.
+    brittle: Option<(u32, Duration)>,
 }
 
 impl Endpoint {
@@ -285,9 +290,33 @@
             paused_until: Duration::ZERO,
             backoff_until: Duration::ZERO,
             control_calls: 0,
+            brittle: None,
         }
     }
 
+    /// Returns the number of rejections within a second beyond which the endpoint fails, if it says
+    /// that it is brittle.
+    pub fn max_rejections(&self, now: Duration) -> Option<u32> {
+        let (max, stated_at) = self.brittle?;
+        (now < stated_at + brittle::STATEMENT_TIMEOUT).then_some(max)
+    }
+
+    /// Records that the endpoint says that it is brittle, and returns whether that is new.
+    pub fn on_brittle(&mut self, now: Duration, max_rejections: u32) -> bool {
+        let is_new = self.max_rejections(now) != Some(max_rejections);
+        self.brittle = Some((max_rejections, now));
+        is_new
+    }
+
+    /// Returns whether the endpoint takes another request of this daemon.
+    pub fn has_room(&self, now: Duration, is_engine: bool, sharing: Sharing) -> bool {
+        let load = self.load(now);
+        if self.max_rejections(now).is_none() {
+            return load < self.max_requests(is_engine);
+        }
+        brittle::has_room(self.instance.slots, is_engine, load, self.running, sharing)
+    }
+
     /// Returns whether the endpoint accepts new requests.
     pub fn is_usable(&self, now: Duration) -> bool {
         self.instance.state == State::Live && !self.is_gone && !self.is_down(now)
@@ -499,8 +528,8 @@
             + busy_ms
     }
 
-    /// Returns the number of requests that the endpoint is sent at most.
-    pub fn max_requests(&self, is_engine: bool) -> u32 {
+    /// Returns the number of requests that the endpoint is sent at most unless it is brittle.
+    fn max_requests(&self, is_engine: bool) -> u32 {
         let slots = f64::from(self.instance.slots);
         (if is_engine { slots * MAX_ENGINE_LOAD_RATIO } else { slots * MAX_PLAIN_LOAD_RATIO })
             as u32
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -23,6 +23,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 
+use crate::decide::brittle::Sharing;
 use crate::decide::contact;
 use crate::decide::contact::Evidence;
 use crate::decide::contact::Path;
@@ -96,6 +97,8 @@
     /// Last records of removed endpoints.
     removed: HashMap<Key, Removed>,
     speeds: Speeds,
+    /// How daemons share the endpoints' slots.
+    pub sharing: Sharing,
     /// When a connection of this daemon to an endpoint was last opened.
     last_connect: Duration,
     /// When bytes last arrived over such a connection.
@@ -118,6 +121,7 @@
             reused_ids: HashSet::new(),
             removed: HashMap::new(),
             speeds: Speeds::default(),
+            sharing: Sharing::default(),
             last_connect: Duration::ZERO,
             last_received: Duration::ZERO,
         }
@@ -272,7 +276,7 @@
             };
             has_resident = true;
             if requirements.tried.contains(&row.instance.key)
-                || row.load(now) >= row.max_requests(is_engine)
+                || !row.has_room(now, is_engine, self.sharing)
             {
                 continue;
             }
@@ -574,6 +578,11 @@
         self.rows.get_mut(key).is_some_and(Endpoint::mark_leaving)
     }
 
+    /// Records that an endpoint says that it is brittle, and returns whether that is new.
+    pub fn on_brittle(&mut self, now: Duration, key: &Key, max_rejections: u32) -> bool {
+        self.rows.get_mut(key).is_some_and(|row| row.on_brittle(now, max_rejections))
+    }
+
     /// Records that an endpoint wants no calls from this daemon for some time. This holds also if
     /// its record has been removed meanwhile and is written again.
     pub fn back_off(&mut self, now: Duration, key: &Key, span: Duration) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod backlog;
 pub mod body;
 pub mod breaker;
+pub mod brittle;
 pub mod broker;
 pub mod call_latency;
 pub mod claim;
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -319,6 +319,10 @@
     /// Decodes whether an endpoint states in the headers of a response that it is leaving.
     fn parse_leaving(&self, headers: &HeaderMap) -> Result<bool, Error>;
 
+    /// Decodes the number of rejections within a second beyond which an endpoint fails; `None` if it
+    /// is not brittle.
+    fn parse_brittle(&self, headers: &HeaderMap) -> Result<Option<u32>, Error>;
+
     /// Decodes for how long an endpoint that has rejected a request asks the sender for no further
     /// ones; `None` if the response is no rejection or states no time.
     fn parse_backoff(
