Tell daemons that start which engines have restarted

What callers would see: an engine is ordered to load more than its memory holds, and crashes with all that it runs. The new holder of the lease has started after the engine restarted under its id, so it does not know that orders of an earlier holder may still be carried out by the new incarnation, and does not wait for the end of that time.

Change: daemons tell some of the others in each round which engines have restarted under their ids in the last 25 s, with the time since each found out. A daemon that starts knows of them before it can hold the lease; a hold also begins for an engine that is known already.

--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -33,6 +33,7 @@
 use crate::daemon::relay;
 use crate::daemon::statement;
 use crate::decide::demand;
+use crate::decide::late_orders::MAX_EXPOSED_AGE;
 use crate::decide::suspects;
 use crate::decide::updates;
 use crate::table::AdapterId;
@@ -60,6 +61,8 @@
 /// Models in the demand history sent to a new lease holder, those with the most demand: as many as
 /// fit into one datagram with names of 20 bytes.
 const MAX_HISTORY_MODELS: usize = 35;
+/// Restarts in one message: as many as fit into a datagram with ids of 20 bytes.
+const MAX_RESTARTS_PER_MESSAGE: usize = 35;
 /// The largest datagram, which fits into one packet.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Bytes of a datagram reserved for the message's kind and its number of rows.
@@ -133,6 +136,10 @@
         /// The number of rejections within a second beyond which it fails.
         max_rejections: u32,
     },
+    /// Endpoints that have restarted under their ids, and how long ago the sender found out, in
+    /// milliseconds. Repeated for as long as orders to their earlier incarnations may arrive, so
+    /// that a daemon that has started since knows of them before it gives orders.
+    Restarted(Vec<(Key, u32)>),
 }
 
 /// Demand of this daemon's callers.
@@ -291,6 +298,7 @@
         limit::announce(&daemon);
         quarantine::announce(&daemon);
         contact::announce_round(&daemon);
+        announce_restarts(&daemon);
         let Some(leader) = daemon.placer.borrow().leader() else {
             continue;
         };
@@ -330,6 +338,18 @@
     spawn_send(daemon, recipients, message);
 }
 
+/// Tells some of the other daemons which endpoints have restarted lately.
+fn announce_restarts(daemon: &Rc<Daemon>) {
+    let restarts = daemon.fleet.borrow().recent_restarts(clock::now(), MAX_EXPOSED_AGE);
+    let rows: Vec<(Key, u32)> = restarts
+        .into_iter()
+        .map(|(key, age)| (key, u32::try_from(age.as_millis()).unwrap_or(u32::MAX)))
+        .collect();
+    for rows in rows.chunks(MAX_RESTARTS_PER_MESSAGE) {
+        spawn_send(daemon, choose_peers(daemon), Message::Restarted(rows.to_vec()));
+    }
+}
+
 /// Announces a prompt sent to an engine to the other daemons, so that together they send it no more
 /// than it can prefill within the longest pause its streams may have. Where a broker grants slots,
 /// the broker accounts for this instead.
@@ -415,6 +435,12 @@
                 daemon.nodes.borrow_mut().on_isolation(now, from, isolated);
             }
         }
+        Message::Restarted(rows) => {
+            let mut fleet = daemon.fleet.borrow_mut();
+            for (key, age_ms) in rows {
+                fleet.on_restart(now, &key, Duration::from_millis(age_ms.into()));
+            }
+        }
         Message::Rejected { key, max_rejections } => {
             statement::on_rejected(daemon, &key, max_rejections);
         }
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -394,6 +394,8 @@
             let tracker = Tracker::new(now, instance.resident.clone(), instance.copies.clone());
             Tracker { held_until: held_until.unwrap_or_default(), ..tracker }
         });
+        // Another daemon may have told of the restart meanwhile.
+        tracker.held_until = tracker.held_until.max(held_until.unwrap_or_default());
         let is_idle =
             tracker.next_poll.is_none() && !tracker.order_pending && tracker.target.is_none();
         tracker.max_load = row.limit().and_then(|limit| limit::max_load(limit, instance.slots));
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -16,7 +16,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -92,8 +91,8 @@
     rows: HashMap<Key, Endpoint>,
     /// Latest incarnation of each instance id.
     newest_incarnations: HashMap<String, u64>,
-    /// Ids that had an earlier incarnation.
-    reused_ids: HashSet<String>,
+    /// The incarnations of ids that had an earlier one, and when that was found out.
+    restarts: HashMap<String, (u64, Duration)>,
     /// Last records of removed endpoints.
     removed: HashMap<Key, Removed>,
     speeds: Speeds,
@@ -118,7 +117,7 @@
             regions,
             rows: HashMap::new(),
             newest_incarnations: HashMap::new(),
-            reused_ids: HashSet::new(),
+            restarts: HashMap::new(),
             removed: HashMap::new(),
             speeds: Speeds::default(),
             sharing: Sharing::default(),
@@ -156,7 +155,7 @@
         if key.born > *newest_incarnation {
             let old = Key { id: key.id.clone(), born: *newest_incarnation };
             *newest_incarnation = key.born;
-            self.reused_ids.insert(key.id.clone());
+            self.restarts.insert(key.id.clone(), (key.born, now));
             self.remove_row(&old);
         }
         let distance = self.distance(&instance.data_center);
@@ -188,7 +187,24 @@
 
     /// Returns whether an earlier incarnation of an endpoint was known.
     pub fn had_predecessor(&self, key: &Key) -> bool {
-        self.reused_ids.contains(&key.id)
+        self.restarts.contains_key(&key.id)
+    }
+
+    /// Records that another daemon has known an earlier incarnation of an endpoint. What it has found
+    /// out some time ago is not passed on again as new.
+    pub fn on_restart(&mut self, now: Duration, key: &Key, age: Duration) {
+        let known = self.restarts.get(&key.id).is_some_and(|(born, _)| *born >= key.born);
+        if !known {
+            self.restarts.insert(key.id.clone(), (key.born, now.saturating_sub(age)));
+        }
+    }
+
+    /// Returns the endpoints that have restarted under their ids within `window`, and how long ago
+    /// that was found out.
+    pub fn recent_restarts(&self, now: Duration, window: Duration) -> Vec<(Key, Duration)> {
+        let age = |at: &Duration| now.saturating_sub(*at);
+        let rows = self.restarts.iter().filter(|(_, (_, at))| age(at) < window);
+        rows.map(|(id, (born, at))| (Key { id: id.clone(), born: *born }, age(at))).collect()
     }
 
     /// Returns the prefill speeds.
--- a/src/decide/late_orders.rs
+++ b/src/decide/late_orders.rs
@@ -33,7 +33,7 @@
 pub const MAX_DELAY: Duration = Duration::from_secs(15);
 /// Age of an incarnation from which no order to an earlier one is out, with an allowance for the
 /// difference between the wall clocks of a daemon and an engine.
-const MAX_EXPOSED_AGE: Duration = Duration::from_secs(25);
+pub const MAX_EXPOSED_AGE: Duration = Duration::from_secs(25);
 
 /// An order that was sent and not answered.
 #[derive(Debug, Clone, PartialEq)]
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -238,6 +238,23 @@
     assert_eq!(choose(&fleet, ms(10_000), &requirements("m", None, &[])), send_to("x"));
 }
 
+/// Guards against restarts that daemons tell each other for ever, each as if it were new.
+#[test]
+fn restart_is_told_for_a_limited_time() {
+    let window = ms(25_000);
+    let mut first = fleet(&[instance("x", 1, "a1", &[])]);
+    assert!(first.put(ms(1_000), instance("x", 2, "a1", &[])));
+    let mut second = fleet(&[]);
+    for (key, age) in first.recent_restarts(ms(21_000), window) {
+        second.on_restart(ms(90_000), &key, age);
+    }
+    assert!(second.had_predecessor(&key("x", 2)));
+    assert_eq!(second.recent_restarts(ms(94_000), window), [(key("x", 2), ms(24_000))]);
+    second.on_restart(ms(94_000), &key("x", 2), ms(0));
+    assert!(second.recent_restarts(ms(95_000), window).is_empty());
+    assert!(first.recent_restarts(ms(26_000), window).is_empty());
+}
+
 /// An unreachable engine is not selected for a while, longer each time.
 #[test]
 fn unreachable_engine_is_avoided() {
