Log why a model with too few replicas gains none

They now stand on the lines of models with more demand per replica than an even spread would give, with the reasons that apply there: engines that are hardly loaded, and too small a gain. The decisions are the same.

--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -156,12 +156,18 @@
     Unasked,
 }
 
-/// Why a model without a replica is not loaded on an engine now.
+/// Why a model that is missing, or has too few replicas, is not loaded on an engine now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Obstacle {
+    /// It holds or loads the model.
+    Resident,
     /// It carries out an order.
     Busy,
+    /// The engines with the model are hardly loaded, so that none may gain a replica of it.
+    Pressure,
+    /// A replica there would relieve the others too little.
+    Gain,
     /// What may be evicted there leaves too little memory.
     Room,
     /// What would be evicted there is requested more.
@@ -212,6 +218,13 @@
     }
 }
 
+/// Returns the gain from which a step is made for a model that has replicas.
+fn min_gain(step: &Step, even_load: f64) -> f64 {
+    let slow = step.cold || step.blocked.is_some();
+    let min_ratio = if slow { MIN_COLD_GAIN_RATIO } else { MIN_GAIN_RATIO };
+    min_ratio * even_load * even_load
+}
+
 /// Returns the steps that are due: at most `max_steps` rounds, and at most one step for each engine
 /// that is not busy. `cold_loads` is the number of loads from the weight store that may begin.
 pub fn plan(
@@ -242,41 +255,61 @@
     placements
 }
 
-/// Returns for each requested model without a replica on how many engines it is kept from being
-/// loaded, by obstacle.
+/// Returns for each requested model without a replica, and for each with more demand per replica
+/// than an even spread would give, on how many engines it is kept from being loaded, by obstacle.
 pub fn obstacles(
     requirements: &[Requirement],
     hosts: &[Host],
     cold_loads: u32,
 ) -> BTreeMap<ModelId, BTreeMap<Obstacle, usize>> {
     let planner = Planner::new(requirements, hosts);
-    let missing = (0..planner.rows.len()).filter(|i| planner.rows[*i].cause() == Cause::Missing);
+    let even_load = planner.even_load();
+    let is_lacking = |model: &usize| {
+        let row = &planner.rows[*model];
+        match row.cause() {
+            Cause::Missing => true,
+            Cause::Short => row.load_per_replica() > even_load,
+            Cause::Unasked => false,
+        }
+    };
     let count = |model: usize| {
         let mut counts = BTreeMap::new();
         for host in 0..hosts.len() {
-            let step = planner.best_host_step(model, host, true);
-            *counts.entry(planner.obstacle(step, cold_loads)).or_default() += 1;
+            *counts.entry(planner.obstacle(model, host, cold_loads)).or_default() += 1;
         }
         (planner.rows[model].requirement.model.clone(), counts)
     };
-    missing.map(count).collect()
+    (0..planner.rows.len()).filter(is_lacking).map(count).collect()
 }
 
 impl<'a> Planner<'a> {
-    /// Returns what keeps a step from being made.
-    fn obstacle(&self, step: Result<Step, Obstacle>, cold_loads: u32) -> Obstacle {
-        let step = match step {
+    /// Returns what keeps a model from being loaded on a host.
+    fn obstacle(&self, model: usize, host: usize, cold_loads: u32) -> Obstacle {
+        let (even_load, missing) = (self.even_load(), self.rows[model].cause() == Cause::Missing);
+        if !missing && !self.is_pressed(model, even_load) {
+            return Obstacle::Pressure;
+        }
+        let step = match self.best_host_step(model, host, missing) {
             Ok(step) => step,
             Err(obstacle) => return obstacle,
         };
         let relocations =
             step.blocked.map_or_else(Vec::new, |model| self.relocations(model, cold_loads));
         match self.with_relocation(step, &relocations, cold_loads) {
-            Some(_) => Obstacle::Turn,
+            Some(step) if missing || step.gain > min_gain(&step, even_load) => Obstacle::Turn,
+            Some(_) => Obstacle::Gain,
             None => Obstacle::Load,
         }
     }
 
+    /// Returns whether a model with replicas may gain another one: one of the engines that hold it
+    /// is loaded.
+    fn is_pressed(&self, model: usize, even_load: f64) -> bool {
+        let is_loaded =
+            |host: &usize| self.loads[*host] > self.hosts[*host].slots * MIN_PRESSURE_RATIO;
+        even_load >= MIN_EVEN_LOAD && self.rows[model].hosts.iter().any(is_loaded)
+    }
+
     fn new(requirements: &'a [Requirement], hosts: &[Host]) -> Self {
         let row = |requirement| Row { requirement, hosts: Vec::new(), is_loading: false };
         let rows: Vec<Row<'a>> = requirements.iter().map(row).collect();
@@ -309,15 +342,13 @@
 
     /// Returns the models that may gain a replica for this cause, by falling demand per replica.
     fn candidates(&self, cause: Cause, even_load: f64) -> Vec<usize> {
-        let is_loaded =
-            |host: &usize| self.loads[*host] > self.hosts[*host].slots * MIN_PRESSURE_RATIO;
         let is_candidate = |i: &usize| {
             let row = &self.rows[*i];
             let due = match cause {
                 Cause::Missing => {
                     self.rare_loads() < (self.hosts.len() as f64 * MAX_RARE_LOADS_RATIO).ceil()
                 }
-                Cause::Short => even_load >= MIN_EVEN_LOAD && row.hosts.iter().any(is_loaded),
+                Cause::Short => self.is_pressed(*i, even_load),
                 Cause::Unasked => true,
             };
             row.cause() == cause && due
@@ -353,9 +384,7 @@
                 let Some(step) = self.with_relocation(step, relocations, cold_loads) else {
                     continue;
                 };
-                let slow = step.cold || step.blocked.is_some();
-                let min_ratio = if slow { MIN_COLD_GAIN_RATIO } else { MIN_GAIN_RATIO };
-                let enough = missing || step.gain > min_ratio * even_load * even_load;
+                let enough = missing || step.gain > min_gain(&step, even_load);
                 let discounted_gain = step.discounted_gain()
                     * if self.displaces_cached(&step, even_load) {
                         CACHED_RIVAL_FACTOR
@@ -390,7 +419,10 @@
     /// Returns the best step that loads a model on a host.
     fn best_host_step(&self, model: usize, host: usize, missing: bool) -> Result<Step, Obstacle> {
         let (row, engine) = (&self.rows[model], &self.hosts[host]);
-        if engine.busy || engine.resident.contains(&row.requirement.model) {
+        if engine.resident.contains(&row.requirement.model) {
+            return Err(Obstacle::Resident);
+        }
+        if engine.busy {
             return Err(Obstacle::Busy);
         }
         let mut evicted = Vec::new();
--- a/tests/decide_missing.rs
+++ b/tests/decide_missing.rs
@@ -75,6 +75,23 @@
     assert_eq!(obstacles["b"], BTreeMap::from([(Obstacle::Demand, 4)]));
 }
 
+/// Guards against a model with too few replicas of which the log does not say why it gains none.
+#[test]
+fn model_with_too_few_replicas_has_obstacles() {
+    let hosts = [host(0, WEIGHTS_MB, &["a"]), host(1, WEIGHTS_MB, &["b"])];
+    let obstacles = |demands: [f64; 2]| {
+        let requirements = [requirement("a", demands[0]), requirement("b", demands[1])];
+        assert!(plan(&requirements, &hosts).is_empty());
+        spread::obstacles(&requirements, &hosts, COLD_LOADS)
+    };
+    let crowded = obstacles([90.0, 80.0]);
+    assert_eq!(crowded["a"].get(&Obstacle::Resident), Some(&1));
+    assert_eq!(crowded["a"].values().sum::<usize>(), hosts.len());
+    assert!(!crowded["a"].contains_key(&Obstacle::Turn));
+    assert!(!crowded.contains_key("b"));
+    assert_eq!(obstacles([1.0, 0.5])["a"], BTreeMap::from([(Obstacle::Pressure, 2)]));
+}
+
 /// Guards against the only engine with a model that loads another one for seconds, while callers wait
 /// for the first one's adapters.
 #[test]
