Bound what lost endpoints cost, and don't leave the lease to isolated daemons

An endpoint that fails at all daemons made each of them ask others again with every connection tried in the background; now they ask once. A daemon that opens a connection for another one gives it 300 ms, as the caller has waited before. Endpoints are looked at five times a second in place of twenty. The time for which a failed endpoint is left alone doubles as before.

--- a/src/daemon/contact.rs
+++ b/src/daemon/contact.rs
@@ -25,6 +25,8 @@
 pub struct Observer {
     /// Since when this daemon has lost most endpoints; none if it has not.
     isolated_since: Cell<Option<Duration>>,
+    /// When the endpoints were last looked at.
+    last_tick: Cell<Duration>,
     /// When a sample of endpoints was last tried.
     last_sample: Cell<Duration>,
     /// Lost endpoints that are being tried.
@@ -93,6 +95,10 @@
 
 /// Tries connections that are due, and records whether this daemon has lost most endpoints.
 pub fn tick(daemon: &Rc<Daemon>, now: Duration) {
+    if now < daemon.contact.last_tick.get() + contact::TICK_INTERVAL {
+        return;
+    }
+    daemon.contact.last_tick.set(now);
     observe_isolation(daemon, now);
     if daemon.contact.probes.get() > 0 || !daemon.nodes.borrow().has_contact(now) {
         return;
@@ -157,9 +163,11 @@
     }
 }
 
-/// Finds out whether other daemons reach a lost endpoint.
+/// Finds out whether other daemons reach an endpoint that was lost just now. Later, requests that
+/// are passed on show it.
 async fn confirm(daemon: &Rc<Daemon>, key: &Key) {
-    if path(daemon, key) != Path::Unconfirmed {
+    let is_new = daemon.fleet.borrow().get(key).is_some_and(|row| row.is_newly_lost());
+    if !is_new {
         return;
     }
     match forward::ask(daemon, key).await {
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -49,6 +49,8 @@
     "transfer-encoding",
     "upgrade",
 ];
+/// Time limit for opening a connection for another daemon, whose caller has waited before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a request without a deadline may take.
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(60);
 
@@ -176,7 +178,7 @@
     match pooled {
         Some(link) => Ok(link),
         None => {
-            let limit = deadline.saturating_sub(now);
+            let limit = CONNECT_TIMEOUT.min(deadline.saturating_sub(now));
             send::connect(daemon, &target.key, addr, limit).await.map_err(Into::into)
         }
     }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -272,9 +272,11 @@
         1 + self.rows.len()
     }
 
-    /// Returns whether another live daemon has more than `millicores` of processor.
+    /// Returns whether another live daemon that has not lost most endpoints has more than `millicores`
+    /// of processor.
     pub fn has_larger(&self, now: Duration, millicores: u32) -> bool {
-        self.live(now).any(|node| node.millicores > millicores)
+        let rows = self.rows.values().filter(|row| row.is_alive(now));
+        rows.filter(|row| !self.is_isolated(now, row)).any(|row| row.node.millicores > millicores)
     }
 
     /// Returns the addresses at which the other daemons receive datagrams.
--- a/src/decide/contact.rs
+++ b/src/decide/contact.rs
@@ -25,6 +25,8 @@
 pub const SAMPLE_SIZE: usize = 4;
 /// Lost endpoints that are tried at the same time.
 pub const MAX_PROBES: usize = 16;
+/// Time between two looks at all endpoints.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two samples while the suspicion lasts.
 pub const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Endpoints whose silence or loss raises the suspicion that all are lost.
@@ -77,9 +79,7 @@
     lost * 2 > known && forwarded >= MIN_SUSPECTS.min(known).max(1)
 }
 
-/// Returns the time after which an endpoint is tried again that could not be connected to that many
-/// times in a row.
-pub fn probe_interval(failures: u32) -> Duration {
-    let doublings = failures.saturating_sub(1).min(8);
-    MIN_PROBE_INTERVAL.saturating_mul(1 << doublings).min(MAX_PROBE_INTERVAL)
+/// Returns the time until a lost endpoint is tried again that has been tried that many times.
+pub fn probe_interval(probes: u32) -> Duration {
+    MIN_PROBE_INTERVAL.saturating_mul(1 << probes.min(8)).min(MAX_PROBE_INTERVAL)
 }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -203,6 +203,8 @@
     /// Connections that could not be opened since the last one that could.
     failed_connects: u32,
     path: Path,
+    /// Connections that were tried in the background since contact was lost.
+    probes: u32,
     /// When contact was lost, if the path is not direct.
     lost_at: Duration,
     /// When a connection is tried again, if the path is not direct.
@@ -271,6 +273,7 @@
             down_until: None,
             failed_connects: 0,
             path: Path::default(),
+            probes: 0,
             lost_at: Duration::ZERO,
             next_probe: Duration::ZERO,
             unanswered_at: None,
@@ -342,6 +345,12 @@
         self.path != Path::Direct && self.lost_at >= since
     }
 
+    /// Returns whether contact was lost, at most one connection was tried since, and no other daemon
+    /// is known to reach the endpoint.
+    pub fn is_newly_lost(&self) -> bool {
+        self.path == Path::Unconfirmed && self.probes <= 1
+    }
+
     /// Returns whether a connection to the lost endpoint is to be tried.
     pub fn is_probe_due(&self, now: Duration) -> bool {
         self.path != Path::Direct && self.next_probe <= now
@@ -643,15 +652,16 @@
     pub fn lose_contact(&mut self, now: Duration) {
         if self.path == Path::Direct {
             (self.path, self.lost_at, self.down_until) = (Path::Unconfirmed, now, None);
-            self.schedule_probe(now);
+            self.failed_connects += 1;
+            self.probes = 0;
+            self.next_probe = now + contact::probe_interval(self.probes);
         }
     }
 
-    /// Schedules the next connection to the lost endpoint, as one has failed or is about to be
-    /// tried.
-    pub fn schedule_probe(&mut self, now: Duration) {
-        self.failed_connects += 1;
-        self.next_probe = now + contact::probe_interval(self.failed_connects);
+    /// Records that a connection to the lost endpoint is tried now, and schedules the next one.
+    pub fn start_probe(&mut self, now: Duration) {
+        self.probes += 1;
+        self.next_probe = now + contact::probe_interval(self.probes);
     }
 
     /// Lets a connection to the lost endpoint be tried at once.
@@ -668,7 +678,9 @@
 
     /// Records that the endpoint could not be reached, by other daemons neither.
     pub fn record_unreachable(&mut self, now: Duration) {
+        let was_counted = self.path != Path::Direct;
         self.path = Path::Direct;
+        self.failed_connects -= u32::from(was_counted);
         let down_time =
             MIN_DOWN_TIME.saturating_mul(1 << self.failed_connects.min(4)).min(MAX_DOWN_TIME);
         self.down_until = Some(now + down_time);
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -489,7 +489,7 @@
         let rows = self.rows.values_mut().filter(|row| row.is_probe_due(now));
         let rows = rows.choose_multiple(rng, contact::MAX_PROBES).into_iter();
         rows.map(|row| {
-            row.schedule_probe(now);
+            row.start_probe(now);
             row.instance.key.clone()
         })
         .collect()
--- a/tests/decide_contact.rs
+++ b/tests/decide_contact.rs
@@ -152,9 +152,9 @@
     /// Guards against connections that are tried ever more often, or not within the time after
     /// which callers may notice.
     #[test]
-    fn probes_become_rarer_but_do_not_end(failures in 1_u32..1_000) {
-        let interval = contact::probe_interval(failures);
-        prop_assert!(interval >= contact::probe_interval(failures - 1));
+    fn probes_become_rarer_but_do_not_end(probes in 1_u32..1_000) {
+        let interval = contact::probe_interval(probes);
+        prop_assert!(interval >= contact::probe_interval(probes - 1));
         prop_assert!(interval < Duration::from_secs(4));
     }
 
