--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Frame;
@@ -26,6 +27,7 @@
 use crate::daemon::front::Truncated;
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
+use crate::daemon::gauge::Forwarding;
 use crate::daemon::link;
 use crate::daemon::link::Link;
 use crate::daemon::liveness;
@@ -75,14 +77,12 @@
     }
 }
 
-/// Answers a request that is to be passed on. An error closes the connection: the request may have
-/// run.
+/// Answers a request that is to be passed on, or a question about an endpoint. An error closes the
+/// connection: the request may have run.
 pub async fn respond(
     daemon: &Rc<Daemon>,
     req: Request<Incoming>,
 ) -> Result<Response<Payload>, Truncated> {
-    let received_at = clock::now();
-    let open = OpenRequest::new(daemon);
     let (mut head, body) = req.into_parts();
     let Some(target) = Target::take(&mut head.headers) else {
         return Ok(undelivered("malformed"));
@@ -94,7 +94,24 @@
         }
         return Ok(undelivered("malformed"));
     };
-    let deadline = received_at + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
+    let deadline = clock::now() + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
+    let res = pass_on(daemon, target, deadline, head, body).await;
+    daemon.gauges.record_forwarding(match &res {
+        Ok(res) if res.headers().contains_key(UNDELIVERED) => Forwarding::Undelivered,
+        Ok(_) => Forwarding::Answered,
+        Err(Truncated) => Forwarding::Indeterminate,
+    });
+    res
+}
+
+async fn pass_on(
+    daemon: &Rc<Daemon>,
+    target: Target,
+    deadline: Duration,
+    mut head: Parts,
+    body: Incoming,
+) -> Result<Response<Payload>, Truncated> {
+    let open = OpenRequest::new(daemon);
     let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
     let max = limits.map_or(0, |limits| limits.max_body_bytes);
     let Ok(body) = Limited::new(body, max).collect().await else {
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -41,6 +41,18 @@
     OverQuota,
 }
 
+/// Outcome of a request that was passed on for another daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Forwarding {
+    /// The endpoint began to answer.
+    Answered,
+    /// No part of it reached the endpoint.
+    Undelivered,
+    /// It may have run, and there is no answer.
+    Indeterminate,
+}
+
 /// Bound on rows by team and outcome; requests that would need another row are counted together.
 const MAX_TEAM_ROWS: usize = 128;
 
@@ -53,6 +65,8 @@
     requests: RefCell<HashMap<(TeamId, Admission), u64>>,
     /// Bodies of endpoints' answers by how they were delimited and how they ended.
     bodies: RefCell<HashMap<(Framing, End), u64>>,
+    /// Requests that were passed on for other daemons.
+    forwarded: RefCell<HashMap<Forwarding, u64>>,
     opened_connections: Cell<u64>,
     total_lateness: Cell<Duration>,
     max_lateness: Cell<Duration>,
@@ -86,6 +100,11 @@
         *self.bodies.borrow_mut().entry((framing, end)).or_default() += 1;
     }
 
+    /// Counts a request that was passed on for another daemon.
+    pub fn record_forwarding(&self, outcome: Forwarding) {
+        *self.forwarded.borrow_mut().entry(outcome).or_default() += 1;
+    }
+
     /// Counts a connection opened to an endpoint.
     pub fn record_connection(&self) {
         self.opened_connections.set(self.opened_connections.get() + 1);
@@ -168,6 +187,10 @@
             let labels = format!("framing=\"{framing}\",end=\"{end}\"");
             writeln!(out, "poplarmux_answer_bodies_total{{{labels}}} {count}")?;
         }
+        for (outcome, count) in self.forwarded.borrow().iter() {
+            let outcome: &str = outcome.into();
+            writeln!(out, "poplarmux_forwarded_total{{outcome=\"{outcome}\"}} {count}")?;
+        }
         for ((object, op, outcome), count) in daemon.store.tally().rows() {
             let (op, outcome): (&str, &str) = (op.into(), outcome.into());
             let labels = format!("object=\"{object}\",op=\"{op}\",outcome=\"{outcome}\"");
