Pass requests on to crashed endpoints only if there is no other

Now the request goes to another endpoint first, and through another daemon within the same try if there is none. A daemon that has lost a single endpoint reports it to its broker again, so that the others of the region don't each find out.

--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -181,6 +181,7 @@
             (Some(link), _) => link,
             (None, None) => match connect(daemon, &place.key, addr, limit).await {
                 Ok(link) => link,
+                Err(_) if is_last_resort(daemon, job, &place.key) => continue,
                 Err(link::Error::Refused) => return Outcome::Unsent("connection_refused"),
                 Err(_) => return Outcome::Unsent("connect"),
             },
@@ -259,6 +260,15 @@
     }
 }
 
+/// Returns whether an endpoint that this daemon has lost may be reached through another one, and
+/// no other endpoint would accept the job.
+fn is_last_resort(daemon: &Daemon, job: &Job, key: &Key) -> bool {
+    let now = clock::now();
+    matches!(forward::route(daemon, key, &[]), Ok(Some(_)))
+        && now < job.deadline
+        && !admission::has_alternative(daemon, now, job, key)
+}
+
 /// Waits for the head of the response, at most for `time_left`. If a retry is allowed and another
 /// endpoint would accept the request, the wait ends after `attempt_timeout`; otherwise the wait
 /// continues, as the endpoint may still be about to respond.
@@ -638,10 +648,12 @@
             daemon.note(&failed_event("no_allowance", "unsent"));
         }
         Outcome::Unsent(error) => {
-            // Others may reach an endpoint that this daemon doesn't reach.
-            let is_down = fleet.get(key).is_some_and(|row| row.is_down(now));
-            let unreachable =
-                is_down && matches!(*error, "connect" | "connection_refused" | "undelivered");
+            // Others may reach what a daemon doesn't reach that has lost several endpoints.
+            let unreachable = match *error {
+                "undelivered" => true,
+                "connect" | "connection_refused" => !fleet.evidence(now).is_suspicious(),
+                _ => false,
+            };
             place.set_end(if unreachable { End::Unreachable } else { End::Unused });
             daemon.note(&failed_event(error, "unsent"));
         }
