Date the last byte of an endpoint by its arrival, in streams too

The time since a byte arrived counted from when a request was sent, and the events of streams did not count, so a daemon with few short requests tried connections to endpoints that it had not lost. What other daemons passed on does not count, as it says nothing of this daemon's links.

--- a/src/daemon/contact.rs
+++ b/src/daemon/contact.rs
@@ -73,6 +73,15 @@
     }
 }
 
+/// Records that bytes of an endpoint arrived on a connection to `addr`, which may be that of a daemon
+/// that passes requests on.
+pub fn on_received(daemon: &Daemon, key: &Key, addr: SocketAddr) {
+    let mut fleet = daemon.fleet.borrow_mut();
+    if fleet.get(key).is_some_and(|row| row.instance.address == addr) {
+        fleet.record_received(clock::now());
+    }
+}
+
 /// Records that other daemons can't reach an endpoint either.
 pub fn on_undelivered(daemon: &Daemon, key: &Key) {
     daemon.fleet.borrow_mut().record_unreachable(clock::now(), key);
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -242,10 +242,10 @@
                 force_new = false;
             }
             Ok(res) => {
-                match through {
-                    Some(_) => daemon.fleet.borrow_mut().record_forwarded(&place.key),
-                    None => daemon.fleet.borrow_mut().record_received(now),
+                if through.is_some() {
+                    daemon.fleet.borrow_mut().record_forwarded(&place.key);
                 }
+                contact::on_received(daemon, &place.key, link.addr);
                 let exchange = Exchange { link, sent_at: now, liveness };
                 return classify(daemon, job, place, exchange, res, time_left).await;
             }
@@ -648,7 +648,7 @@
             daemon.note(&failed_event("no_allowance", "unsent"));
         }
         Outcome::Unsent(error) => {
-            // Others may reach what a daemon doesn't reach that has lost several endpoints.
+            // A daemon that has lost several endpoints may be the only one that doesn't reach them.
             let unreachable = match *error {
                 "undelivered" => true,
                 "connect" | "connection_refused" => !fleet.evidence(now).is_suspicious(),
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -18,6 +18,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::admission::Permit;
 use crate::daemon::clock;
+use crate::daemon::contact;
 use crate::daemon::front;
 use crate::daemon::front::Job;
 use crate::daemon::front::Tracker;
@@ -184,6 +185,7 @@
             let newer = liveness::before_request(&self.daemon, &self.place.key);
             head.liveness = newer.or(head.liveness.take());
         }
+        contact::on_received(&self.daemon, &self.place.key, head.link.addr);
         let now = clock::now();
         let pause = now.saturating_sub(self.last_frame_at);
         self.daemon.fleet.borrow_mut().record_event(now, &self.place.key, pause);
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -521,7 +521,7 @@
 
     /// Records that bytes arrived from an endpoint over a connection of this daemon.
     pub fn record_received(&mut self, now: Duration) {
-        self.last_received = now;
+        self.last_received = self.last_received.max(now);
     }
 
     /// Records that another daemon has reached an endpoint.
