--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -676,7 +676,7 @@
         }
     }
 
-    /// Records that the endpoint could not be reached, by other daemons neither.
+    /// Records that neither this daemon nor another one could reach the endpoint.
     pub fn record_unreachable(&mut self, now: Duration) {
         let was_counted = self.path != Path::Direct;
         self.path = Path::Direct;
