Log at which version streams run and which attempt they take up

No line told at which version of an endpoint's software a request ran, whether it takes a stream up, and which attempt its caller names, so the hypotheses on streams of two versions could not be told apart.

The records of endpoints are decoded with their version now.

--- a/benches/contact.rs
+++ b/benches/contact.rs
@@ -22,6 +22,7 @@
         let instance = Instance {
             key: Key { id: format!("i-{index}"), born: 1 },
             service: "llm".to_string(),
+            software: "v1".to_string(),
             address: "10.0.0.1:80".parse().expect("an address"),
             data_center: "z".to_string(),
             slots: 16,
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -226,7 +226,7 @@
         let is_observed = !job.spec.engine_service && through.is_none();
         let liveness =
             if is_observed { liveness::before_request(daemon, &place.key) } else { None };
-        log_sent(daemon, job, place, number, through, now, time_left);
+        log_sent(daemon, job, place, number, last_event, through, now, time_left);
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
         job.charge.iter().for_each(Charge::record_sent);
@@ -370,17 +370,23 @@
     Ok(req)
 }
 
+#[expect(clippy::too_many_arguments, reason = "a line has all that is known of an attempt")]
 fn log_sent(
     daemon: &Daemon,
     job: &Job,
     place: &Permit,
     number: u32,
+    last_event: Option<&str>,
     through: Option<SocketAddr>,
     now: Duration,
     time_left: Duration,
 ) {
     let (key, estimate) = (&place.key, &place.estimate);
-    let load = daemon.fleet.borrow().get(key).map_or(0, |row| row.load(now));
+    let (load, software) = {
+        let fleet = daemon.fleet.borrow();
+        let row = fleet.get(key);
+        (row.map_or(0, |row| row.load(now)), row.map(|row| row.instance.software.clone()))
+    };
     daemon.note(&Event::Sent {
         request: job.caller.id.clone(),
         route: job.route.name.clone(),
@@ -388,6 +394,9 @@
         team: job.team.as_ref().map(|team| team.name.clone()),
         tokens: job.caller.total_tokens,
         endpoint: key.id.clone(),
+        software,
+        after: last_event.or(job.caller.last_event.as_deref()).map(str::to_string),
+        resumes: job.caller.resumes.clone(),
         through: through.map(|addr| addr.to_string()),
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -597,6 +597,7 @@
                 endpoint: instance.key.id.clone(),
                 born: instance.key.born,
                 service: instance.service.clone(),
+                software: instance.software.clone(),
                 state: match instance.state {
                     State::Live => "live",
                     State::Leaving => "leaving",
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -39,6 +39,7 @@
 use crate::decide::endpoint::End;
 use crate::edge::event_stream::BYTE_ORDER_MARK;
 use crate::edge::event_stream::Scanner;
+use crate::table::SoftwareVersion;
 use crate::table::instance::Key;
 
 /// A stream that is being forwarded.
@@ -247,6 +248,7 @@
                     self.daemon.note(&Event::Resumed {
                         request: self.job.caller.id.clone(),
                         endpoint: place.key.id.clone(),
+                        software: self.software_of(&place.key),
                         after: last_id.unwrap_or_default().to_string(),
                         framing: self.framing.into(),
                         end: end.into(),
@@ -274,6 +276,10 @@
         false
     }
 
+    fn software_of(&self, key: &Key) -> Option<SoftwareVersion> {
+        self.daemon.fleet.borrow().get(key).map(|row| row.instance.software.clone())
+    }
+
     fn finish(&mut self, end: body::End) {
         let now = clock::now();
         self.open_request.answered = true;
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -89,6 +89,8 @@
     pub parts: Vec<Part>,
     /// ID of the last event received from an interrupted stream.
     pub last_event: Option<String>,
+    /// ID of the caller's attempt that received the first event of an interrupted stream.
+    pub resumes: Option<String>,
     /// Prompt and output tokens together, if the request states the sum.
     pub total_tokens: Option<u32>,
     /// API key; `None` if it is absent, unreadable or given more than once.
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -12,6 +12,7 @@
 use crate::table::ModelId;
 use crate::table::RegionId;
 use crate::table::ServiceId;
+use crate::table::SoftwareVersion;
 
 /// One incarnation of an endpoint. Ids and addresses are reused; an id with its start time is not.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -131,6 +132,8 @@
     pub key: Key,
     /// The service that it runs.
     pub service: ServiceId,
+    /// Version of its software; not empty.
+    pub software: SoftwareVersion,
     /// The address on which it serves.
     pub address: SocketAddr,
     /// Its data center.
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -10,6 +10,8 @@
 pub type EndpointId = SocketAddr;
 /// Id of an entry: the address on which it answers its peers.
 pub type EntryId = SocketAddr;
+/// Version of an endpoint's software, as its record spells it; versions have no order.
+pub type SoftwareVersion = String;
 /// Number of a process's start; a later start has a higher number.
 pub type Incarnation = u64;
 /// Id of a region, as spelled in the platform's list.
--- a/tests/decide_broker.rs
+++ b/tests/decide_broker.rs
@@ -192,6 +192,7 @@
         let instance = Instance {
             key: key(&format!("e{number}")),
             service: "llm".to_string(),
+            software: "v1".to_string(),
             address: addr(number),
             data_center: "a1".to_string(),
             slots: SLOTS,
--- a/tests/decide_contact.rs
+++ b/tests/decide_contact.rs
@@ -32,6 +32,7 @@
         let instance = Instance {
             key: key(index),
             service: "plain".to_string(),
+            software: "v1".to_string(),
             address: "10.0.0.1:80".parse().expect("an address"),
             data_center: "z".to_string(),
             slots: 6,
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -44,6 +44,7 @@
     Instance {
         key: key(id, born),
         service: "llm".to_string(),
+        software: "v1".to_string(),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_center: data_center.to_string(),
         slots: 64,
--- a/tests/decide_speed.rs
+++ b/tests/decide_speed.rs
@@ -185,6 +185,7 @@
     Instance {
         key: Key { id: id.to_string(), born: 1 },
         service: "llm".to_string(),
+        software: "v1".to_string(),
         address: "10.0.0.1:80".parse().expect("an address"),
         data_center: "a".to_string(),
         slots: 24,
