Continue streams only at the version of the software that began them

Callers held events of two software versions of a service in one stream.

The cause: what a continuation depends on was no part of what selects its endpoint. A daemon that resumed a stream within its answer looked only at the endpoints that had failed, and one where a caller took a stream up did not read which attempt the caller names, and could not have known where that began.

The daemon that forwards a stream's first event now tells two others, selected by the stream's id, where it began: at which service and version. A daemon where the stream is taken up asks them, and selects only endpoints of that service and version; brokers are told the version too. Where no answer comes, the version is gone or the route has left the service, the stream is refused at once with 503. A take-up without the name of an attempt is continued only if no other version has served for half a minute. A daemon that ends hands over what it knows. Before an answer that continues a stream is used, an engine is asked whether it has started again; of a plain endpoint the liveness connection tells.

An endpoint whose record names another version without a start has none from then on: it serves, and continues nothing.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -28,6 +28,7 @@
 use crate::daemon::lease;
 use crate::daemon::link::Executor;
 use crate::daemon::node;
+use crate::daemon::origin;
 use crate::daemon::peer;
 use crate::daemon::placer;
 use crate::daemon::quota;
@@ -161,5 +162,6 @@
 
 async fn finish(daemon: &Rc<Daemon>) {
     daemon.note(&Event::Stop { reason: "drained", open: daemon.open_requests.get() });
+    origin::hand_over(daemon).await;
     journal::write_pending(daemon).await;
 }
--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -45,6 +45,7 @@
 use crate::table::RegionId;
 use crate::table::RequestId;
 use crate::table::ServiceId;
+use crate::table::SoftwareVersion;
 use crate::table::instance::Key;
 
 /// Time that an order for a model takes in addition to the load: until the placer has received the
@@ -107,6 +108,7 @@
             tried,
             excluded: None,
             required_region: None,
+            software: None,
         }
     }
 }
@@ -140,14 +142,28 @@
     pub excluded: Option<Vec<Exclusion>>,
     /// The region to which the broker of another region redirected it.
     pub required_region: Option<RegionId>,
+    /// Version of the software that sent the events of the stream that it continues, if any.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Arrival {
+    /// Returns the hash of what it requires: requests with equal requirements wait for the same
+    /// endpoints.
+    pub fn class(&self) -> Class {
+        let Some(software) = &self.software else {
+            return self.spec.class;
+        };
+        let mut hasher = Xxh3::with_seed(self.spec.class);
+        hasher.update(software.as_bytes());
+        hasher.digest()
+    }
+
     /// Returns the requirements of an endpoint, excluding those in `tried`.
     fn requirements<'a>(&'a self, tried: &'a [Key]) -> Requirements<'a> {
         Requirements {
             excluded: self.excluded.as_deref(),
             required_region: self.required_region.as_ref(),
+            software: self.software.as_deref(),
             ..self.spec.requirements(tried)
         }
     }
@@ -323,15 +339,11 @@
 
 /// Returns whether any endpoint other than `excluded` accepts a job now.
 pub fn has_alternative(daemon: &Daemon, now: Duration, job: &Job, excluded: &Key) -> bool {
-    matches!(
-        select(
-            daemon,
-            now,
-            &job.spec.requirements(std::slice::from_ref(excluded)),
-            job.spec.engine_service
-        ),
-        Choice::Send(_)
-    )
+    let requirements = Requirements {
+        software: job.software.get().map(String::as_str),
+        ..job.spec.requirements(std::slice::from_ref(excluded))
+    };
+    matches!(select(daemon, now, &requirements, job.spec.engine_service), Choice::Send(_))
 }
 
 /// Records a local request as started at an endpoint, and announces it to other daemons.
@@ -351,7 +363,7 @@
 /// Decides on an arrival, and requests the adapter load or the dispatch that it has to wait for.
 pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
     let spec = &arrival.spec;
-    let ahead = daemon.queue.borrow().ahead(spec.priority, arrival.arrived_at, spec.class);
+    let ahead = daemon.queue.borrow().ahead(spec.priority, arrival.arrived_at, arrival.class());
     let choice = match choose(daemon, now, arrival) {
         Choice::Send(key) if ahead == 0 => {
             let Some(region) = broker_region(daemon, arrival, &key) else {
@@ -362,7 +374,7 @@
         }
         choice => choice,
     };
-    let cause = refusal_cause(daemon, now, spec, &choice, ahead);
+    let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
     let held = Request {
         arrived_at: arrival.arrived_at,
         target_latency: spec.target_latency,
@@ -391,7 +403,7 @@
     let spec = &arrival.spec;
     let waiter = Waiter { arrival: arrival.clone(), recipient };
     let mut queue = daemon.queue.borrow_mut();
-    queue.push(arrival.number, spec.priority, arrival.arrived_at, spec.class, waiter);
+    queue.push(arrival.number, spec.priority, arrival.arrived_at, arrival.class(), waiter);
 }
 
 /// Removes an arrival from the queue, and returns whether it was still queued.
@@ -458,6 +470,7 @@
         tried: tried.to_vec(),
         excluded: None,
         required_region: None,
+        software: job.software.get().cloned(),
     };
     let mut next_broker = broker::address_for(daemon, &job.spec);
     for _ in 0..MAX_BROKERS_ASKED {
@@ -597,10 +610,11 @@
 fn refusal_cause(
     daemon: &Daemon,
     now: Duration,
-    spec: &Spec,
+    arrival: &Arrival,
     choice: &Choice,
     ahead: usize,
 ) -> Cause {
+    let spec = &arrival.spec;
     match choice {
         Choice::Send(_) | Choice::Full => {
             Cause::Full { ahead, rate: daemon.gauges.completion_rate(now, spec.class) }
@@ -611,6 +625,8 @@
         Choice::LoadAdapter(key) => {
             Cause::Loading(daemon.fleet.borrow().busy_for(now, key) + ORDER_OVERHEAD / 4)
         }
+        // Models are not loaded for the streams of one version.
+        Choice::NoModel if arrival.software.is_some() => Cause::Nothing,
         Choice::NoModel => match load_time(daemon, spec) {
             Some(time) => Cause::Loading(time + ORDER_OVERHEAD),
             None => Cause::Nothing,
--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -13,6 +13,7 @@
 use crate::table::ModelId;
 use crate::table::RegionId;
 use crate::table::ServiceId;
+use crate::table::SoftwareVersion;
 use crate::table::instance::Key;
 
 /// A message between a daemon and a broker.
@@ -88,6 +89,15 @@
         /// if it is leaving.
         excluded: Vec<(Key, Option<u32>)>,
     },
+    /// Asks for a grant at a version of the endpoints' software.
+    RequestedAt {
+        /// The request.
+        request: Box<Request>,
+        /// As in `RequestedExcept`.
+        excluded: Vec<(Key, Option<u32>)>,
+        /// The version.
+        software: SoftwareVersion,
+    },
 }
 
 /// A request's requirements, as sent to a broker.
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -220,11 +220,17 @@
     // An endpoint that this daemon knows to be unusable is not used, even if the broker does not
     // know so yet.
     let now = clock::now();
-    if !daemon.fleet.borrow().get(&key).is_some_and(|row| row.is_usable(now)) {
+    let is_usable = {
+        let fleet = daemon.fleet.borrow();
+        let required = arrival.software.as_ref();
+        fleet.get(&key).is_some_and(|row| row.is_usable(now))
+            && required.is_none_or(|software| fleet.software(&key) == Some(software))
+    };
+    if !is_usable {
         return Err(Failure::Unresponsive);
     }
     pending.granted = true;
-    let held = (pending.to, arrival.spec.class, key.clone());
+    let held = (pending.to, arrival.class(), key.clone());
     daemon.broker.borrow_mut().held.insert(pending.ticket, held);
     Ok(Answer::Granted(pending.ticket, key, estimate))
 }
@@ -235,12 +241,14 @@
     let request = Box::new(request(ticket, arrival));
     let now = clock::now();
     let excluded = daemon.fleet.borrow().exclusions(now, &request.service, &request.model);
-    if excluded.is_empty() {
-        return Message::Requested(request);
-    }
     let remaining = |until: Duration| millis(until.saturating_sub(now));
-    let excluded = excluded.into_iter().map(|row| (row.key, row.until.map(remaining))).collect();
-    Message::RequestedExcept { request, excluded }
+    let excluded: Vec<_> =
+        excluded.into_iter().map(|row| (row.key, row.until.map(remaining))).collect();
+    match arrival.software.clone() {
+        Some(software) => Message::RequestedAt { request, excluded, software },
+        None if excluded.is_empty() => Message::Requested(request),
+        None => Message::RequestedExcept { request, excluded },
+    }
 }
 
 fn request(ticket: Ticket, arrival: &Arrival) -> Request {
@@ -303,16 +311,23 @@
     }
 }
 
+/// Returns the endpoints that a daemon does not call, as stated in its request.
+fn exclusions(excluded: Vec<(Key, Option<u32>)>) -> Vec<Exclusion> {
+    let now = clock::now();
+    let until = |ms: u32| now + Duration::from_millis(ms.into());
+    let excluded = excluded.into_iter().map(|(key, ms)| Exclusion { key, until: ms.map(until) });
+    excluded.collect()
+}
+
 /// Processes a message from another daemon.
 pub fn on_message(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     match message {
-        Message::Requested(request) => server::on_request(daemon, from, *request, Vec::new()),
+        Message::Requested(request) => server::on_request(daemon, from, *request, Vec::new(), None),
         Message::RequestedExcept { request, excluded } => {
-            let now = clock::now();
-            let until = |ms: u32| now + Duration::from_millis(ms.into());
-            let excluded =
-                excluded.into_iter().map(|(key, ms)| Exclusion { key, until: ms.map(until) });
-            server::on_request(daemon, from, *request, excluded.collect());
+            server::on_request(daemon, from, *request, exclusions(excluded), None);
+        }
+        Message::RequestedAt { request, excluded, software } => {
+            server::on_request(daemon, from, *request, exclusions(excluded), Some(software));
         }
         Message::Queued(ticket) => on_reply(daemon, from, ticket, Reply::Queued),
         Message::Granted { ticket, key, tokens, own_prefill_us, queued_prefill_us } => {
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -33,6 +33,7 @@
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::RegionId;
+use crate::table::SoftwareVersion;
 use crate::table::instance::Key;
 
 /// Interval at which a broker sends the load of its engines to the brokers of other regions.
@@ -121,6 +122,7 @@
     from: SocketAddr,
     request: Request,
     excluded: Vec<Exclusion>,
+    software: Option<SoftwareVersion>,
 ) {
     let now = clock::now();
     let ticket = request.ticket;
@@ -140,7 +142,7 @@
             return send(daemon, from, message);
         }
     }
-    let arrival = Rc::new(arrival(daemon, now, request, excluded));
+    let arrival = Rc::new(arrival(daemon, now, request, excluded, software));
     match admission::decide(daemon, now, &arrival) {
         Decision::Send(key) => grant(daemon, now, from, ticket, &arrival, key),
         Decision::OtherRegion(region) => redirect(daemon, from, ticket, region),
@@ -151,7 +153,13 @@
     }
 }
 
-fn arrival(daemon: &Daemon, now: Duration, request: Request, excluded: Vec<Exclusion>) -> Arrival {
+fn arrival(
+    daemon: &Daemon,
+    now: Duration,
+    request: Request,
+    excluded: Vec<Exclusion>,
+    software: Option<SoftwareVersion>,
+) -> Arrival {
     let duration = |millis: u32| Duration::from_millis(millis.into());
     let model = Some(request.model);
     let class =
@@ -179,6 +187,7 @@
         tried: request.tried,
         excluded: Some(excluded),
         required_region: request.required_region,
+        software,
     }
 }
 
@@ -247,7 +256,7 @@
         estimate
     };
     let message = grant_message(ticket, key.clone(), &estimate);
-    let class = need.class;
+    let class = arrival.class();
     let mut state = daemon.broker.borrow_mut();
     state.queued.remove(&(to, ticket));
     state.grants.issue(now, to, ticket, key, class, Details { need, estimate });
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -1,6 +1,7 @@
 //! Serves callers' requests, from the socket to the final answer.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
@@ -46,6 +47,7 @@
 use crate::daemon::gauge::Admission;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
+use crate::daemon::origin;
 use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::quota::Charge;
@@ -55,11 +57,14 @@
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Forwarder;
+use crate::decide::origin::Origin;
 use crate::decide::shutdown;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
 use crate::table::Fingerprint;
 use crate::table::RequestId;
+use crate::table::SoftwareVersion;
+use crate::table::StreamId;
 use crate::table::instance;
 use crate::table::routing::Config;
 use crate::table::routing::Kind;
@@ -155,6 +160,10 @@
     pub charge: Option<Charge>,
     /// Hash of team, method, host, URI and body: equal if the request is sent again.
     pub fingerprint: Fingerprint,
+    /// The stream that it begins or takes up, if it is for one.
+    pub stream: StreamId,
+    /// Version of the software that may answer it; set once its caller has events of a stream.
+    pub software: OnceCell<SoftwareVersion>,
     /// When it arrived.
     pub arrived_at: Duration,
     /// When its final answer is due at the latest.
@@ -362,8 +371,12 @@
         return Err(responder.refused(daemon, &Refusal::new("stopping", SHUTDOWN_RETRY_AFTER)));
     }
     let deadline = arrived_at + time_limit;
-    let origin = Origin { caller, team, charge };
-    let job = Rc::new(build_job(daemon, &config, route, origin, head, body, arrived_at, deadline));
+    let team_name = team.as_ref().map(|team| team.name.as_str());
+    let resumed = origin::resolve(daemon, &caller, &route, team_name).await;
+    let resumed = resumed.map_err(|refusal| responder.refused(daemon, &refusal))?;
+    let admitted = Admitted { caller, team, charge, resumed };
+    let job =
+        Rc::new(build_job(daemon, &config, route, admitted, head, body, arrived_at, deadline));
     daemon.allowance.borrow_mut().record_request(arrived_at, &job.spec.service);
     daemon
         .gauges
@@ -396,11 +409,13 @@
     read.or(late).await
 }
 
-/// Caller, team and quota charge of a request.
-struct Origin {
+/// What is known of a request beyond its own bytes.
+struct Admitted {
     caller: Caller,
     team: Option<Rc<Team>>,
     charge: Option<Charge>,
+    /// Where the stream began that it takes up; none if it takes up none.
+    resumed: Option<Origin>,
 }
 
 #[expect(clippy::too_many_arguments, reason = "only here are all parts of a request combined")]
@@ -408,15 +423,20 @@
     daemon: &Daemon,
     config: &Config,
     route: Rc<Route>,
-    origin: Origin,
+    admitted: Admitted,
     head: &http::request::Parts,
     body: Bytes,
     arrived_at: Duration,
     deadline: Duration,
 ) -> Job {
-    let Origin { caller, team, charge } = origin;
-    let draw = rand::Rng::random(&mut *daemon.rng.borrow_mut());
-    let service = route.service(draw).clone();
+    let Admitted { caller, team, charge, resumed } = admitted;
+    let (service, software) = match resumed {
+        Some(Origin { service, software }) => (service, OnceCell::from(software)),
+        None => {
+            let draw = rand::Rng::random(&mut *daemon.rng.borrow_mut());
+            (route.service(draw).clone(), OnceCell::new())
+        }
+    };
     let engine_config = config.services.get(&service).and_then(|row| row.engines.as_ref());
     let engine_service = engine_config.is_some();
     let adapter_slots = engine_config.map_or(0, |engine| engine.adapter_slots);
@@ -450,6 +470,8 @@
         uri: head.uri.clone(),
         config_version: config.version,
         fingerprint: fingerprint(team.as_deref(), &caller.host, head, &body),
+        stream: stream_id(team.as_deref(), &route, &caller),
+        software,
         team,
         charge,
         route,
@@ -460,6 +482,12 @@
     }
 }
 
+/// Returns the id of the stream that a request begins or takes up.
+fn stream_id(team: Option<&Team>, route: &Route, caller: &Caller) -> StreamId {
+    let first_attempt = caller.resumes.as_deref().unwrap_or(&caller.id);
+    origin::stream_id(team.map(|team| team.name.as_str()), route, first_attempt)
+}
+
 /// Returns the hash of what stays equal when a caller sends a request again. Its id and its deadline
 /// do not.
 pub fn fingerprint(
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -187,6 +187,12 @@
             let labels = format!("framing=\"{framing}\",end=\"{end}\"");
             writeln!(out, "poplarmux_answer_bodies_total{{{labels}}} {count}")?;
         }
+        let origins = daemon.origins.borrow();
+        writeln!(out, "poplarmux_origins {}", origins.len())?;
+        for (source, count) in origins.outcomes() {
+            let source: &'static str = source.into();
+            writeln!(out, "poplarmux_streams_taken_up_total{{source=\"{source}\"}} {count}")?;
+        }
         for (outcome, count) in self.forwarded.borrow().iter() {
             let outcome: &str = outcome.into();
             writeln!(out, "poplarmux_forwarded_total{{outcome=\"{outcome}\"}} {count}")?;
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -313,6 +313,14 @@
         framing: &'static str,
         end: &'static str,
     },
+    TakenUp {
+        request: String,
+        resumes: Option<String>,
+        after: Option<String>,
+        service: Option<String>,
+        software: Option<String>,
+        source: &'static str,
+    },
     Cut {
         request: String,
         endpoint: String,
@@ -377,6 +385,7 @@
             Event::Refused { .. } => "refused",
             Event::Retry { .. } => "retry",
             Event::Resumed { .. } => "resumed",
+            Event::TakenUp { .. } => "taken_up",
             Event::Cut { .. } => "cut",
             Event::Left { .. } => "left",
             Event::Omitted { .. } => "omitted",
--- a/src/daemon/liveness.rs
+++ b/src/daemon/liveness.rs
@@ -113,6 +113,13 @@
     row
 }
 
+/// Returns whether a connection shows that an endpoint has ended since it was opened.
+pub fn shows_end(daemon: &Daemon, key: &Key) -> bool {
+    let connections = daemon.liveness.borrow();
+    let row = connections.rows.get(key).and_then(Option::as_ref);
+    row.and_then(|row| row.shows_crash(clock::now())) == Some(true)
+}
+
 /// Returns the connection to an endpoint that was established since a request was sent there.
 pub fn since(daemon: &Daemon, key: &Key, sent_at: Duration) -> Option<Connection> {
     let row = daemon.liveness.borrow().rows.get(key).cloned().flatten();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -22,6 +22,7 @@
 pub mod link;
 pub mod liveness;
 pub mod node;
+pub mod origin;
 pub mod peer;
 pub mod placer;
 pub mod quarantine;
@@ -95,6 +96,8 @@
     pub limits: RefCell<limit::Limits>,
     /// Requests that ran on crashed endpoints.
     pub quarantine: RefCell<quarantine::Observer>,
+    /// Where streams began.
+    pub origins: RefCell<origin::Origins>,
     /// Connections that show whether endpoints still run.
     pub liveness: RefCell<liveness::Connections>,
     /// Which endpoints this daemon reaches.
@@ -173,6 +176,7 @@
             quotas: RefCell::new(quota::Quotas::new(clock::now())),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
+            origins: RefCell::default(),
             liveness: RefCell::default(),
             contact: contact::Observer::default(),
             forwarders: RefCell::default(),
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -27,6 +27,7 @@
 use crate::daemon::contact;
 use crate::daemon::journal::Event;
 use crate::daemon::limit;
+use crate::daemon::origin;
 use crate::daemon::placer;
 use crate::daemon::quarantine;
 use crate::daemon::quota;
@@ -64,9 +65,9 @@
 /// Restarts in one message: as many as fit into a datagram with ids of 20 bytes.
 const MAX_RESTARTS_PER_MESSAGE: usize = 35;
 /// The largest datagram, which fits into one packet.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Bytes of a datagram reserved for the message's kind and its number of rows.
-const RESERVED_BYTES: usize = 8;
+pub const RESERVED_BYTES: usize = 8;
 
 /// A daemon's heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -140,6 +141,8 @@
     /// milliseconds. Repeated for as long as orders to their earlier incarnations may arrive, so
     /// that a daemon that has started since knows of them before it gives orders.
     Restarted(Vec<(Key, u32)>),
+    /// A message about where streams began.
+    Origin(origin::Message),
 }
 
 /// Demand of this daemon's callers.
@@ -214,7 +217,8 @@
         Ok(Sender { socket: UdpSocket::bind(addr).await? })
     }
 
-    async fn send(&self, to: &[SocketAddr], message: &Message) {
+    /// Sends a message to daemons; returns once it is handed to the kernel.
+    pub async fn send(&self, to: &[SocketAddr], message: &Message) {
         // All messages are repeated in some form, so a lost or oversized one does no harm.
         if let Ok(bytes) = postcard::to_stdvec(message)
             && bytes.len() <= MAX_DATAGRAM_BYTES
@@ -430,6 +434,11 @@
             }
         }
         Message::Quarantine(message) => quarantine::on_message(daemon, message),
+        Message::Origin(message) => {
+            if let Some(from) = from {
+                origin::on_message(daemon, message, from);
+            }
+        }
         Message::Isolated(isolated) => {
             if let Some(from) = from {
                 daemon.nodes.borrow_mut().on_isolation(now, from, isolated);
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -32,6 +32,7 @@
 use crate::daemon::link::Link;
 use crate::daemon::liveness;
 use crate::daemon::liveness::Connection;
+use crate::daemon::origin;
 use crate::daemon::quarantine;
 use crate::daemon::quota::Charge;
 use crate::daemon::retry;
@@ -202,6 +203,9 @@
         if let Err(closed) = gate::check(daemon, &place.key, Call::Request) {
             return Outcome::Unsent(closed.into());
         }
+        if !runs_software(daemon, job, &place.key) {
+            return Outcome::Unsent("other_software");
+        }
         if let Some(refusal) = quarantine::refusal(daemon, job.fingerprint) {
             return Outcome::Quarantined(refusal);
         }
@@ -335,6 +339,12 @@
     link
 }
 
+/// Returns whether an endpoint runs the version that a job's stream is bound to, if there is one.
+fn runs_software(daemon: &Daemon, job: &Job, key: &Key) -> bool {
+    let required = job.software.get();
+    required.is_none_or(|software| daemon.fleet.borrow().software(key) == Some(software))
+}
+
 /// Returns the team that a job is sent for. A job may have waited for long, so the configuration
 /// in force now decides.
 fn team(daemon: &Daemon, job: &Job) -> Result<Option<Rc<Team>>, Unauthorized> {
@@ -449,6 +459,9 @@
         liveness.on_close_delimited(&place.key, answer.idle_timeout);
     }
     if parts.status.is_success() && job.route.kind == Kind::Streaming {
+        if !origin::is_confirmed(daemon, job, &place.key).await {
+            return Outcome::Indeterminate("other_software");
+        }
         let head = Head { parts, answer, body, framing, link, sent_at, liveness };
         return Outcome::Stream(Box::new(head));
     }
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -127,6 +127,8 @@
     recovered: Notifier,
     /// When the store last answered a read of daemons' registrations, directly or through a reader.
     nodes_answered_at: Cell<Duration>,
+    /// When the store last answered a read of endpoints' records, directly or through a reader.
+    instances_answered_at: Cell<Duration>,
     /// Era of the store; `None` before its first answer.
     era: Cell<Option<u64>>,
     /// When this daemon found that the store had been restored from a backup.
@@ -150,6 +152,7 @@
             next_retry: Cell::new(Duration::ZERO),
             recovered: Notifier::new(),
             nodes_answered_at: Cell::new(Duration::ZERO),
+            instances_answered_at: Cell::new(Duration::ZERO),
             era: Cell::new(None),
             restored_at: Cell::new(None),
             tally: Tally::default(),
@@ -179,8 +182,13 @@
         answered_at: Duration,
         recovered_ago: Option<Duration>,
     ) {
-        if kind == Kind::Nodes {
-            self.nodes_answered_at.set(self.nodes_answered_at.get().max(answered_at));
+        let last_answer = match kind {
+            Kind::Nodes => Some(&self.nodes_answered_at),
+            Kind::Instances => Some(&self.instances_answered_at),
+            Kind::Config | Kind::Leases => None,
+        };
+        if let Some(last_answer) = last_answer {
+            last_answer.set(last_answer.get().max(answered_at));
         }
         if kind == Kind::Instances
             && let Some(elapsed) = recovered_ago
@@ -195,6 +203,11 @@
         self.nodes_answered_at.get()
     }
 
+    /// Returns when the store last answered a read of endpoints' records.
+    pub fn instances_answered_at(&self) -> Duration {
+        self.instances_answered_at.get()
+    }
+
     /// Returns the last known era of the store.
     pub fn era(&self) -> u64 {
         self.era.get().unwrap_or(0)
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -27,6 +27,7 @@
 use crate::daemon::link;
 use crate::daemon::liveness;
 use crate::daemon::liveness::Connection;
+use crate::daemon::origin;
 use crate::daemon::quarantine;
 use crate::daemon::retry;
 use crate::daemon::send;
@@ -55,6 +56,11 @@
     scanner: Scanner,
     /// Received bytes of an incomplete event, if the route is resumable.
     buffer: BytesMut,
+    /// Version of the endpoint that sends the response being read; none if it is not known for
+    /// certain.
+    software: Option<SoftwareVersion>,
+    /// Whether the caller has been sent bytes of the stream.
+    has_forwarded: bool,
     /// Whether the response being read continues another one and nothing of it was forwarded.
     is_continuation_start: bool,
     tried: Vec<Key>,
@@ -97,7 +103,9 @@
             longest_pause: (Duration::ZERO, Duration::ZERO),
             daemon: daemon.clone(),
             job: job.clone(),
+            software: software_of(daemon, &place.key),
             place,
+            has_forwarded: false,
             framing: head.framing,
             scanner: Scanner::default(),
             head: Some(head),
@@ -115,7 +123,10 @@
         while self.head.is_some() {
             let end = match self.receive().await {
                 Received::Data(data) => match self.release(data) {
-                    Some(bytes) => return Some(Ok(Frame::data(bytes))),
+                    Some(bytes) => {
+                        self.bind();
+                        return Some(Ok(Frame::data(bytes)));
+                    }
                     None => continue,
                 },
                 Received::End(end) => end,
@@ -212,6 +223,24 @@
         Some(events)
     }
 
+    /// Binds the stream to the version that sends its first events, before they are forwarded.
+    fn bind(&mut self) {
+        if std::mem::replace(&mut self.has_forwarded, true) || !self.job.route.resumable {
+            return;
+        }
+        if let Some(software) = self.software.take() {
+            // A stream that was taken up is bound already.
+            self.job.software.get_or_init(|| software);
+            origin::announce(&self.daemon, &self.job);
+        }
+    }
+
+    /// Returns whether the stream may go on at another endpoint: it is bound to a version, or to
+    /// none.
+    fn is_free(&self) -> bool {
+        !self.has_forwarded || self.job.software.get().is_some()
+    }
+
     /// Continues the stream at another endpoint; false if that is not possible.
     async fn resume(&mut self, end: body::End) -> bool {
         let time_left = self.job.deadline.saturating_sub(clock::now());
@@ -220,6 +249,7 @@
         if end == body::End::Timeout
             || !route.resumable
             || !self.scanner.can_resume()
+            || !self.is_free()
             || time_left.is_zero()
         {
             return false;
@@ -248,11 +278,12 @@
                     self.daemon.note(&Event::Resumed {
                         request: self.job.caller.id.clone(),
                         endpoint: place.key.id.clone(),
-                        software: self.software_of(&place.key),
+                        software: software_of(&self.daemon, &place.key),
                         after: last_id.unwrap_or_default().to_string(),
                         framing: self.framing.into(),
                         end: end.into(),
                     });
+                    self.software = software_of(&self.daemon, &place.key);
                     self.place = place;
                     self.framing = head.framing;
                     self.scanner.restart();
@@ -276,10 +307,6 @@
         false
     }
 
-    fn software_of(&self, key: &Key) -> Option<SoftwareVersion> {
-        self.daemon.fleet.borrow().get(key).map(|row| row.instance.software.clone())
-    }
-
     fn finish(&mut self, end: body::End) {
         let now = clock::now();
         self.open_request.answered = true;
@@ -327,3 +354,7 @@
         });
     }
 }
+
+fn software_of(daemon: &Daemon, key: &Key) -> Option<SoftwareVersion> {
+    daemon.fleet.borrow().software(key).cloned()
+}
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -25,6 +25,7 @@
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::RegionId;
+use crate::table::SoftwareVersion;
 use crate::table::instance::Instance;
 use crate::table::instance::Key;
 use crate::table::instance::Limit;
@@ -118,6 +119,8 @@
     pub excluded: Option<&'a [Exclusion]>,
     /// Region that the request has to stay in, if any.
     pub required_region: Option<&'a RegionId>,
+    /// Version of the endpoint's software, if a stream is to go on there.
+    pub software: Option<&'a str>,
 }
 
 /// An endpoint that a daemon does not call, as the endpoint has stated in a response.
@@ -227,6 +230,8 @@
     pub(in crate::decide) expires_at: Option<Duration>,
     /// Whether the endpoint has left, or another instance answers at its address.
     is_gone: bool,
+    /// Whether its record has named another version of its software before.
+    has_changed_software: bool,
     /// Residents in the endpoint's record, until they take effect.
     recorded_resident: Option<Vec<Resident>>,
     /// Until when the engine accepts no order for an adapter.
@@ -285,6 +290,7 @@
             requested_adapters: HashMap::new(),
             expires_at: None,
             is_gone: false,
+            has_changed_software: false,
             recorded_resident: None,
             busy_until: now,
             placer_report: None,
@@ -325,6 +331,12 @@
         self.instance.state == State::Live && !self.is_gone && !self.is_down(now)
     }
 
+    /// Returns the version of its software; none if its record has named different ones, as an
+    /// endpoint does not change its software while it runs.
+    pub fn software(&self) -> Option<&SoftwareVersion> {
+        (!self.has_changed_software).then_some(&self.instance.software)
+    }
+
     /// Returns whether the last connection that this daemon tried to open was opened.
     pub fn is_reached(&self) -> bool {
         self.failed_connects == 0
@@ -576,6 +588,7 @@
         if self.instance.resident != instance.resident {
             self.not_resident.clear();
         }
+        self.has_changed_software |= self.instance.software != instance.software;
         self.recorded_resident = Some(instance.resident.clone());
         let resident = std::mem::take(&mut self.instance.resident);
         self.instance = Instance { resident, ..instance };
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -33,12 +33,15 @@
 use crate::decide::endpoint::Requirements;
 use crate::decide::limit::MIN_PAUSE;
 use crate::decide::limit::Statement;
+use crate::decide::origin::MAX_STREAM_AGE;
 use crate::decide::speed::Estimate;
 use crate::decide::speed::Speeds;
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::DataCenterId;
 use crate::table::RegionId;
+use crate::table::ServiceId;
+use crate::table::SoftwareVersion;
 use crate::table::instance::Instance;
 use crate::table::instance::Key;
 use crate::table::instance::Residency;
@@ -95,9 +98,13 @@
     restarts: HashMap<String, (u64, Duration)>,
     /// Last records of removed endpoints.
     removed: HashMap<Key, Removed>,
+    /// Versions of removed endpoints by service, and when the last one of each was removed.
+    removed_software: HashMap<(ServiceId, SoftwareVersion), Duration>,
     speeds: Speeds,
     /// How daemons share the endpoints' slots.
     pub sharing: Sharing,
+    /// When the complete list of endpoints was first known.
+    listed_since: Option<Duration>,
     /// When a connection of this daemon to an endpoint was last opened.
     last_connect: Duration,
     /// When bytes last arrived over such a connection.
@@ -119,8 +126,10 @@
             newest_incarnations: HashMap::new(),
             restarts: HashMap::new(),
             removed: HashMap::new(),
+            removed_software: HashMap::new(),
             speeds: Speeds::default(),
             sharing: Sharing::default(),
+            listed_since: None,
             last_connect: Duration::ZERO,
             last_received: Duration::ZERO,
         }
@@ -156,7 +165,7 @@
             let old = Key { id: key.id.clone(), born: *newest_incarnation };
             *newest_incarnation = key.born;
             self.restarts.insert(key.id.clone(), (key.born, now));
-            self.remove_row(&old);
+            self.remove_row(now, &old);
         }
         let distance = self.distance(&instance.data_center);
         match self.rows.get_mut(&key) {
@@ -207,6 +216,29 @@
         rows.map(|(id, (born, at))| (Key { id: id.clone(), born: *born }, age(at))).collect()
     }
 
+    /// Returns the version of an endpoint's software; none if the endpoint is not known, or may have
+    /// started again with another version.
+    pub fn software(&self, key: &Key) -> Option<&SoftwareVersion> {
+        let is_replaced = self.restarts.get(&key.id).is_some_and(|(born, _)| *born > key.born);
+        self.rows.get(key).filter(|_| !is_replaced)?.software()
+    }
+
+    /// Returns the version of a service's software if no stream that may still be taken up can have
+    /// begun at another one.
+    pub fn sole_software(&self, now: Duration, service: &str) -> Option<&SoftwareVersion> {
+        let rows = self.rows.values().filter(|row| row.instance.service == service);
+        let mut versions = rows.map(|row| self.software(&row.instance.key));
+        let only = versions.next()??;
+        let is_other = |((other, software), removed_at): (&(ServiceId, _), &Duration)| {
+            other == service && software != only && now < *removed_at + MAX_STREAM_AGE
+        };
+        let is_complete = self.listed_since.is_some_and(|since| now >= since + MAX_STREAM_AGE);
+        let is_sole = is_complete
+            && versions.all(|version| version == Some(only))
+            && !self.removed_software.iter().any(is_other);
+        is_sole.then_some(only)
+    }
+
     /// Returns the prefill speeds.
     pub fn speeds(&self) -> &Speeds {
         &self.speeds
@@ -231,12 +263,13 @@
             Some(row) if in_grace && row.instance.state == State::Live => {
                 row.expires_at = Some(store_returned_at.unwrap_or(now) + EXPIRY_GRACE);
             }
-            _ => self.remove_row(&key),
+            _ => self.remove_row(now, &key),
         }
     }
 
     /// Removes all endpoints that are missing from a complete list.
     pub fn retain(&mut self, now: Duration, ids: &[String], store_returned_at: Option<Duration>) {
+        self.listed_since.get_or_insert(now);
         let missing: Vec<String> =
             self.rows.keys().map(|key| key.id.clone()).filter(|id| !ids.contains(id)).collect();
         for id in missing {
@@ -250,7 +283,7 @@
         let expired: Vec<Key> =
             self.rows.values().filter(due).map(|row| row.instance.key.clone()).collect();
         for key in &expired {
-            self.remove_row(key);
+            self.remove_row(now, key);
         }
         for row in self.rows.values_mut() {
             row.tick(now);
@@ -280,6 +313,12 @@
             }) {
                 continue;
             }
+            let software = requirements.software;
+            if software.is_some_and(|required| {
+                self.software(&row.instance.key).is_none_or(|software| software != required)
+            }) {
+                continue;
+            }
             let Some(backoff) = requirements.remaining_backoff(now, row) else {
                 continue;
             };
@@ -668,8 +707,11 @@
         }
     }
 
-    fn remove_row(&mut self, key: &Key) {
+    fn remove_row(&mut self, now: Duration, key: &Key) {
         if let Some(row) = self.rows.remove(key) {
+            self.removed_software.retain(|_, removed_at| now < *removed_at + MAX_STREAM_AGE);
+            let software = (row.instance.service.clone(), row.instance.software.clone());
+            self.removed_software.insert(software, now);
             let removed = Removed {
                 heartbeat: row.instance.heartbeat,
                 state: row.instance.state,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -28,6 +28,7 @@
 pub mod member;
 pub mod offer;
 pub mod orders;
+pub mod origin;
 pub mod outlier;
 pub mod owner;
 pub mod place;
--- a/tests/decide_broker.rs
+++ b/tests/decide_broker.rs
@@ -219,6 +219,7 @@
     tried: &[],
     excluded: None,
     required_region: None,
+    software: None,
 };
 
 /// Two hundred daemons send three requests each within a second. When each daemon decided by
--- a/tests/decide_contact.rs
+++ b/tests/decide_contact.rs
@@ -60,6 +60,7 @@
         tried: &[],
         excluded: None,
         required_region: None,
+        software: None,
     };
     fleet.choose(now, &requirements, false, &mut SmallRng::seed_from_u64(1))
 }
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -84,6 +84,7 @@
         tried,
         excluded: None,
         required_region: None,
+        software: None,
     }
 }
 
--- a/tests/decide_speed.rs
+++ b/tests/decide_speed.rs
@@ -223,6 +223,7 @@
         tried: &[],
         excluded: None,
         required_region: None,
+        software: None,
     }
 }
 
