Confirm which process answers before a stream goes on there

After the crash the daemon had lost contact with the engine and sent the request through the other daemon, and took the answer without asking for the engine's start.

The daemon that passes the request on now confirms that the process is the one that the record describes, and an answer without that confirmation isn't used. Of plain endpoints the liveness connection tells, by whether it has ended.

--- a/src/daemon/forward/mod.rs
+++ b/src/daemon/forward/mod.rs
@@ -40,6 +40,9 @@
 const TARGET: HeaderName = HeaderName::from_static("forward-to");
 /// Header of a response that says why no part of the request has reached the endpoint.
 const UNDELIVERED: HeaderName = HeaderName::from_static("forward-undelivered");
+/// Header of a request that goes on with a stream, and of a response that comes from the process that
+/// the endpoint's record describes.
+const CONFIRMED: HeaderName = HeaderName::from_static("forward-confirmed");
 /// Time limit for opening a connection to another daemon: several round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Path of a question whether a daemon can connect to an endpoint. Callers' paths are passed on with
@@ -62,12 +65,17 @@
     pub key: Key,
     /// The request's fingerprint.
     pub fingerprint: Fingerprint,
+    /// Whether the other daemon confirms that the endpoint has not started again.
+    pub confirm: bool,
 }
 
 impl Target {
     /// Adds the target to a request.
     pub fn insert(&self, headers: &mut HeaderMap) -> Result<(), http::header::InvalidHeaderValue> {
-        let Target { key, fingerprint } = self;
+        let Target { key, fingerprint, confirm } = self;
+        if *confirm {
+            headers.insert(CONFIRMED, HeaderValue::from_static("required"));
+        }
         let value = format!("{fingerprint:x} {} {}", key.born, key.id);
         headers.insert(TARGET, HeaderValue::from_str(&value)?);
         Ok(())
@@ -80,7 +88,7 @@
         let fingerprint = Fingerprint::from_str_radix(parts.next()?, 16).ok()?;
         let born = parts.next()?.parse().ok()?;
         let key = Key { id: parts.next()?.to_string(), born };
-        Some(Target { key, fingerprint })
+        Some(Target { key, fingerprint, confirm: headers.remove(CONFIRMED).is_some() })
     }
 }
 
@@ -89,6 +97,12 @@
     headers.contains_key(UNDELIVERED)
 }
 
+/// Removes the confirmation that an endpoint has not started again from a response, and returns
+/// whether there was one.
+pub fn take_confirmation(headers: &mut HeaderMap) -> bool {
+    headers.remove(CONFIRMED).is_some()
+}
+
 /// None of the daemons that were tried reaches the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Undeliverable;
@@ -143,7 +157,7 @@
     };
     let req = Request::get(CONTACT_PATH).header(http::header::HOST, addr.to_string());
     let mut req = req.body(Bytes::new()).ok()?;
-    Target { key: key.clone(), fingerprint: 0 }.insert(req.headers_mut()).ok()?;
+    Target { key: key.clone(), fingerprint: 0, confirm: false }.insert(req.headers_mut()).ok()?;
     let res = link.call(req, MAX_ANSWER_BYTES, ASK_TIMEOUT).await.ok()?;
     daemon.pool.borrow_mut().put(link, None);
     str::from_utf8(res.body()).ok()?.parse().ok()
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -16,6 +16,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
+use super::CONFIRMED;
 use super::CONTACT_PATH;
 use super::Contact;
 use super::TARGET;
@@ -32,6 +33,7 @@
 use crate::daemon::link::Link;
 use crate::daemon::liveness;
 use crate::daemon::liveness::Connection;
+use crate::daemon::origin;
 use crate::daemon::quarantine;
 use crate::daemon::send;
 use crate::daemon::statement;
@@ -158,7 +160,14 @@
                     deadline,
                     _open: open,
                 };
-                return Ok(exchange.pass_back(res));
+                let is_confirmed = exchange.target.confirm
+                    && res.status().is_success()
+                    && origin::is_same_process(daemon, &exchange.target.key).await;
+                let mut res = exchange.pass_back(res);
+                if is_confirmed {
+                    res.headers_mut().insert(CONFIRMED, HeaderValue::from_static("1"));
+                }
+                return Ok(res);
             }
             Err(link::Error::Unsent) if reused => reused = false,
             Err(err) if err.is_unsent() || link.written_at().is_none() => {
@@ -215,13 +224,10 @@
 
 /// Returns a connection that shows a crash of the endpoint, where one is kept.
 fn observe_liveness(daemon: &Rc<Daemon>, target: &Target) -> Option<Connection> {
-    let is_engine = {
-        let (fleet, config) = (daemon.fleet.borrow(), daemon.config.borrow());
-        let service = fleet.get(&target.key).map(|row| row.instance.service.clone())?;
-        let service = config.as_ref()?.services.get(&service)?;
-        service.engines.is_some()
-    };
-    if is_engine { None } else { liveness::before_request(daemon, &target.key) }
+    if daemon.is_engine(&target.key) {
+        return None;
+    }
+    liveness::before_request(daemon, &target.key)
 }
 
 /// Returns the response that says that no part of the request has reached the endpoint.
@@ -268,6 +274,7 @@
         let mut headers = parts.headers;
         remove_hop_headers(&mut headers);
         headers.remove(UNDELIVERED);
+        headers.remove(CONFIRMED);
         let state = Some((self, body, answer));
         let frames = smol::stream::unfold(state, move |state| async move {
             let (mut exchange, mut body, answer) = state?;
@@ -309,7 +316,7 @@
             }
             Some(Err(err)) => {
                 if err == link::Error::Broken {
-                    let Target { key, fingerprint } = &self.target;
+                    let Target { key, fingerprint, .. } = &self.target;
                     quarantine::on_broken(&self.daemon, key, *fingerprint, self.sent_at);
                 }
                 self.abort().await
@@ -328,7 +335,7 @@
     /// Returns whether the endpoint has crashed that has just ended its response by closing the
     /// connection.
     async fn has_crashed(&mut self) -> bool {
-        let Target { key, fingerprint } = &self.target;
+        let Target { key, fingerprint, .. } = &self.target;
         let (run, liveness) = ((*fingerprint, self.sent_at), self.liveness.take());
         let liveness = liveness.or_else(|| liveness::since(&self.daemon, key, self.sent_at));
         let remaining = self.deadline.saturating_sub(clock::now());
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -65,6 +65,7 @@
 use crate::decide::lag::Monitor;
 use crate::decide::wait_queue::Queue;
 use crate::edge::dialect::Dialect;
+use crate::table::instance::Key;
 use crate::table::routing::Config;
 
 /// Interval between two sweeps of idle connections.
@@ -226,6 +227,16 @@
         self.config.borrow().as_ref().map_or(0, |config| config.version)
     }
 
+    /// Returns whether an endpoint is a model engine.
+    pub fn is_engine(&self, key: &Key) -> bool {
+        let (fleet, config) = (self.fleet.borrow(), self.config.borrow());
+        let (Some(row), Some(config)) = (fleet.get(key), &*config) else {
+            return false;
+        };
+        let service = config.services.get(&row.instance.service);
+        service.is_some_and(|service| service.engines.is_some())
+    }
+
     /// Returns whether the daemon accepts new callers.
     pub fn ready(&self) -> bool {
         !self.shutting_down.get() && self.endpoints_listed.get() && self.config.borrow().is_some()
--- a/src/daemon/origin.rs
+++ b/src/daemon/origin.rs
@@ -21,13 +21,11 @@
 use crate::daemon::Daemon;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
-use crate::daemon::contact;
 use crate::daemon::engine;
 use crate::daemon::front::Job;
 use crate::daemon::journal::Event;
 use crate::daemon::liveness;
 use crate::daemon::peer;
-use crate::decide::contact::Path;
 use crate::decide::origin;
 use crate::decide::origin::Origin;
 use crate::decide::origin::Table;
@@ -191,12 +189,12 @@
         return None;
     };
     let now = clock::now();
-    let is_current = now < daemon.store.instances_answered_at() + MAX_LIST_AGE;
     // Versions may have come and gone while records could not be read.
     let recovered_at = daemon.store.recovered_at();
     let is_complete = recovered_at.is_none_or(|at| now >= at + origin::MAX_STREAM_AGE);
     let fleet = daemon.fleet.borrow();
-    let software = fleet.sole_software(now, service).filter(|_| is_current && is_complete)?;
+    let software =
+        fleet.sole_software(now, service).filter(|_| is_complete && is_list_current(daemon))?;
     Some(Origin { service: service.clone(), software: software.clone() })
 }
 
@@ -281,9 +279,40 @@
     selected.into_iter().map(|node| node.peer).collect()
 }
 
-/// Records where the stream of a job began, and tells other daemons. Called before its caller gets
-/// an event, and again as the stream goes on after it was taken up: those that knew may be gone.
-pub fn announce(daemon: &Rc<Daemon>, job: &Job) {
+/// Binds the stream of a job to the version of the endpoint that sends its first events, before its
+/// caller gets them. A daemon whose list of endpoints is old makes sure that the endpoint has not
+/// started again; until then the stream has no origin.
+pub fn bind(daemon: &Rc<Daemon>, job: &Rc<Job>, key: &Key) {
+    if job.software.get().is_some() {
+        // It has been taken up here. Those that knew its origin may be gone.
+        return announce(daemon, job);
+    }
+    let Some(software) = daemon.fleet.borrow().software(key).cloned() else {
+        return;
+    };
+    let is_confirmed =
+        daemon.fleet.borrow().get(key).is_some_and(|row| row.is_confirmed(clock::now()));
+    if is_confirmed || is_list_current(daemon) {
+        job.software.get_or_init(|| software);
+        return announce(daemon, job);
+    }
+    let (shared, job, key) = (daemon.clone(), job.clone(), key.clone());
+    let confirm = async move {
+        if is_same_process(&shared, &key).await {
+            job.software.get_or_init(|| software);
+            announce(&shared, &job);
+        }
+    };
+    daemon.ex.spawn(confirm).detach();
+}
+
+/// Returns whether the list of endpoints shows which versions serve.
+fn is_list_current(daemon: &Daemon) -> bool {
+    clock::now() < daemon.store.instances_answered_at() + MAX_LIST_AGE
+}
+
+/// Records where the stream of a job began, and tells other daemons.
+fn announce(daemon: &Rc<Daemon>, job: &Job) {
     let Some(software) = job.software.get() else {
         return;
     };
@@ -339,19 +368,36 @@
 
 /// Returns whether the endpoint that has begun to answer a job runs the version that the job's
 /// stream is bound to. It may have started again under its id with another one, and its record may
-/// say so later.
-pub async fn is_confirmed(daemon: &Rc<Daemon>, job: &Job, key: &Key) -> bool {
+/// say so later. `forwarded` is what the daemon has found out that
+/// has passed the request on, if one has.
+pub async fn is_confirmed(
+    daemon: &Rc<Daemon>,
+    job: &Job,
+    key: &Key,
+    forwarded: Option<bool>,
+) -> bool {
     let Some(software) = job.software.get() else {
         return true;
     };
-    let is_same_process = if !job.spec.engine_service {
-        !liveness::shows_end(daemon, key)
-    } else if contact::path(daemon, key) == Path::Direct {
-        let report = engine::report(daemon, key).await;
-        report.is_some_and(|report| report.started_at.is_none_or(|born| born == key.born))
-    } else {
-        // The daemon that has passed the request on knows the same incarnation.
-        true
+    let is_same = match forwarded {
+        Some(is_same) => is_same,
+        None => is_same_process(daemon, key).await,
     };
-    is_same_process && daemon.fleet.borrow().software(key) == Some(software)
+    is_same && daemon.fleet.borrow().software(key) == Some(software)
+}
+
+/// Returns whether the process at an endpoint is the one that its record describes, as far as that
+/// can be known.
+pub async fn is_same_process(daemon: &Rc<Daemon>, key: &Key) -> bool {
+    if !daemon.is_engine(key) {
+        return !liveness::shows_end(daemon, key);
+    }
+    let now = clock::now();
+    let report = engine::report(daemon, key).await;
+    let is_same =
+        report.is_some_and(|report| report.started_at.is_none_or(|born| born == key.born));
+    if is_same {
+        daemon.fleet.borrow_mut().confirm(now, key);
+    }
+    is_same
 }
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -254,14 +254,7 @@
 
 /// Returns whether an engine states that it started at another time than the one that is known.
 async fn was_replaced(daemon: &Rc<Daemon>, key: &Key) -> bool {
-    let is_engine = {
-        let (fleet, config) = (daemon.fleet.borrow(), daemon.config.borrow());
-        let service = fleet.get(key).and_then(|row| {
-            config.as_ref().and_then(|config| config.services.get(&row.instance.service))
-        });
-        service.is_some_and(|service| service.engines.is_some())
-    };
-    if !is_engine {
+    if !daemon.is_engine(key) {
         return false;
     }
     let report = engine::report(daemon, key).await;
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -86,6 +86,9 @@
     sent_at: Duration,
     /// A connection that was open when the request was sent.
     liveness: Option<Connection>,
+    /// Whether the daemon that has passed the request on confirms that the endpoint has not started
+    /// again; none without such a daemon.
+    confirmed: Option<bool>,
 }
 
 /// The result of one attempt.
@@ -217,7 +220,11 @@
             Ok(req) => req,
             Err(_) => return Outcome::Unsent("unencodable"),
         };
-        let target = Target { key: place.key.clone(), fingerprint: job.fingerprint };
+        let target = Target {
+            key: place.key.clone(),
+            fingerprint: job.fingerprint,
+            confirm: job.software.get().is_some(),
+        };
         if through.is_some() && target.insert(req.headers_mut()).is_err() {
             return Outcome::Unsent("unencodable");
         }
@@ -245,12 +252,13 @@
                 tried_daemons.extend(through);
                 force_new = false;
             }
-            Ok(res) => {
+            Ok(mut res) => {
                 if through.is_some() {
                     daemon.fleet.borrow_mut().record_forwarded(&place.key);
                 }
+                let confirmed = through.map(|_| forward::take_confirmation(res.headers_mut()));
                 contact::on_received(daemon, &place.key, link.addr);
-                let exchange = Exchange { link, sent_at: now, liveness };
+                let exchange = Exchange { link, sent_at: now, liveness, confirmed };
                 return classify(daemon, job, place, exchange, res, time_left).await;
             }
             Err(link::Error::Unsent) if reused => force_new = true,
@@ -433,7 +441,7 @@
     res: Response<Incoming>,
     limit: Duration,
 ) -> Outcome {
-    let Exchange { link, sent_at, liveness } = exchange;
+    let Exchange { link, sent_at, liveness, confirmed } = exchange;
     let framing = link::framing(&res);
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
@@ -459,7 +467,7 @@
         liveness.on_close_delimited(&place.key, answer.idle_timeout);
     }
     if parts.status.is_success() && job.route.kind == Kind::Streaming {
-        if !origin::is_confirmed(daemon, job, &place.key).await {
+        if !origin::is_confirmed(daemon, job, &place.key, confirmed).await {
             return Outcome::Indeterminate("other_software");
         }
         let head = Head { parts, answer, body, framing, link, sent_at, liveness };
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -40,7 +40,6 @@
 use crate::decide::endpoint::End;
 use crate::edge::event_stream::BYTE_ORDER_MARK;
 use crate::edge::event_stream::Scanner;
-use crate::table::SoftwareVersion;
 use crate::table::instance::Key;
 
 /// A stream that is being forwarded.
@@ -56,9 +55,6 @@
     scanner: Scanner,
     /// Received bytes of an incomplete event, if the route is resumable.
     buffer: BytesMut,
-    /// Version of the endpoint that sends the response being read; none if it is not known for
-    /// certain.
-    software: Option<SoftwareVersion>,
     /// Whether the caller has been sent bytes of the stream.
     has_forwarded: bool,
     /// Whether the response being read continues another one and nothing of it was forwarded.
@@ -103,7 +99,6 @@
             longest_pause: (Duration::ZERO, Duration::ZERO),
             daemon: daemon.clone(),
             job: job.clone(),
-            software: software_of(daemon, &place.key),
             place,
             has_forwarded: false,
             framing: head.framing,
@@ -225,13 +220,8 @@
 
     /// Binds the stream to the version that sends its first events, before they are forwarded.
     fn bind(&mut self) {
-        if std::mem::replace(&mut self.has_forwarded, true) || !self.job.route.resumable {
-            return;
-        }
-        if let Some(software) = self.software.take() {
-            // A stream that was taken up is bound already.
-            self.job.software.get_or_init(|| software);
-            origin::announce(&self.daemon, &self.job);
+        if !std::mem::replace(&mut self.has_forwarded, true) && self.job.route.resumable {
+            origin::bind(&self.daemon, &self.job, &self.place.key);
         }
     }
 
@@ -278,12 +268,11 @@
                     self.daemon.note(&Event::Resumed {
                         request: self.job.caller.id.clone(),
                         endpoint: place.key.id.clone(),
-                        software: software_of(&self.daemon, &place.key),
+                        software: self.job.software.get().cloned(),
                         after: last_id.unwrap_or_default().to_string(),
                         framing: self.framing.into(),
                         end: end.into(),
                     });
-                    self.software = software_of(&self.daemon, &place.key);
                     self.place = place;
                     self.framing = head.framing;
                     self.scanner.restart();
@@ -354,7 +343,3 @@
         });
     }
 }
-
-fn software_of(daemon: &Daemon, key: &Key) -> Option<SoftwareVersion> {
-    daemon.fleet.borrow().software(key).cloned()
-}
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -85,6 +85,9 @@
 /// How long the placer's report on an engine's residents takes precedence over the engine's record
 /// in the store, which lags by a heartbeat and the store's own delay.
 const PLACER_REPORT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a report shows that an endpoint has not started again: one that has holds no model, and
+/// takes longer to load one.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Prompt parts remembered for each endpoint.
 const MAX_PARTS: usize = 2_000;
 /// Requests sent to an engine at most, relative to its slots. Requests beyond its slots wait there,
@@ -230,6 +233,8 @@
     pub(in crate::decide) expires_at: Option<Duration>,
     /// Whether the endpoint has left, or another instance answers at its address.
     is_gone: bool,
+    /// When its own report last named the incarnation of its record.
+    confirmed_at: Option<Duration>,
     /// Whether its record has named another version of its software before.
     has_changed_software: bool,
     /// Residents in the endpoint's record, until they take effect.
@@ -290,6 +295,7 @@
             requested_adapters: HashMap::new(),
             expires_at: None,
             is_gone: false,
+            confirmed_at: None,
             has_changed_software: false,
             recorded_resident: None,
             busy_until: now,
@@ -337,6 +343,16 @@
         (!self.has_changed_software).then_some(&self.instance.software)
     }
 
+    /// Returns whether its own report has shown recently that it has not started again.
+    pub fn is_confirmed(&self, now: Duration) -> bool {
+        self.confirmed_at.is_some_and(|at| now < at + CONFIRMATION_TIMEOUT)
+    }
+
+    /// Records that a report that was requested at `now` names the incarnation of its record.
+    pub fn confirm(&mut self, now: Duration) {
+        self.confirmed_at = Some(now);
+    }
+
     /// Returns whether the last connection that this daemon tried to open was opened.
     pub fn is_reached(&self) -> bool {
         self.failed_connects == 0
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -223,6 +223,13 @@
         self.rows.get(key).filter(|_| !is_replaced)?.software()
     }
 
+    /// Records that a report that was requested at `now` names the known incarnation of an endpoint.
+    pub fn confirm(&mut self, now: Duration, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.confirm(now);
+        }
+    }
+
     /// Returns the version of a service's software if no stream that may still be taken up can have
     /// begun at another one.
     pub fn sole_software(&self, now: Duration, service: &str) -> Option<&SoftwareVersion> {
