--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -477,3 +477,50 @@
         assert_eq!(choices, [Choice::Backoff(ms(102)), send_to("x")]);
     }
 }
+
+/// Guards against a stream that goes on at another version than it began at.
+#[test]
+fn stream_goes_on_at_its_version_only() {
+    let models: &[(&str, &[&str])] = &[("m", &[])];
+    let version = |id: &str, software: &str| Instance {
+        software: software.to_string(),
+        ..instance(id, 1, "a1", models)
+    };
+    let mut fleet = fleet(&[version("x", "v1"), version("y", "v2"), version("z", "v2")]);
+    let tried = [key("z", 1)];
+    let requirements =
+        |software| Requirements { software: Some(software), ..requirements("m", None, &tried) };
+    assert_eq!(choose(&fleet, ms(1), &requirements("v1")), send_to("x"));
+    assert_eq!(choose(&fleet, ms(1), &requirements("v2")), send_to("y"));
+    assert_eq!(choose(&fleet, ms(1), &requirements("v3")), Choice::NoEndpoint);
+    // The record names another version, although the endpoint has not started again.
+    assert!(fleet.put(ms(2), version("y", "v1")));
+    assert_eq!(fleet.software(&key("y", 1)), None);
+    assert_eq!(choose(&fleet, ms(3), &requirements("v2")), Choice::Full);
+    // Another daemon has found out that the endpoint has started again.
+    fleet.on_restart(ms(4), &key("x", 2), ms(0));
+    assert_eq!(choose(&fleet, ms(5), &requirements("v1")), Choice::NoEndpoint);
+}
+
+/// Guards against a stream of unknown origin that goes on as only one version serves now, although
+/// another one has served lately, or may have.
+#[test]
+fn version_is_sole_if_no_other_one_has_served_lately() {
+    let sole = |fleet: &Fleet, now: u64| fleet.sole_software(ms(now), "llm").cloned();
+    let version = |id: &str, software: &str| Instance {
+        software: software.to_string(),
+        ..instance(id, 1, "a1", &[])
+    };
+    let mut fleet = fleet(&[version("x", "v1"), version("y", "v1")]);
+    assert_eq!(sole(&fleet, 60_000), None, "the list was never complete");
+    let ids = ["x", "y", "z"].map(str::to_string);
+    fleet.retain(ms(1_000), &ids, None);
+    assert_eq!(sole(&fleet, 30_000), None, "others may have served before");
+    assert_eq!(sole(&fleet, 31_000).as_deref(), Some("v1"));
+    assert_eq!(fleet.sole_software(ms(31_000), "other"), None);
+    assert!(fleet.put(ms(40_000), version("z", "v2")));
+    assert_eq!(sole(&fleet, 40_000), None, "two serve");
+    fleet.remove(ms(50_000), "z", None);
+    assert_eq!(sole(&fleet, 79_000), None, "its streams may be taken up");
+    assert_eq!(sole(&fleet, 80_000).as_deref(), Some("v1"));
+}
