--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -29,11 +29,11 @@
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
 use crate::daemon::gauge::Forwarding;
+use crate::daemon::incarnation;
 use crate::daemon::link;
 use crate::daemon::link::Link;
 use crate::daemon::liveness;
 use crate::daemon::liveness::Connection;
-use crate::daemon::origin;
 use crate::daemon::quarantine;
 use crate::daemon::send;
 use crate::daemon::statement;
@@ -162,7 +162,7 @@
                 };
                 let is_confirmed = exchange.target.confirm
                     && res.status().is_success()
-                    && origin::is_same_process(daemon, &exchange.target.key).await;
+                    && incarnation::is_current(daemon, &exchange.target.key).await;
                 let mut res = exchange.pass_back(res);
                 if is_confirmed {
                     res.headers_mut().insert(CONFIRMED, HeaderValue::from_static("1"));
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 pub mod front;
 pub mod gate;
 pub mod gauge;
+pub mod incarnation;
 pub mod journal;
 pub mod lease;
 pub mod limit;
--- a/src/daemon/origin.rs
+++ b/src/daemon/origin.rs
@@ -21,11 +21,9 @@
 use crate::daemon::Daemon;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
-use crate::daemon::engine;
 use crate::daemon::front::Job;
-use crate::daemon::gate::Call;
+use crate::daemon::incarnation;
 use crate::daemon::journal::Event;
-use crate::daemon::liveness;
 use crate::daemon::peer;
 use crate::decide::origin;
 use crate::decide::origin::Origin;
@@ -46,10 +44,6 @@
 const DEFAULT_TIME_LIMIT: Duration = Duration::from_secs(60);
 /// Added to the time for which a caller waits, as it may begin its last attempt shortly before.
 const RETENTION_SLACK: Duration = Duration::from_secs(2);
-/// Time within which an engine has to be asked whether it has started again.
-const CONFIRMATION_LIMIT: Duration = Duration::from_secs(1);
-/// Shortest time after which a permit is requested again.
-const MIN_PERMIT_PAUSE: Duration = Duration::from_millis(50);
 /// Age of the list of endpoints up to which it shows which versions serve.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 /// Retry-after of a stream that can't go on here: another daemon may know where it began.
@@ -303,7 +297,7 @@
     }
     let (shared, job, key) = (daemon.clone(), job.clone(), key.clone());
     let confirm = async move {
-        if is_same_process(&shared, &key).await {
+        if incarnation::is_current(&shared, &key).await {
             job.software.get_or_init(|| software);
             announce(&shared, &job);
         }
@@ -372,9 +366,8 @@
 }
 
 /// Returns whether the endpoint that has begun to answer a job runs the version that the job's
-/// stream is bound to. It may have started again under its id with another one, and its record may
-/// say so later. `forwarded` is what the daemon has found out that
-/// has passed the request on, if one has.
+/// stream is bound to: its record names it, and describes the process. `forwarded` is what the daemon
+/// has found out of that process that has passed the request on, if one has.
 pub async fn is_confirmed(
     daemon: &Rc<Daemon>,
     job: &Job,
@@ -386,35 +379,7 @@
     };
     let is_same = match forwarded {
         Some(is_same) => is_same,
-        None => is_same_process(daemon, key).await,
+        None => incarnation::is_current(daemon, key).await,
     };
     is_same && daemon.fleet.borrow().software(key) == Some(software)
 }
-
-/// Returns whether the process at an endpoint is the one that its record describes, as far as that
-/// can be known.
-pub async fn is_same_process(daemon: &Rc<Daemon>, key: &Key) -> bool {
-    if !daemon.is_engine(key) {
-        return !liveness::shows_end(daemon, key);
-    }
-    let began = clock::now();
-    let is_same = loop {
-        // The stream is worth a permit under the engine's limit.
-        if let Some(report) = engine::report(daemon, key, Call::Request).await {
-            break report.started_at.is_none_or(|born| born == key.born);
-        }
-        let now = clock::now();
-        let pause = daemon.fleet.borrow().get(key).and_then(|row| {
-            // Without a limit it was sent, and the engine has not answered.
-            row.limit().map(|_| row.remaining_pause(now).max(MIN_PERMIT_PAUSE))
-        });
-        let Some(pause) = pause.filter(|pause| now + *pause < began + CONFIRMATION_LIMIT) else {
-            return false;
-        };
-        Timer::after(pause).await;
-    };
-    if is_same {
-        daemon.fleet.borrow_mut().confirm(began, key);
-    }
-    is_same
-}
