--- a/src/daemon/origin.rs
+++ b/src/daemon/origin.rs
@@ -99,9 +99,9 @@
     Peer,
     /// Its caller names no attempt, and only one version serves.
     Sole,
-    /// It was not.
+    /// No daemon that answered knew.
     Unknown,
-    /// It was, but its route no longer selects that service.
+    /// It is known, and its route no longer selects that service.
     Withdrawn,
 }
 
