Log responses that do not name their request, and connections

Callers were told 503 for requests that ran. By the logs nobody could tell whose response was believed: a line `failed` says `shed` or `not_held` for a refusal that names the request, another one or none, and no line says what a connection has carried before.

`foreign` is written for each response that does not name the request it came for, with what it named, its status, whether it states that the request was not run, its connection, and the time since the request was sent. `sent` tells the connection and how many requests it carried before. poplarmux_foreign_answers_total counts the same. No decision has changed.

--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -65,6 +65,9 @@
     requests: RefCell<HashMap<(TeamId, Admission), u64>>,
     /// Bodies of endpoints' answers by how they were delimited and how they ended.
     bodies: RefCell<HashMap<(Framing, End), u64>>,
+    /// Responses that did not name the request they came for, by whether they named another one and
+    /// whether they stated that it was not run.
+    foreign: RefCell<HashMap<(bool, bool), u64>>,
     /// Requests that were passed on for other daemons.
     forwarded: RefCell<HashMap<Forwarding, u64>>,
     opened_connections: Cell<u64>,
@@ -100,6 +103,12 @@
         *self.bodies.borrow_mut().entry((framing, end)).or_default() += 1;
     }
 
+    /// Counts a response that does not name the request that it came for. `is_named` says whether it
+    /// names another one, `not_run` whether it states that the request was not run.
+    pub fn record_foreign(&self, is_named: bool, not_run: bool) {
+        *self.foreign.borrow_mut().entry((is_named, not_run)).or_default() += 1;
+    }
+
     /// Counts a request that was passed on for another daemon.
     pub fn record_forwarding(&self, outcome: Forwarding) {
         *self.forwarded.borrow_mut().entry(outcome).or_default() += 1;
@@ -187,6 +196,11 @@
             let labels = format!("framing=\"{framing}\",end=\"{end}\"");
             writeln!(out, "poplarmux_answer_bodies_total{{{labels}}} {count}")?;
         }
+        for ((is_named, not_run), count) in self.foreign.borrow().iter() {
+            let names = if *is_named { "other" } else { "none" };
+            let labels = format!("names=\"{names}\",not_run=\"{not_run}\"");
+            writeln!(out, "poplarmux_foreign_answers_total{{{labels}}} {count}")?;
+        }
         let origins = daemon.origins.borrow();
         writeln!(out, "poplarmux_origins {}", origins.len())?;
         for (source, count) in origins.outcomes() {
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -17,6 +17,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -57,6 +59,9 @@
 /// Largest number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 
+/// Number of the next connection.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// Reason why an exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -213,6 +218,10 @@
 pub struct Link {
     /// The peer's address.
     pub addr: SocketAddr,
+    /// Unique among this process's connections.
+    pub number: u64,
+    /// Number of requests sent.
+    pub requests: u64,
     sender: http1::SendRequest<Full<Bytes>>,
     stream: TcpStream,
     progress: Rc<Progress>,
@@ -272,6 +281,7 @@
         self.progress.write_deadline.set(clock::now() + limit);
         self.progress.reset();
         let req = req.map(Full::new);
+        self.requests += 1;
         match self.sender.try_send_request(req).await {
             Ok(res) => {
                 self.progress.head_at.set(Some(clock::now()));
@@ -386,7 +396,8 @@
         http1::handshake(FuturesIo::new(socket)).await.map_err(|_| Error::Connect)?;
     // The sender reports the end of the connection.
     let task = ex.spawn(async move { conn.await.unwrap_or_default() });
-    Ok(Link { addr, sender, stream, progress, _task: task })
+    let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+    Ok(Link { addr, number, requests: 0, sender, stream, progress, _task: task })
 }
 
 /// Sets whether the kernel resets a connection when it is closed, also as the process ends.
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -237,7 +237,7 @@
         let is_observed = !job.spec.engine_service && through.is_none();
         let liveness =
             if is_observed { liveness::before_request(daemon, &place.key) } else { None };
-        log_sent(daemon, job, place, number, last_event, through, now, time_left);
+        log_sent(daemon, job, place, number, last_event, through, &link, now, time_left);
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
         job.charge.iter().for_each(Charge::record_sent);
@@ -396,6 +396,7 @@
     number: u32,
     last_event: Option<&str>,
     through: Option<SocketAddr>,
+    link: &Link,
     now: Duration,
     time_left: Duration,
 ) {
@@ -416,6 +417,8 @@
         after: last_event.or(job.caller.last_event.as_deref()).map(str::to_string),
         resumes: job.caller.resumes.clone(),
         through: through.map(|addr| addr.to_string()),
+        connection: link.number,
+        before: link.requests,
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
         prompt: job.caller.prompt_tokens,
@@ -445,6 +448,10 @@
     let framing = link::framing(&res);
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
+    let is_foreign = answer.id.as_deref() != Some(job.caller.id.as_str());
+    if is_foreign {
+        log_foreign(daemon, job, place, &link, &parts, &answer, sent_at);
+    }
     if (answer.signed || answer.not_run) && !answer.is_from_other(&place.key.id) {
         statement::observe(daemon, &place.key, parts.status, &parts.headers, Source::Request);
     }
@@ -456,7 +463,7 @@
         return handle_not_run(daemon, job, place, link, body, &parts, &answer).await;
     }
     // A late response to another request: whether this one was executed is unknown.
-    if answer.id.as_deref() != Some(job.caller.id.as_str()) {
+    if is_foreign {
         return Outcome::Indeterminate("foreign_answer");
     }
     if !answer.signed {
@@ -502,6 +509,29 @@
     }
 }
 
+/// Records a response that does not name the request that it came for.
+fn log_foreign(
+    daemon: &Daemon,
+    job: &Job,
+    place: &Permit,
+    link: &Link,
+    parts: &Parts,
+    answer: &Answer,
+    sent_at: Duration,
+) {
+    daemon.gauges.record_foreign(answer.id.is_some(), answer.not_run);
+    daemon.note(&Event::Foreign {
+        request: job.caller.id.clone(),
+        endpoint: place.key.id.clone(),
+        connection: link.number,
+        before: link.requests.saturating_sub(1),
+        named: answer.id.clone(),
+        status: parts.status.as_u16(),
+        not_run: answer.not_run,
+        took: clock::now().saturating_sub(sent_at).as_millis() as u64,
+    });
+}
+
 /// Returns how a body has ended that ended with its connection and seems complete.
 pub async fn confirm_end(
     daemon: &Rc<Daemon>,
