Match responses to requests by the id that they name

Callers were told 503 for requests that ran, and some requests ran twice.

Cause: an endpoint sends a response once more, late. On a kept connection it arrives as the next request has been sent, and was taken for its response. `send::classify` asked whether it states that the request was not run before it compared the request's id; what it stated of its endpoint was believed as well, and the connection went back into the pool, one response behind. So the next request was refused or sent to a second endpoint while it ran at the first.

In the record of the users at least eight of twelve foreign answers came sooner than the round trip to their endpoints.

Change: a filter below the HTTP client parses the heads of responses and passes on only the one that names the request in flight. Others are discarded, and the wait for the right one goes on; how many, how large and how many informational ones is bounded for each request. A connection that had such a response, or bytes that nobody waited for, is not used again, and none is used twice for one request. Of what another response states only that its endpoint is leaving is believed. A daemon that says that it could not pass a request on names it as well.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -22,8 +22,10 @@
 use super::TARGET;
 use super::Target;
 use super::UNDELIVERED;
+use super::is_undelivered;
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::foreign;
 use crate::daemon::front::Payload;
 use crate::daemon::front::Truncated;
 use crate::daemon::gate;
@@ -84,6 +86,20 @@
 pub async fn respond(
     daemon: &Rc<Daemon>,
     req: Request<Incoming>,
+) -> Result<Response<Payload>, Truncated> {
+    let name = daemon.dialect.request_id();
+    let id = req.headers().get(&name).cloned();
+    let mut res = answer(daemon, req).await?;
+    // An endpoint's response names the request itself.
+    if let (true, Some(id)) = (is_undelivered(res.headers()), id) {
+        res.headers_mut().insert(name, id);
+    }
+    Ok(res)
+}
+
+async fn answer(
+    daemon: &Rc<Daemon>,
+    req: Request<Incoming>,
 ) -> Result<Response<Payload>, Truncated> {
     let (mut head, body) = req.into_parts();
     let Some(target) = Target::take(&mut head.headers) else {
@@ -97,9 +113,9 @@
         return Ok(undelivered("malformed"));
     };
     let deadline = clock::now() + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
-    let res = pass_on(daemon, target, deadline, head, body).await;
+    let res = pass_on(daemon, &caller.id, target, deadline, head, body).await;
     daemon.gauges.record_forwarding(match &res {
-        Ok(res) if res.headers().contains_key(UNDELIVERED) => Forwarding::Undelivered,
+        Ok(res) if is_undelivered(res.headers()) => Forwarding::Undelivered,
         Ok(_) => Forwarding::Answered,
         Err(Truncated) => Forwarding::Indeterminate,
     });
@@ -108,6 +124,7 @@
 
 async fn pass_on(
     daemon: &Rc<Daemon>,
+    id: &str,
     target: Target,
     deadline: Duration,
     mut head: Parts,
@@ -120,10 +137,11 @@
         return Ok(undelivered("body"));
     };
     remove_hop_headers(&mut head.headers);
+    let name = daemon.dialect.request_id();
     let mut req = Request::from_parts(head, body.to_bytes());
     let mut reused = true;
     loop {
-        let mut link = match connect(daemon, &target, deadline, reused).await {
+        let mut link = match connect(daemon, &target, deadline, reused.then_some(id)).await {
             Ok(link) => link,
             Err(reason) => return Ok(undelivered(reason)),
         };
@@ -147,8 +165,9 @@
         let liveness = observe_liveness(daemon, &target);
         let result = {
             let timeout = link::fail_after(remaining, link::Error::Timeout);
-            smol::future::or(link.send(req.clone(), remaining), timeout).await
+            smol::future::or(link.send_named(req.clone(), &name, remaining), timeout).await
         };
+        foreign::record(daemon, &target.key, id, &link, sent_at);
         match result {
             Ok(res) => {
                 let exchange = Exchange {
@@ -183,12 +202,13 @@
     }
 }
 
-/// Returns a connection to an endpoint, or why there is none.
+/// Returns a connection to an endpoint, or why there is none. Only a connection for a request may have
+/// carried others.
 async fn connect(
     daemon: &Rc<Daemon>,
     target: &Target,
     deadline: Duration,
-    use_pool: bool,
+    request: Option<&str>,
 ) -> Result<Link, &'static str> {
     let now = clock::now();
     let addr = {
@@ -200,7 +220,7 @@
         }
         row.instance.address
     };
-    let pooled = if use_pool { daemon.pool.borrow_mut().take(addr) } else { None };
+    let pooled = request.and_then(|id| daemon.pool.borrow_mut().take_for(addr, id.as_bytes()));
     match pooled {
         Some(link) => Ok(link),
         None => {
@@ -212,7 +232,7 @@
 
 /// Opens a new connection to an endpoint, and returns whether that succeeds.
 async fn test_contact(daemon: &Rc<Daemon>, target: &Target) -> Contact {
-    match connect(daemon, target, clock::now() + DEFAULT_TIME_LIMIT, false).await {
+    match connect(daemon, target, clock::now() + DEFAULT_TIME_LIMIT, None).await {
         Ok(link) => {
             daemon.pool.borrow_mut().put(link, None);
             Contact::Open
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -4,11 +4,16 @@
 //! run that task seconds after the request was queued, so the socket checks the request's deadline
 //! at each write.
 //!
+//! An endpoint may repeat a response late, where that to the next request is due. The socket gives
+//! the HTTP client only what `response_filter` finds to belong to the current request, and after a
+//! response to another one the connection is not used again.
+//!
 //! A connection may die without a reset: the kernel closes it when sent bytes stay unacknowledged
 //! for `UNACKED_TIMEOUT`, and probes an idle peer. Dropping a link ends its task and closes the
 //! socket, so that the endpoint stops work for a caller that hung up.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::error::Error as _;
@@ -23,8 +28,11 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderName;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::header;
@@ -45,10 +53,15 @@
 use smol::io::AsyncWrite;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::clock;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
+use crate::edge::response_filter;
+use crate::edge::response_filter::Expected;
+use crate::edge::response_filter::Filter;
+use crate::edge::response_filter::Head;
 
 /// How long the peer's kernel may acknowledge nothing, sent bytes and keep-alive probes alike: a
 /// sound peer may be silent for two seconds, and is probed again in the next.
@@ -56,6 +69,9 @@
 /// Idle time before the first keep-alive probe, and the interval between probes. Their number does
 /// not matter, as `UNACKED_TIMEOUT` decides.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Named requests of which a connection remembers that it carried them: more than are sent in the time
+/// in which a request is sent again.
+const MAX_CARRIED: usize = 64;
 /// Largest number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 
@@ -78,7 +94,7 @@
     Broken,
     /// Time ran out after bytes may have been sent.
     Timeout,
-    /// The response is not valid HTTP, or its head is longer than allowed.
+    /// The response is not valid HTTP, or longer than allowed before its body.
     Malformed,
 }
 
@@ -133,6 +149,10 @@
     received: Cell<usize>,
     /// When the last of them were received.
     last_received_at: Cell<Option<Duration>>,
+    /// Separates the response from other bytes.
+    filter: RefCell<Filter>,
+    /// When the first response to another request was received; none if there was none.
+    discarded_at: Cell<Option<Duration>>,
 }
 
 impl Progress {
@@ -142,6 +162,7 @@
         self.head_at.set(None);
         self.received.set(0);
         self.last_received_at.set(None);
+        self.discarded_at.set(None);
     }
 
     /// Returns when the head of the response was received; none before.
@@ -171,10 +192,26 @@
     pub total: Duration,
 }
 
-/// A socket that refuses to write past the deadline of the current request.
+/// A socket that refuses to write past the deadline of the current request, and to read what does not
+/// belong to its response.
 struct Socket {
     stream: TcpStream,
     progress: Rc<Progress>,
+    /// Received bytes of the response that have not been read yet.
+    received: BytesMut,
+}
+
+impl Socket {
+    /// Adds those bytes to `received` that belong to the response. What is wrong with others is told
+    /// after these have been read.
+    fn receive(&mut self, bytes: &[u8]) {
+        let mut filter = self.progress.filter.borrow_mut();
+        // The filter keeps the error.
+        let _ = filter.push(bytes, &mut self.received);
+        if !filter.discarded().is_empty() && self.progress.discarded_at.get().is_none() {
+            self.progress.discarded_at.set(Some(clock::now()));
+        }
+    }
 }
 
 impl AsyncRead for Socket {
@@ -183,7 +220,20 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        loop {
+            if !self.received.is_empty() {
+                let len = self.received.len().min(buf.len());
+                self.received.copy_to_slice(&mut buf[..len]);
+                return Poll::Ready(Ok(len));
+            }
+            if self.progress.filter.borrow().error().is_some() {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
+            match Pin::new(&mut self.stream).poll_read(cx, buf) {
+                Poll::Ready(Ok(len)) if len > 0 => self.receive(&buf[..len]),
+                result => return result,
+            }
+        }
     }
 }
 
@@ -225,6 +275,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     stream: TcpStream,
     progress: Rc<Progress>,
+    /// Hashes of the last named requests, at most `MAX_CARRIED`.
+    carried: VecDeque<u64>,
     _task: Task<()>,
 }
 
@@ -271,13 +323,67 @@
         self.progress.written_at.get()
     }
 
+    /// Returns whether nothing but responses to its own requests was received.
+    pub fn is_clean(&self) -> bool {
+        let filter = self.progress.filter.borrow();
+        filter.discarded().is_empty() && filter.error().is_none()
+    }
+
+    /// Returns whether bytes were received while no response was due.
+    pub fn has_unsolicited(&self) -> bool {
+        self.progress.filter.borrow().error() == Some(response_filter::Error::Unsolicited)
+    }
+
+    /// Returns the heads of other responses that were received since the current request was sent,
+    /// and when the first of them was.
+    pub fn discarded(&self) -> (Vec<Head>, Option<Duration>) {
+        let heads = self.progress.filter.borrow().discarded().to_vec();
+        (heads, self.progress.discarded_at.get())
+    }
+
+    /// Returns whether the connection has carried a named request, as far as it remembers. A late
+    /// response to that one could not be told from one to the request as it is sent again.
+    pub fn has_carried(&self, name: &[u8]) -> bool {
+        self.carried.contains(&xxh3_64(name))
+    }
+
+    /// Sends a request to which a response repeats the header `name`, and waits for the head of that
+    /// response, as `send` does. Other responses are discarded.
+    pub async fn send_named(
+        &mut self,
+        req: Request<Bytes>,
+        name: &HeaderName,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let Some(value) = req.headers().get(name).cloned() else {
+            return Err(Error::Unsent);
+        };
+        if self.carried.len() == MAX_CARRIED {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(xxh3_64(value.as_bytes()));
+        self.exchange(req, Expected::Named(name.clone(), value), limit).await
+    }
+
     /// Sends a request and waits for the head of the response. Bytes that are not written within
-    /// `limit` are not sent at all; the wait itself has no limit.
+    /// `limit` are not sent at all; the wait itself has no limit. The next response is taken for that
+    /// to this request.
     pub async fn send(
         &mut self,
         req: Request<Bytes>,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
+        self.exchange(req, Expected::Next, limit).await
+    }
+
+    async fn exchange(
+        &mut self,
+        req: Request<Bytes>,
+        expected: Expected,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, Error> {
+        let is_head = req.method() == Method::HEAD;
+        self.progress.filter.borrow_mut().expect(expected, is_head);
         self.progress.write_deadline.set(clock::now() + limit);
         self.progress.reset();
         let req = req.map(Full::new);
@@ -294,7 +400,7 @@
                     Error::Expired
                 } else if unsent {
                     Error::Unsent
-                } else if err.is_parse() {
+                } else if err.is_parse() || self.progress.filter.borrow().error().is_some() {
                     Error::Malformed
                 } else {
                     Error::Broken
@@ -391,13 +497,23 @@
     let stream = connecting.or(fail_after(limit, Error::Connect)).await?;
     set_socket_options(&stream).map_err(|_| Error::Connect)?;
     let progress = Rc::new(Progress::default());
-    let socket = Socket { stream: stream.clone(), progress: progress.clone() };
+    let socket =
+        Socket { stream: stream.clone(), progress: progress.clone(), received: BytesMut::new() };
     let (sender, conn) =
         http1::handshake(FuturesIo::new(socket)).await.map_err(|_| Error::Connect)?;
     // The sender reports the end of the connection.
     let task = ex.spawn(async move { conn.await.unwrap_or_default() });
     let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
-    Ok(Link { addr, number, requests: 0, sender, stream, progress, _task: task })
+    Ok(Link {
+        addr,
+        number,
+        requests: 0,
+        sender,
+        stream,
+        progress,
+        carried: VecDeque::new(),
+        _task: task,
+    })
 }
 
 /// Sets whether the kernel resets a connection when it is closed, also as the process ends.
@@ -423,6 +539,8 @@
 #[derive(Default)]
 pub struct Pool {
     idle: HashMap<SocketAddr, VecDeque<Idle>>,
+    /// Idle connections that were closed as bytes were received on them.
+    unsolicited: u64,
 }
 
 impl Pool {
@@ -435,14 +553,35 @@
     /// Removes and returns a ready connection. The one idle longest comes first: if its endpoint
     /// sent unexpected bytes after the last response, they have arrived by now and closed it.
     pub fn take(&mut self, addr: SocketAddr) -> Option<Link> {
-        let now = clock::now();
+        self.take_if(addr, |_| true)
+    }
+
+    /// Removes and returns a ready connection that has not carried a named request.
+    pub fn take_for(&mut self, addr: SocketAddr, name: &[u8]) -> Option<Link> {
+        self.take_if(addr, |link| !link.has_carried(name))
+    }
+
+    fn take_if(&mut self, addr: SocketAddr, accepts: impl Fn(&Link) -> bool) -> Option<Link> {
+        self.remove_closed(clock::now(), addr);
         let list = self.idle.get_mut(&addr)?;
-        while let Some(idle) = list.pop_front() {
-            if idle.expires_at > now && idle.link.is_ready() {
-                return Some(idle.link);
-            }
-        }
-        None
+        let index = list.iter().position(|idle| accepts(&idle.link))?;
+        list.remove(index).map(|idle| idle.link)
+    }
+
+    /// Drops connections to a peer that have expired or were closed.
+    fn remove_closed(&mut self, now: Duration, addr: SocketAddr) {
+        let Some(list) = self.idle.get_mut(&addr) else {
+            return;
+        };
+        list.retain(|idle| {
+            self.unsolicited += u64::from(idle.link.has_unsolicited());
+            idle.expires_at > now && idle.link.is_ready()
+        });
+    }
+
+    /// Returns how many idle connections were closed as bytes were received on them.
+    pub fn unsolicited(&self) -> u64 {
+        self.unsolicited
     }
 
     /// Returns for how long an idle connection is used. `idle_timeout` is the endpoint's, if it
@@ -453,12 +592,12 @@
         })
     }
 
-    /// Adds a connection whose last response is complete. `idle_timeout` is the endpoint's, if it
-    /// states one.
+    /// Adds a connection whose last response is complete, unless other responses came before that.
+    /// `idle_timeout` is the endpoint's, if it states one.
     pub fn put(&mut self, link: Link, idle_timeout: Option<Duration>) {
         let idle_timeout = Self::usable_for(idle_timeout);
         let list = self.idle.entry(link.addr).or_default();
-        if !idle_timeout.is_zero() && list.len() < MAX_IDLE_PER_ADDRESS {
+        if !idle_timeout.is_zero() && link.is_clean() && list.len() < MAX_IDLE_PER_ADDRESS {
             list.push_back(Idle { link, expires_at: clock::now() + idle_timeout });
         }
     }
@@ -471,8 +610,9 @@
     /// Drops connections that have expired or were closed by the peer.
     pub fn remove_expired(&mut self) {
         let now = clock::now();
-        for list in self.idle.values_mut() {
-            list.retain(|idle| idle.expires_at > now && idle.link.is_ready());
+        let addrs: Vec<SocketAddr> = self.idle.keys().copied().collect();
+        for addr in addrs {
+            self.remove_closed(now, addr);
         }
         self.idle.retain(|_, list| !list.is_empty());
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 pub mod contact;
 pub mod directory;
 pub mod engine;
+pub mod foreign;
 pub mod forward;
 pub mod front;
 pub mod gate;
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -22,6 +22,7 @@
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
 use crate::daemon::contact;
+use crate::daemon::foreign;
 use crate::daemon::forward;
 use crate::daemon::forward::Target;
 use crate::daemon::front::Job;
@@ -176,8 +177,8 @@
         };
         let pooled = match through {
             _ if force_new => None,
-            Some(other) => daemon.pool.borrow_mut().take(other),
-            None => daemon.pool.borrow_mut().take(addr),
+            Some(other) => daemon.pool.borrow_mut().take_for(other, job.caller.id.as_bytes()),
+            None => daemon.pool.borrow_mut().take_for(addr, job.caller.id.as_bytes()),
         };
         let reused = pooled.is_some();
         let limit = job.deadline.saturating_sub(clock::now());
@@ -242,6 +243,7 @@
         // the next await.
         job.charge.iter().for_each(Charge::record_sent);
         let head = receive_head(daemon, job, place, &mut link, req, time_left, can_retry).await;
+        foreign::record(daemon, &place.key, &job.caller.id, &link, now);
         if head.as_ref().is_err_and(|err| err.is_unsent() || link.written_at().is_none()) {
             job.charge.iter().for_each(Charge::record_not_run);
         }
@@ -267,6 +269,7 @@
             Err(_) if link.written_at().is_none() => {
                 return Outcome::Unsent(link::Error::Expired.into());
             }
+            Err(_) if !link.is_clean() => return Outcome::Indeterminate("foreign_answer"),
             Err(err) => return Outcome::Indeterminate(err.into()),
         }
     }
@@ -293,7 +296,8 @@
     time_left: Duration,
     can_retry: bool,
 ) -> Result<Response<Incoming>, link::Error> {
-    let mut head = std::pin::pin!(link.send(req, time_left));
+    let name = daemon.dialect.request_id();
+    let mut head = std::pin::pin!(link.send_named(req, &name, time_left));
     let mut remaining = time_left;
     if can_retry {
         let limit = attempt_timeout(job).min(time_left);
@@ -448,9 +452,12 @@
     let framing = link::framing(&res);
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
-    let is_foreign = answer.id.as_deref() != Some(job.caller.id.as_str());
-    if is_foreign {
-        log_foreign(daemon, job, place, &link, &parts, &answer, sent_at);
+    // Whether this request was executed is unknown, and so is when the rest was stated.
+    if answer.id.as_deref() != Some(job.caller.id.as_str()) {
+        let took = clock::now().saturating_sub(sent_at);
+        let (id, status) = (answer.id, parts.status);
+        foreign::log(daemon, &place.key, &job.caller.id, &link, id, status, answer.not_run, took);
+        return Outcome::Indeterminate("foreign_answer");
     }
     if (answer.signed || answer.not_run) && !answer.is_from_other(&place.key.id) {
         statement::observe(daemon, &place.key, parts.status, &parts.headers, Source::Request);
@@ -462,10 +469,6 @@
     if answer.not_run {
         return handle_not_run(daemon, job, place, link, body, &parts, &answer).await;
     }
-    // A late response to another request: whether this one was executed is unknown.
-    if is_foreign {
-        return Outcome::Indeterminate("foreign_answer");
-    }
     if !answer.signed {
         return Outcome::Indeterminate("no_seal");
     }
@@ -509,29 +512,6 @@
     }
 }
 
-/// Records a response that does not name the request that it came for.
-fn log_foreign(
-    daemon: &Daemon,
-    job: &Job,
-    place: &Permit,
-    link: &Link,
-    parts: &Parts,
-    answer: &Answer,
-    sent_at: Duration,
-) {
-    daemon.gauges.record_foreign(answer.id.is_some(), answer.not_run);
-    daemon.note(&Event::Foreign {
-        request: job.caller.id.clone(),
-        endpoint: place.key.id.clone(),
-        connection: link.number,
-        before: link.requests.saturating_sub(1),
-        named: answer.id.clone(),
-        status: parts.status.as_u16(),
-        not_run: answer.not_run,
-        took: clock::now().saturating_sub(sent_at).as_millis() as u64,
-    });
-}
-
 /// Returns how a body has ended that ended with its connection and seems complete.
 pub async fn confirm_end(
     daemon: &Rc<Daemon>,
--- a/src/daemon/statement.rs
+++ b/src/daemon/statement.rs
@@ -49,7 +49,8 @@
     limit::observe(daemon, key, headers, source);
 }
 
-fn observe_leaving(daemon: &Daemon, key: &Key, headers: &HeaderMap, source: Source) {
+/// Records whether an endpoint states that it is leaving.
+pub fn observe_leaving(daemon: &Daemon, key: &Key, headers: &HeaderMap, source: Source) {
     match daemon.dialect.parse_leaving(headers) {
         Ok(false) => {}
         Ok(true) => {
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -311,6 +312,9 @@
         attempt: &Attempt<'_>,
     ) -> Result<(), Error>;
 
+    /// Returns the header that names a request, and that a response to it repeats.
+    fn request_id(&self) -> HeaderName;
+
     /// Decodes the head of an endpoint's response.
     fn parse_response(&self, head: &response::Parts) -> Answer;
 
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,3 +10,4 @@
 pub mod http;
 pub mod peer;
 pub mod platform;
+pub mod response_filter;
