Do not forward an endpoint's status that promises that a request has not run

An endpoint that ran a request and answered 503, 429 or 408 with its seal had that forwarded. The status of an endpoint and the promise of the system share the same three numbers.

For a request that may not run again such a response becomes 502, without the endpoint's seal. Requests that may run again get their endpoint's response unchanged, as before.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -53,6 +53,7 @@
 use crate::daemon::quota::Charge;
 use crate::daemon::reply::Responder;
 use crate::daemon::reply::error_response;
+use crate::daemon::reply::promises_not_run;
 use crate::daemon::retry;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
@@ -554,7 +555,7 @@
         match outcome {
             Outcome::Complete(res, _) => {
                 tracker.answered = true;
-                return forward(daemon, res);
+                return forward(daemon, job, res);
             }
             Outcome::Stream(head) => {
                 let attempts = progress.possible_runs + 1;
@@ -638,7 +639,7 @@
 ) -> Response<Payload> {
     tracker.answered = true;
     if let Some(res) = progress.failure {
-        return forward(daemon, res);
+        return forward(daemon, job, res);
     }
     if progress.possible_runs == 0 {
         return job.responder().refused(daemon, refusal);
@@ -650,8 +651,12 @@
     job.responder().failed(daemon, status, refusal.reason)
 }
 
-/// Forwards an endpoint's complete answer.
-fn forward(daemon: &Daemon, res: Response<Bytes>) -> Response<Payload> {
+/// Forwards an endpoint's complete answer. The endpoint ran the request; if that may not run again, a
+/// status that promises the opposite to the caller is not forwarded.
+fn forward(daemon: &Daemon, job: &Job, res: Response<Bytes>) -> Response<Payload> {
+    if !job.route.is_idempotent() && promises_not_run(res.status()) {
+        return job.responder().failed(daemon, StatusCode::BAD_GATEWAY, "endpoint_failure");
+    }
     let (parts, body) = res.into_parts();
     let mut forwarded = Response::new(Payload::Complete(body));
     *forwarded.status_mut() = parts.status;
