Ask for reports and send orders on connections that carried nothing before

Cause: these answers name nothing, and the calls used the connections of callers' requests. Whatever came next on the connection was believed.

Change: a report is read, and an order sent, on a connection that is opened for it. It goes into the pool afterwards, where only calls are sent whose answers name them. An answer that names a caller's request is no answer to either: the report is not used, and the order counts as unanswered, so that late_orders and the lease treat it as one that may still be carried out. Connections to engines that are opened here are counted in the metrics.

Price: one connection for each report and order. The other design is a kept connection for reports only. It saves about half of that, but an earlier report could still come late there, and nothing in a report tells its age: `seq` stays equal between orders and `born` for the whole life of the engine. For orders it would need the same, as 202 and 409 have no content at all.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -3,6 +3,10 @@
 //! An order is sent only while the lease is held, and is aborted before the lease ends. The
 //! connection checks the boot clock when it writes the bytes, so that a daemon that was suspended
 //! or runs late sends nothing under a lease that another daemon may hold by then.
+//!
+//! Responses do not name the call that they answer, and an endpoint may repeat an earlier response
+//! late. Each call therefore opens a connection, which callers' requests may use afterwards: their
+//! responses name them.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -124,6 +128,7 @@
 ) -> Result<Response<Bytes>, link::Error> {
     let started_at = clock::now();
     let res = link.call(req, MAX_RESPONSE_BYTES, limit).await;
+    let res = res.and_then(|res| reject_named(daemon, res));
     let mut latency = daemon.orders.latency.get();
     match &res {
         Ok(_) => {
@@ -144,23 +149,30 @@
     res
 }
 
-/// Returns a pooled or new connection to an engine.
+/// Rejects a response that names a caller's request: it answers neither a report nor an order.
+fn reject_named(daemon: &Daemon, res: Response<Bytes>) -> Result<Response<Bytes>, link::Error> {
+    let (head, body) = res.into_parts();
+    let named = daemon.dialect.parse_response(&head).id.filter(|id| !id.is_empty());
+    match named {
+        Some(_) => Err(link::Error::Malformed),
+        None => Ok(Response::from_parts(head, body)),
+    }
+}
+
+/// Opens a connection to an engine.
 async fn connect(daemon: &Rc<Daemon>, key: &Key) -> Result<Link, link::Error> {
     let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
     let addr = addr.ok_or(link::Error::Connect)?;
-    let pooled = daemon.pool.borrow_mut().take(addr);
-    match pooled {
-        Some(link) => Ok(link),
-        None => {
-            let started_at = clock::now();
-            let link = link::dial(&daemon.ex, addr, ORDER_TIMEOUT).await;
-            match &link {
-                Ok(_) => contact::on_connected(daemon, key, clock::now() - started_at),
-                Err(err) => contact::on_failed(daemon, key, *err),
-            }
-            link
+    let started_at = clock::now();
+    let link = link::dial(&daemon.ex, addr, ORDER_TIMEOUT).await;
+    match &link {
+        Ok(_) => {
+            daemon.gauges.record_connection();
+            contact::on_connected(daemon, key, clock::now() - started_at);
         }
+        Err(err) => contact::on_failed(daemon, key, *err),
     }
+    link
 }
 
 /// Returns how long an order under a token may still be in flight, or `None` if it must not be sent
