Fail connections whose bytes can't be delimited

Found by review. A response whose length was not clear switched the filter off for what followed. Both fail the connection now; equal lengths in one header are accepted. The two tests fail without the change.

--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -44,7 +44,7 @@
     HeadTooLong,
     /// Too much was received that does not belong to the request.
     TooMuch,
-    /// A response to discard is not valid HTTP.
+    /// A response is not valid HTTP, or its end is not clear.
     Malformed,
     /// Bytes came while no response was due.
     Unsolicited,
@@ -141,6 +141,12 @@
         &self.discarded
     }
 
+    /// Returns whether the current request is for a head alone. A late copy of the response could not
+    /// be delimited where another response is due.
+    pub fn is_head_request(&self) -> bool {
+        self.is_head
+    }
+
     /// Returns why the connection has failed, if it has.
     pub fn error(&self) -> Option<Error> {
         self.error
@@ -182,8 +188,9 @@
         let mut res = httparse::Response::new(&mut headers);
         let len = match res.parse(&self.held) {
             Ok(httparse::Status::Complete(len)) => len,
-            Ok(httparse::Status::Partial) if self.held.len() < MAX_HEAD_BYTES => return Ok(taken),
-            Ok(httparse::Status::Partial) => return Err(Error::HeadTooLong),
+            // Empty lines before a head.
+            Ok(httparse::Status::Partial) if has_end => return Err(Error::Malformed),
+            Ok(httparse::Status::Partial) => return Ok(taken),
             Err(_) => {
                 out.extend_from_slice(&self.held.split());
                 self.state = State::Rest;
@@ -213,7 +220,7 @@
         if is_expected {
             out.extend_from_slice(bytes);
             let body = head.and_then(|head| body(&head, self.is_head));
-            self.state = body.map_or(State::Rest, |body| end_if_empty(State::Body(body)));
+            self.state = end_if_empty(State::Body(body.ok_or(Error::Malformed)?));
             return Ok(());
         }
         self.count(1, bytes.len())?;
@@ -353,12 +360,14 @@
         let codings = codings.as_bytes().trim_ascii_end().to_ascii_lowercase();
         return Some(if codings.ends_with(b"chunked") { Body::Size } else { Body::Close });
     }
-    let mut lengths = head.headers.get_all(header::CONTENT_LENGTH).iter();
-    let Some(first) = lengths.next() else {
-        return Some(Body::Close);
-    };
-    if lengths.any(|other| other != first) {
-        return None;
+    let mut len = None;
+    for value in head.headers.get_all(header::CONTENT_LENGTH) {
+        for text in value.to_str().ok()?.split(',') {
+            let other = text.trim().parse().ok()?;
+            if *len.get_or_insert(other) != other {
+                return None;
+            }
+        }
     }
-    first.to_str().ok()?.trim().parse().ok().map(Body::Length)
+    Some(len.map_or(Body::Close, Body::Length))
 }
--- a/tests/response_filter.rs
+++ b/tests/response_filter.rs
@@ -115,6 +115,25 @@
     assert_eq!(push(&mut filter, b"SSH-2.0\r\n", 1), Ok(b"SSH-2.0\r\n".to_vec()));
 }
 
+/// Guards against a head that is parsed again with each of many empty lines.
+#[test]
+fn empty_lines_fail_the_connection() {
+    for (bytes, piece) in [("\r\n".repeat(40_000), 1), ("\n".repeat(200_000), 7)] {
+        let mut filter = filter("own");
+        assert_eq!(push(&mut filter, bytes.as_bytes(), piece), Err(Error::Malformed));
+    }
+}
+
+/// Guards against a response whose length is not clear, behind which bytes would not be told apart.
+#[test]
+fn length_that_is_not_clear_fails_the_connection() {
+    for (lengths, expected) in [("5", true), ("5, 5", true), ("5, 6", false), ("x", false)] {
+        let own = response(&format!("Id: own\r\nContent-Length: {lengths}\r\n"), "hello");
+        let mut filter = filter("own");
+        assert_eq!(push(&mut filter, &own, 3).is_ok(), expected, "{lengths}");
+    }
+}
+
 /// Guards against a response without a name that is lost where none is expected to have one.
 #[test]
 fn next_response_is_passed_on_if_none_is_named() {
