Use no connection again whose next late response could not be told apart

A late copy of a response to a HEAD request states a length and has no body: the filter discarded the next response in its place, and that request waited to its deadline. A connection that has answered a HEAD request is closed. And a connection remembered the last 64 requests that it carried, so that none was sent twice on it: a count, where a busy connection may forget a request before its second attempt. It remembers all now, and is closed after 1,024.

--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -15,6 +15,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::error::Error as _;
 use std::fmt;
@@ -69,9 +70,8 @@
 /// Idle time before the first keep-alive probe, and the interval between probes. Their number does
 /// not matter, as `UNACKED_TIMEOUT` decides.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Named requests of which a connection remembers that it carried them: more than are sent in the time
-/// in which a request is sent again.
-const MAX_CARRIED: usize = 64;
+/// Named requests that a connection carries, and remembers, until it is not used again.
+const MAX_CARRIED: usize = 1_024;
 /// Largest number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 48;
 
@@ -275,8 +275,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     stream: TcpStream,
     progress: Rc<Progress>,
-    /// Hashes of the last named requests, at most `MAX_CARRIED`.
-    carried: VecDeque<u64>,
+    /// Hashes of all named requests that were sent, at most `MAX_CARRIED`.
+    carried: HashSet<u64>,
     _task: Task<()>,
 }
 
@@ -341,8 +341,15 @@
         (heads, self.progress.discarded_at.get())
     }
 
-    /// Returns whether the connection has carried a named request, as far as it remembers. A late
-    /// response to that one could not be told from one to the request as it is sent again.
+    /// Returns whether another request may be sent once the current response is complete: nothing else
+    /// was received, and a late copy of that response could be told from the next one.
+    pub fn is_reusable(&self) -> bool {
+        let can_delimit = !self.progress.filter.borrow().is_head_request();
+        self.is_clean() && can_delimit && self.carried.len() < MAX_CARRIED
+    }
+
+    /// Returns whether the connection has carried a named request. A late response to that one could
+    /// not be told from one to the request as it is sent again.
     pub fn has_carried(&self, name: &[u8]) -> bool {
         self.carried.contains(&xxh3_64(name))
     }
@@ -358,10 +365,7 @@
         let Some(value) = req.headers().get(name).cloned() else {
             return Err(Error::Unsent);
         };
-        if self.carried.len() == MAX_CARRIED {
-            self.carried.pop_front();
-        }
-        self.carried.push_back(xxh3_64(value.as_bytes()));
+        self.carried.insert(xxh3_64(value.as_bytes()));
         self.exchange(req, Expected::Named(name.clone(), value), limit).await
     }
 
@@ -511,7 +515,7 @@
         sender,
         stream,
         progress,
-        carried: VecDeque::new(),
+        carried: HashSet::new(),
         _task: task,
     })
 }
@@ -539,7 +543,7 @@
 #[derive(Default)]
 pub struct Pool {
     idle: HashMap<SocketAddr, VecDeque<Idle>>,
-    /// Idle connections that were closed as bytes were received on them.
+    /// Connections that were closed as bytes were received after a response.
     unsolicited: u64,
 }
 
@@ -579,7 +583,7 @@
         });
     }
 
-    /// Returns how many idle connections were closed as bytes were received on them.
+    /// Returns how many connections were closed as bytes were received after a response.
     pub fn unsolicited(&self) -> u64 {
         self.unsolicited
     }
@@ -595,9 +599,10 @@
     /// Adds a connection whose last response is complete, unless other responses came before that.
     /// `idle_timeout` is the endpoint's, if it states one.
     pub fn put(&mut self, link: Link, idle_timeout: Option<Duration>) {
+        self.unsolicited += u64::from(link.has_unsolicited());
         let idle_timeout = Self::usable_for(idle_timeout);
         let list = self.idle.entry(link.addr).or_default();
-        if !idle_timeout.is_zero() && link.is_clean() && list.len() < MAX_IDLE_PER_ADDRESS {
+        if !idle_timeout.is_zero() && link.is_reusable() && list.len() < MAX_IDLE_PER_ADDRESS {
             list.push_back(Idle { link, expires_at: clock::now() + idle_timeout });
         }
     }
