Keep the error of a request before whose response others came

Found by review. After a late response a broken connection counted as foreign_answer, so a crash was not looked for; now only a time-out or an invalid response does. A daemon of an earlier release that can't pass a request on does not name it: that was discarded, the request waited to its deadline and its endpoint was blamed. Responses of daemons are taken as they come, and their ids compared.

--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -177,7 +177,7 @@
         };
         let pooled = match through {
             _ if force_new => None,
-            Some(other) => daemon.pool.borrow_mut().take_for(other, job.caller.id.as_bytes()),
+            Some(other) => daemon.pool.borrow_mut().take(other),
             None => daemon.pool.borrow_mut().take_for(addr, job.caller.id.as_bytes()),
         };
         let reused = pooled.is_some();
@@ -242,13 +242,15 @@
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
         job.charge.iter().for_each(Charge::record_sent);
-        let head = receive_head(daemon, job, place, &mut link, req, time_left, can_retry).await;
+        let is_direct = through.is_none();
+        let head =
+            receive_head(daemon, job, place, &mut link, req, is_direct, time_left, can_retry).await;
         foreign::record(daemon, &place.key, &job.caller.id, &link, now);
         if head.as_ref().is_err_and(|err| err.is_unsent() || link.written_at().is_none()) {
             job.charge.iter().for_each(Charge::record_not_run);
         }
         match head {
-            Ok(res) if through.is_some() && forward::is_undelivered(res.headers()) => {
+            Ok(res) if through.is_some() && is_undelivered(daemon, job, &res) => {
                 job.charge.iter().for_each(Charge::record_not_run);
                 daemon.pool.borrow_mut().put(link, None);
                 tried_daemons.extend(through);
@@ -269,12 +271,21 @@
             Err(_) if link.written_at().is_none() => {
                 return Outcome::Unsent(link::Error::Expired.into());
             }
-            Err(_) if !link.is_clean() => return Outcome::Indeterminate("foreign_answer"),
+            Err(link::Error::Timeout | link::Error::Malformed) if !link.is_clean() => {
+                return Outcome::Indeterminate("foreign_answer");
+            }
             Err(err) => return Outcome::Indeterminate(err.into()),
         }
     }
 }
 
+/// Returns whether another daemon says that it could not pass a job on.
+fn is_undelivered(daemon: &Daemon, job: &Job, res: &Response<Incoming>) -> bool {
+    let named = res.headers().get(daemon.dialect.request_id());
+    forward::is_undelivered(res.headers())
+        && named.is_none_or(|id| id.as_bytes() == job.caller.id.as_bytes())
+}
+
 /// Returns whether an endpoint that this daemon has lost may be reached through another one, and
 /// no other endpoint would accept the job.
 fn is_last_resort(daemon: &Daemon, job: &Job, key: &Key) -> bool {
@@ -287,17 +298,27 @@
 /// Waits for the head of the response, at most for `time_left`. If a retry is allowed and another
 /// endpoint would accept the request, the wait ends after `attempt_timeout`; otherwise the wait
 /// continues, as the endpoint may still be about to respond.
+#[expect(clippy::too_many_arguments, reason = "all of them describe one attempt")]
 async fn receive_head(
     daemon: &Daemon,
     job: &Job,
     place: &Permit,
     link: &mut Link,
     req: Request<Bytes>,
+    is_direct: bool,
     time_left: Duration,
     can_retry: bool,
 ) -> Result<Response<Incoming>, link::Error> {
     let name = daemon.dialect.request_id();
-    let mut head = std::pin::pin!(link.send_named(req, &name, time_left));
+    let send = async {
+        // A daemon answers each request once, and one of an earlier release does not name it when it
+        // could not pass it on.
+        match is_direct {
+            true => link.send_named(req, &name, time_left).await,
+            false => link.send(req, time_left).await,
+        }
+    };
+    let mut head = std::pin::pin!(send);
     let mut remaining = time_left;
     if can_retry {
         let limit = attempt_timeout(job).min(time_left);
