--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -169,6 +169,7 @@
             ("poplarmux_store_up", u64::from(daemon.store.is_up())),
             ("poplarmux_endpoint_connections_total", self.opened_connections.get()),
             ("poplarmux_idle_connections", daemon.pool.borrow().len() as u64),
+            ("poplarmux_unsolicited_answers_total", daemon.pool.borrow().unsolicited()),
             ("poplarmux_nodes", daemon.nodes.borrow().live_count(now) as u64),
             ("poplarmux_loop_late_ms_total", self.total_lateness.get().as_millis() as u64),
             ("poplarmux_loop_late_ms_max", self.max_lateness.get().as_millis() as u64),
