Test what the scanner of event streams keeps of a long event

Guards against memory that grows with an event without end, whatever it consists of, against taking the end of a long line for a field or its beginning for an id, and against resuming inside a long line.

--- a/tests/event_stream.rs
+++ b/tests/event_stream.rs
@@ -103,6 +103,71 @@
     assert_eq!((scanner.last_id(), scanner.events()), (Some("1"), 2));
 }
 
+/// Bytes of the text that describes all that a scanner keeps, whose longest line is 512 bytes.
+const MAX_DESCRIPTION_BYTES: usize = 8 << 10;
+
+/// Guards against keeping the bytes of an event without end, whatever it consists of.
+#[test]
+fn scanner_keeps_little_of_a_long_event() {
+    let long = "a".repeat(1 << 20);
+    for text in [
+        long.clone(),
+        format!("data: {long}"),
+        format!("id: {long}"),
+        format!(": {long}"),
+        "data: a\n".repeat(1 << 17),
+        "id: 1\n".repeat(1 << 17),
+        "id: 1\r\n".repeat(1 << 17),
+        ":\r".repeat(1 << 17),
+        format!("{}\n", "id: 1".repeat(1 << 10)).repeat(1 << 8),
+    ] {
+        for piece in [1, 7, 512, 513, text.len()] {
+            let mut scanner = Scanner::default();
+            for piece in text.as_bytes().chunks(piece) {
+                assert_eq!(scanner.push(piece), None, "{:?}", &text[..8]);
+            }
+            assert!(!scanner.is_between_events(), "{:?}", &text[..8]);
+            assert_eq!((scanner.events(), scanner.last_id()), (0, None), "{:?}", &text[..8]);
+            let description = format!("{scanner:?}");
+            assert!(description.len() < MAX_DESCRIPTION_BYTES, "{:?}", &text[..8]);
+        }
+    }
+}
+
+/// Guards against taking the end of a long line for a field, or its beginning for a whole id.
+#[test]
+fn long_line_is_one_line_of_its_event() {
+    let long = "a".repeat(1 << 16);
+    for (text, events, last_id, can_resume) in [
+        (format!("id: 1\ndata: {long}id: 2\n\n"), 1, Some("1"), true),
+        (format!("id: 1\n\ndata: {long}\nid: 2\n\n"), 2, Some("2"), true),
+        (format!("id: 1\n\nid: {long}\n\n"), 2, Some("1"), false),
+        (format!("id: 1\n\n: {long}\n\n"), 1, Some("1"), true),
+        (format!("id: 1\n\nid: {long}"), 1, Some("1"), true),
+    ] {
+        for piece in [1, 511, 512, 513, text.len()] {
+            let mut scanner = Scanner::default();
+            for piece in text.as_bytes().chunks(piece) {
+                scanner.push(piece);
+            }
+            assert_eq!(scanner.events(), events, "{:?}", &text[..16]);
+            assert_eq!(scanner.last_id(), last_id, "{:?}", &text[..16]);
+            assert_eq!(scanner.can_resume(), can_resume, "{:?}", &text[..16]);
+        }
+    }
+}
+
+/// Guards against a stream that is resumed inside the long line that the one before broke off.
+#[test]
+fn restart_forgets_a_long_line() {
+    let mut scanner = Scanner::default();
+    scanner.push(format!("id: 1\n\nid: {}", "a".repeat(1 << 16)).as_bytes());
+    scanner.restart();
+    assert!(scanner.is_between_events());
+    scanner.push(b"id: 2\n\n");
+    assert_eq!((scanner.last_id(), scanner.events()), (Some("2"), 2));
+}
+
 proptest! {
     /// Guards against results that depend on the pieces in which the bytes arrive.
     #[test]
