Bound heads, chunk sizes and events that go on without end

A daemon read informational heads for as long as its caller waited, 250 to 430 MB in 4 s, and a head up to 442,368 bytes. The HTTP client reads zeros or blanks in the line of a chunk's size without a limit and without letting other tasks run: nobody was served for 12 s. An event of a stream that may be resumed was kept in memory without a bound, 93 MB within 2 s.

The filter before the HTTP client bounds a head (64 KiB), all that is discarded for a request (32 responses, 8 MiB), and a line between chunks (8 KiB); what exceeds a bound fails the connection at once, where a line too long was passed on until now. An event is given up at 1 MiB. The same holds for the store, reports, orders and other daemons, whose responses pass the filter too.

--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -42,6 +42,10 @@
 use crate::edge::event_stream::Scanner;
 use crate::table::instance::Key;
 
+/// Longest event of a stream that may be resumed, in bytes: it is buffered completely before it is
+/// forwarded.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// A stream that is being forwarded.
 pub struct Forwarder {
     daemon: Rc<Daemon>,
@@ -118,6 +122,7 @@
         while self.head.is_some() {
             let end = match self.receive().await {
                 Received::Data(data) => match self.release(data) {
+                    None if self.buffer.len() > MAX_EVENT_BYTES => body::End::Failed,
                     Some(bytes) => {
                         self.bind();
                         return Some(Ok(Frame::data(bytes)));
--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -160,7 +160,7 @@
             let pushed = match self.state {
                 State::Idle => Err(Error::Unsolicited),
                 State::Head => self.push_head(rest, out),
-                State::Body(body) => Ok(self.push_body(body, rest, out)),
+                State::Body(body) => self.push_body(body, rest, out),
                 State::Discard(body) => self.discard(body, rest),
                 State::Rest => {
                     out.extend_from_slice(rest);
@@ -240,20 +240,11 @@
     }
 
     /// Passes on bytes of a body; returns how many.
-    fn push_body(&mut self, body: Body, bytes: &[u8], out: &mut BytesMut) -> usize {
-        match self.take(body, bytes) {
-            Ok((len, left)) => {
-                out.extend_from_slice(&bytes[..len]);
-                self.state = left.map_or(State::Idle, State::Body);
-                len
-            }
-            // The HTTP client finds what is wrong.
-            Err(_) => {
-                out.extend_from_slice(bytes);
-                self.state = State::Rest;
-                bytes.len()
-            }
-        }
+    fn push_body(&mut self, body: Body, bytes: &[u8], out: &mut BytesMut) -> Result<usize, Error> {
+        let (len, left) = self.take(body, bytes)?;
+        out.extend_from_slice(&bytes[..len]);
+        self.state = left.map_or(State::Idle, State::Body);
+        Ok(len)
     }
 
     /// Discards bytes of a body; returns how many.
--- a/tests/response_filter.rs
+++ b/tests/response_filter.rs
@@ -99,6 +99,7 @@
         ("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "body"),
         (chunked, "4\r\nbody\r\n"),
         (chunked, "0000"),
+        (chunked, "    "),
         (&format!("{chunked}0\r\n"), "a: b\r\n"),
     ] {
         let mut filter = filter("own");
@@ -115,6 +116,18 @@
     assert_eq!(push(&mut filter, b"SSH-2.0\r\n", 1), Ok(b"SSH-2.0\r\n".to_vec()));
 }
 
+/// Guards against the size of a chunk that goes on without end in the response itself, which the HTTP
+/// client reads without a pause.
+#[test]
+fn chunk_size_without_end_fails_the_connection() {
+    let head = "Id: own\r\nTransfer-Encoding: chunked\r\n";
+    for part in ["0", " ", "5 "] {
+        let own = response(head, &part.repeat(100_000));
+        let mut filter = filter("own");
+        assert_eq!(push(&mut filter, &own, 64), Err(Error::Malformed), "{part:?}");
+    }
+}
+
 /// Guards against a head that is parsed again with each of many empty lines.
 #[test]
 fn empty_lines_fail_the_connection() {
