--- /dev/null
+++ b/tests/endless.rs
@@ -0,0 +1,328 @@
+//! Endpoints that send bytes without end: in heads, bodies, lines of streams, refusals and answers
+//! to the placer.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_types::Method;
+use poplarmux::edge::endpoint::Action;
+use poplarmux::edge::endpoint::Error;
+use poplarmux::edge::endpoint::Order;
+use poplarmux::edge::endpoint::Outcome;
+use poplarmux::edge::endpoint::call::Client;
+use poplarmux::edge::endpoint::call::Completion;
+use poplarmux::edge::endpoint::call::Item;
+use poplarmux::edge::endpoint::call::Plain;
+use poplarmux::edge::endpoint::control;
+use poplarmux::edge::endpoint::control::Control;
+use poplarmux::edge::endpoint::control::Session;
+use poplarmux::edge::http::Pool;
+use smol::future::FutureExt;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit of the calls.
+const LIMIT: Duration = Duration::from_millis(800);
+/// Time that a call may take beyond its limit.
+const SLACK: Duration = Duration::from_millis(700);
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// Bytes that a call may read of an endless answer: the largest body, what the sockets buffer, and
+/// what is read at once.
+const MAX_READ_BYTES: usize = 16 << 20;
+
+/// How fast an endpoint sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pace {
+    /// As fast as it is read.
+    Fast,
+    /// A few bytes in each 10 ms.
+    Slow,
+}
+
+/// What an endpoint sends: a beginning, then one piece again and again.
+#[derive(Debug, Clone)]
+struct Endless {
+    name: &'static str,
+    beginning: String,
+    piece: String,
+}
+
+fn endless(name: &'static str, beginning: &str, piece: &str) -> Endless {
+    Endless { name, beginning: beginning.to_string(), piece: piece.to_string() }
+}
+
+/// Heads without end.
+fn heads() -> Vec<Endless> {
+    let ok = "HTTP/1.1 200 OK\r\n";
+    vec![
+        endless("many lines", ok, "X-Padding: 0123456789\r\n"),
+        endless("one line", &format!("{ok}X-Padding: "), "0123456789"),
+        endless("status line", "HTTP/1.1 200 ", "0123456789"),
+        endless("informational heads", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+        endless("empty lines", "", "\r\n"),
+        endless("no head", "", "0123456789"),
+    ]
+}
+
+/// Bodies without end; `status` begins the head.
+fn bodies(status: &str, piece: &str) -> Vec<Endless> {
+    let head = format!("HTTP/1.1 {status}\r\nX-Attempt: NAME\r\n");
+    let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+    let with = |rest: &str| format!("{head}{rest}");
+    vec![
+        endless("length", &with("Content-Length: 1000000000000\r\n\r\n"), piece),
+        endless("chunks", &with("Transfer-Encoding: chunked\r\n\r\n"), &chunk),
+        endless("one chunk", &with("Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n"), piece),
+        endless("size of a chunk", &with("Transfer-Encoding: chunked\r\n\r\n"), "0"),
+        endless("trailers", &with("Transfer-Encoding: chunked\r\n\r\n0\r\n"), "X-Padding: 0\r\n"),
+        endless("no framing", &with("\r\n"), piece),
+    ]
+}
+
+/// Starts an endpoint that sends `answers` in turn, one for each request, of which the last may be
+/// without end. Returns its address and the number of bytes that it could send.
+fn serve(answers: Vec<Endless>, pace: Pace) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let sent = Arc::new(AtomicUsize::new(0));
+    let counter = sent.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let (answers, counter) = (answers.clone(), counter.clone());
+            thread::spawn(move || {
+                for answer in &answers {
+                    let Some(name) = read_request(&mut stream) else {
+                        return;
+                    };
+                    let beginning = answer.beginning.replace("NAME", &name);
+                    let piece = answer.piece.replace("NAME", &name);
+                    if send(&mut stream, &beginning, &piece, pace, &counter).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (addr, sent)
+}
+
+fn send(
+    stream: &mut TcpStream,
+    beginning: &str,
+    piece: &str,
+    pace: Pace,
+    sent: &AtomicUsize,
+) -> std::io::Result<()> {
+    stream.write_all(beginning.as_bytes())?;
+    if piece.is_empty() {
+        return Ok(());
+    }
+    let block = piece.repeat(if pace == Pace::Fast { 4096 } else { 1 });
+    // Ends also if its reader keeps the connection open.
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(20) {
+        stream.write_all(block.as_bytes())?;
+        sent.fetch_add(block.len(), Ordering::Relaxed);
+        if pace == Pace::Slow {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+    Ok(())
+}
+
+/// Reads a request with its body, and returns its name.
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let (mut head, mut byte) = (Vec::new(), [0; 1]);
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => return None,
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let value = |name: &str| {
+        let line = head.lines().find_map(|line| line.strip_prefix(name));
+        line.map(|line| line.trim().to_string())
+    };
+    let len = value("content-length:").map_or(0, |len| len.parse().expect("a length"));
+    stream.read_exact(&mut vec![0; len]).ok()?;
+    Some(value("x-attempt:").unwrap_or_default())
+}
+
+/// Runs a call while another task of the same executor counts the time, and checks what the call
+/// took: time, bytes, and the time in which nothing else ran.
+fn check<T>(seen: &str, sent: &AtomicUsize, call: impl Future<Output = T>) -> T {
+    let mut longest_pause = Duration::ZERO;
+    let start = Instant::now();
+    let result = smol::block_on(async {
+        let others = async {
+            loop {
+                let before = Instant::now();
+                smol::Timer::after(Duration::from_millis(5)).await;
+                longest_pause = longest_pause.max(before.elapsed());
+            }
+        };
+        call.or(others).await
+    });
+    let elapsed = start.elapsed();
+    assert!(elapsed < LIMIT + SLACK, "{seen}: took {elapsed:?}");
+    assert!(longest_pause < SLACK, "{seen}: nothing else ran for {longest_pause:?}");
+    // The connection is closed, so that the endpoint stops.
+    thread::sleep(Duration::from_millis(100));
+    let read = sent.load(Ordering::Relaxed);
+    assert!(read < MAX_READ_BYTES, "{seen}: {read} bytes were read");
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(sent.load(Ordering::Relaxed), read, "{seen}: the connection was not closed");
+    result
+}
+
+fn client() -> Client {
+    Client::new(Pool::new(CONNECT_TIMEOUT, CONNECT_TIMEOUT))
+}
+
+/// Guards against plain answers without end that take memory or time without bound, or keep other
+/// calls waiting.
+#[test]
+fn plain_answer_without_end_is_given_up() {
+    let answers = [heads(), bodies("200 OK", "0123456789"), bodies("503 Refused", "0123456789")];
+    let refusal = "503 Refused\r\nX-Outcome: not_run";
+    let answers = answers.into_iter().flatten().chain(bodies(refusal, "0123456789"));
+    for answer in answers {
+        for pace in [Pace::Fast, Pace::Slow] {
+            let seen = format!("{} {pace:?}", answer.name);
+            let (addr, sent) = serve(vec![answer.clone()], pace);
+            let client = client();
+            let call = Plain {
+                method: Method::Post,
+                path: "/bookings".to_string(),
+                headers: Vec::new(),
+                body: b"book".to_vec(),
+                attempt: "a1".to_string(),
+                repeatable: true,
+            };
+            let result = check(&seen, &sent, client.plain(addr, &call, MAX_BODY_BYTES, LIMIT));
+            let (err, _) = result.expect_err(&seen);
+            let is_refusal = answer.beginning.contains("X-Outcome: not_run");
+            let expected = if is_refusal { Outcome::NotRun } else { Outcome::Unknown };
+            assert_eq!(err.outcome(), expected, "{seen}: {err:?}");
+        }
+    }
+}
+
+/// Guards against streams without end that give no tokens, or one without bound.
+#[test]
+fn stream_without_end_is_given_up() {
+    let part = |attempt: &str, index: u64| {
+        format!(
+            "data: {{\"attempt\":\"{attempt}\",\"index\":{index},\"text\":\"t\",\"done\":false}}\n\n"
+        )
+    };
+    let pieces = [
+        ("one line", "0123456789".to_string()),
+        ("one part", "data: {\"attempt\":\"".to_string()),
+        ("comments", ": ping\n\n".to_string()),
+        ("empty lines", "\n".to_string()),
+        ("parts of another attempt", part("other", 0)),
+        ("earlier parts", part("NAME", 3)),
+    ];
+    let mut answers = heads().into_iter().map(|answer| ("head", answer)).collect::<Vec<_>>();
+    for (name, piece) in &pieces {
+        answers.extend(bodies("200 OK", piece).into_iter().map(|answer| (*name, answer)));
+    }
+    for (name, answer) in answers {
+        for pace in [Pace::Fast, Pace::Slow] {
+            let seen = format!("{name}, {} {pace:?}", answer.name);
+            let (addr, sent) = serve(vec![answer.clone()], pace);
+            let client = client();
+            let call = Completion {
+                path: "/v1/completions".to_string(),
+                body: serde_json::json!({}),
+                attempt: "a1".to_string(),
+                priority: 0,
+                remaining: LIMIT,
+                first_token: 5,
+            };
+            // The limit holds for the head and for each token.
+            let half = LIMIT / 2;
+            let result = check(&seen, &sent, async {
+                let (mut stream, _) =
+                    client.stream(addr, &call, half).await.map_err(|(err, _)| err)?;
+                while stream.next(half).await? != Item::End {}
+                Ok::<_, Error>(())
+            });
+            let err = result.expect_err(&seen);
+            assert_eq!(err.outcome(), Outcome::Unknown, "{seen}: {err:?}");
+        }
+    }
+}
+
+/// Guards against reports, answers to orders and answers to cancellations without end.
+#[test]
+fn control_answer_without_end_is_given_up() {
+    let report = "{\"incarnation\":1,\"sequence\":1,\"accelerators\":[],\"resident\":[],\
+                  \"applied\":[],\"running\":0,\"waiting\":0,\"draining\":false}";
+    let head = "HTTP/1.1 200 OK\r\nX-Attempt: NAME\r\n";
+    let beginning = format!("{head}Content-Length: {}\r\n\r\n{report}", report.len());
+    let report = Endless { name: "report", beginning, piece: String::new() };
+    let order = Order {
+        order: 1,
+        fence: 1,
+        action: Action::Load,
+        model: "m".to_string(),
+        version: 1,
+        adapter: None,
+        accelerator: 0,
+        memory: 1,
+    };
+    // The placer's limit is longer than that of the calls here.
+    let limit = control::TIMEOUT;
+    let mut checks = Vec::new();
+    for answer in heads().into_iter().chain(bodies("409 Conflict", " ")) {
+        for pace in [Pace::Fast, Pace::Slow] {
+            let (answer, report, order) = (answer.clone(), report.clone(), order.clone());
+            checks.push(thread::spawn(move || {
+                let seen = format!("{} {pace:?}", answer.name);
+                let (addr, sent) = serve(vec![report, answer.clone()], pace);
+                let start = Instant::now();
+                let (ordered, _session) = smol::block_on(async {
+                    let (_, mut session) = control::Client.bind(addr).await.expect("a report");
+                    (session.order(&order).await, session)
+                });
+                let err = ordered.expect_err(&seen);
+                assert_eq!(err.outcome(), Outcome::Unknown, "{seen}: {err:?}");
+                check_end(&seen, start.elapsed(), limit, &sent);
+
+                let (addr, sent) = serve(vec![answer.clone()], pace);
+                let start = Instant::now();
+                assert!(smol::block_on(control::Client.bind(addr)).is_err(), "{seen}");
+                check_end(&seen, start.elapsed(), limit, &sent);
+
+                let (addr, sent) = serve(vec![answer], pace);
+                let start = Instant::now();
+                smol::block_on(client().cancel(addr, "a1", LIMIT));
+                check_end(&seen, start.elapsed(), LIMIT, &sent);
+            }));
+        }
+    }
+    for check in checks {
+        check.join().expect("a check");
+    }
+}
+
+fn check_end(seen: &str, elapsed: Duration, limit: Duration, sent: &AtomicUsize) {
+    assert!(elapsed < limit + SLACK, "{seen}: took {elapsed:?}");
+    thread::sleep(Duration::from_millis(100));
+    let read = sent.load(Ordering::Relaxed);
+    assert!(read < MAX_READ_BYTES, "{seen}: {read} bytes were read");
+    thread::sleep(Duration::from_millis(50));
+    assert_eq!(sent.load(Ordering::Relaxed), read, "{seen}: the connection was not closed");
+}
