Believe only the answers of endpoints that name the request

Callers were told that a call did not run although it had, and might have sent it again: 503 `unreachable`, `not_run`, from the refusal of another call.

Cause: an endpoint may send an answer late, or twice, on a connection on which the next request's answer is expected. `plain` looked at `X-Outcome` before it compared the attempt, and took an answer without an attempt for its own; `stream` compared nothing in the head; the load and the leaving state of any answer were recorded. Reports, cancellations and orders had no name at all, so that an order which an engine rejects counted as accepted by the copy of the report before it. The HTTP client also dropped what it had read beyond a body, took an informational response for the answer, and read header lines of any length.

Each request to an endpoint now has a name in `X-Attempt`, and only the answer that repeats it says anything about the request or its endpoint. Answers that name other requests are skipped, at most eight with 64 KiB each, and the connection is closed afterwards; an answer without a name or with several ends the attempt with an unknown outcome. For this responses are read by a reader of this crate: it keeps the bytes behind a body, closes connections on which there are any, skips informational responses and reads heads of at most 8 KiB.

A 408, 421, 429 or 503 of a service without `X-Outcome: not_run` is no longer passed on for calls that must not repeat, and one that was recorded under a key isn't either: the status would be a promise that nobody made. Callers get 502 `outcome_unknown`.

The stand-ins repeat the name. Those of tests/framing.rs, whose answers named no request, do so too; what the tests check is unchanged.

--- a/src/edge/endpoint/call.rs
+++ b/src/edge/endpoint/call.rs
@@ -1,12 +1,14 @@
 //! Calls made on behalf of callers: token streams from engines and plain calls to services.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use http_types::Body;
 use http_types::Method;
 use http_types::Request;
 use http_types::StatusCode;
 use serde_json::Value;
+use smol::future::FutureExt;
 
 use crate::edge::endpoint::ATTEMPT;
 use crate::edge::endpoint::DEADLINE;
@@ -16,6 +18,9 @@
 use crate::edge::endpoint::PRIORITY;
 use crate::edge::endpoint::Part;
 use crate::edge::endpoint::RESUME_FROM;
+use crate::edge::endpoint::Report;
+use crate::edge::endpoint::control::MAX_REPORT_BYTES;
+use crate::edge::endpoint::exchange;
 use crate::edge::http;
 use crate::edge::http::Answer;
 use crate::edge::http::Pool;
@@ -23,6 +28,9 @@
 use crate::table::AttemptId;
 use crate::table::EndpointId;
 
+/// Maximum size of the answer to a cancellation, in bytes.
+const MAX_CANCEL_BYTES: usize = 4 << 10;
+
 /// A completion request to an engine.
 #[derive(Debug, Clone)]
 pub struct Completion {
@@ -79,10 +87,14 @@
 }
 
 impl Stream {
-    /// Returns the next token or the end, and waits for it at most `gap`.
+    /// Returns the next token or the end, and waits for it at most `max_pause`.
     pub async fn next(&mut self, max_pause: Duration) -> Result<Item, Error> {
+        self.read_item().or(expire(max_pause)).await
+    }
+
+    async fn read_item(&mut self) -> Result<Item, Error> {
         loop {
-            if !self.read_line(max_pause).await? {
+            if !self.answer.line(&mut self.line).await? {
                 return Err(Error::Truncated);
             }
             let Some(data) = self.line.strip_prefix("data:") else {
@@ -125,15 +137,6 @@
     pub fn finish(self) {
         self.answer.finish();
     }
-
-    async fn read_line(&mut self, max_pause: Duration) -> Result<bool, Error> {
-        let line = async { self.answer.line(&mut self.line).await.map_err(Error::from) };
-        let expiry = async {
-            smol::Timer::after(max_pause).await;
-            Err(Error::Timeout)
-        };
-        smol::future::or(line, expiry).await
-    }
 }
 
 impl From<http::Error> for Error {
@@ -196,7 +199,7 @@
         limit: Duration,
     ) -> Result<(Stream, Status), (Error, Status)> {
         let req = completion(address, call).map_err(|err| (err, Status::default()))?;
-        let answer = self.send(address, req, Reuse::Idle, limit).await?;
+        let answer = self.send(address, req, &call.attempt, Reuse::Idle, limit).await?;
         let endpoint_status = Status::read(&answer);
         if answer.head.status() != StatusCode::Ok {
             return Err((response_error(&answer), endpoint_status));
@@ -226,7 +229,6 @@
         for (name, value) in &call.headers {
             req.insert_header(name.as_str(), value.as_str());
         }
-        req.insert_header(ATTEMPT, call.attempt.as_str());
         req.set_body(Body::from_bytes(call.body.clone()));
         for (name, value) in &call.headers {
             if name == "content-type" {
@@ -237,15 +239,12 @@
         // the call's outcome would be unknown. Opening a new connection fails before that.
         let reuse = if call.repeatable { Reuse::Idle } else { Reuse::Fresh };
         let transfer = async {
-            let answer = self.send(address, req, reuse, limit).await?;
+            let answer = self.send(address, req, &call.attempt, reuse, limit).await?;
             let endpoint_status = Status::read(&answer);
-            if states_not_run(&answer) {
+            let status = answer.head.status().into();
+            if states_not_run(&answer) || (!call.repeatable && promises_not_run(status)) {
                 return Err((response_error(&answer), endpoint_status));
             }
-            if answer.header(ATTEMPT).is_some_and(|attempt| attempt != call.attempt) {
-                return Err((Error::Foreign, endpoint_status));
-            }
-            let status = answer.head.status().into();
             let mime = answer.header("content-type").unwrap_or("application/octet-stream");
             let mime = mime.to_string();
             let body =
@@ -256,34 +255,70 @@
             smol::Timer::after(limit).await;
             Err((Error::Timeout, no_status))
         };
-        smol::future::or(transfer, expiry).await
+        transfer.or(expiry).await
+    }
+
+    /// Reads the report of an endpoint.
+    pub async fn report(&self, address: EndpointId, limit: Duration) -> Result<Report, Error> {
+        let transfer = async {
+            let req = http::request(Method::Get, address, "/report")?;
+            let name = exchange::name("report");
+            let sent = self.send(address, req, &name, Reuse::Idle, limit).await;
+            let answer = sent.map_err(|(err, _)| err)?;
+            if !answer.head.status().is_success() {
+                return Err(response_error(&answer));
+            }
+            let buf = answer.bytes(MAX_REPORT_BYTES).await?;
+            serde_json::from_slice(&buf).map_err(|err| Error::Protocol(err.to_string()))
+        };
+        transfer.or(expire(limit)).await
     }
 
     /// Cancels an attempt. Errors are ignored because the connection is closed as well.
     pub async fn cancel(&self, address: EndpointId, attempt: &str, limit: Duration) {
         let path = format!("/attempts/{attempt}");
-        if let Ok(req) = http::request(Method::Delete, address, &path) {
-            let _ = self.pool.json::<Value>(address, req, 4096, limit).await;
-        }
+        let transfer = async {
+            let req = http::request(Method::Delete, address, &path)?;
+            let name = exchange::name("cancel");
+            let sent = self.send(address, req, &name, Reuse::Idle, limit).await;
+            let answer = sent.map_err(|(err, _)| err)?;
+            answer.bytes(MAX_CANCEL_BYTES).await.map_err(Error::from)
+        };
+        let _ = transfer.or(expire(limit)).await;
     }
 
+    /// Sends a request under a name and returns the head of the answer that repeats it.
     async fn send(
         &self,
         address: EndpointId,
-        req: Request,
+        mut req: Request,
+        name: &str,
         reuse: Reuse,
         limit: Duration,
     ) -> Result<Answer, (Error, Status)> {
+        req.insert_header(ATTEMPT, name);
+        let start = Instant::now();
         let sent = self.pool.send(address, req, reuse, limit).await;
-        sent.map_err(|err| (Error::from(err), Status::default()))
+        let own = match sent {
+            Ok(answer) => {
+                let remaining = limit.saturating_sub(start.elapsed());
+                exchange::own(answer, name).or(expire(remaining)).await
+            }
+            Err(err) => Err(Error::from(err)),
+        };
+        own.map_err(|err| (err, Status::default()))
     }
 }
 
+async fn expire<T>(limit: Duration) -> Result<T, Error> {
+    smol::Timer::after(limit).await;
+    Err(Error::Timeout)
+}
+
 fn completion(address: EndpointId, call: &Completion) -> Result<Request, Error> {
     let mut req = http::request(Method::Post, address, &call.path)?;
     req.set_body(Body::from_string(call.body.to_string()));
     req.insert_header("content-type", "application/json");
-    req.insert_header(ATTEMPT, call.attempt.as_str());
     req.insert_header(PRIORITY, call.priority.to_string());
     req.insert_header(DEADLINE, call.remaining.as_millis().to_string());
     if call.first_token > 0 {
@@ -295,6 +330,11 @@
 /// Header of an endpoint's error response that states whether the call ran.
 const OUTCOME: &str = "x-outcome";
 
+/// Whether a caller reads this status of an answer as a promise that its request did not run.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Whether the endpoint states that it did not run the call. A status alone does not show that: a
 /// call that failed halfway may also return a 503.
 fn states_not_run(answer: &Answer) -> bool {
--- a/src/edge/endpoint/control.rs
+++ b/src/edge/endpoint/control.rs
@@ -6,21 +6,21 @@
 use http_types::Body;
 use http_types::Method;
 use http_types::Request;
-use http_types::Response;
 use http_types::StatusCode;
 use serde_json::Value;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 
-use crate::decide::body::Framing;
+use crate::edge::endpoint::ATTEMPT;
 use crate::edge::endpoint::Error;
 use crate::edge::endpoint::Order;
 use crate::edge::endpoint::Report;
+use crate::edge::endpoint::exchange;
 use crate::edge::http;
 use crate::table::EndpointId;
 
 /// Maximum size of a report, in bytes: 1,000 residents of about 200 bytes each.
-const MAX_REPORT_BYTES: usize = 256 << 10;
+pub(super) const MAX_REPORT_BYTES: usize = 256 << 10;
 
 /// Maximum size of a response to an order, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 10;
@@ -72,7 +72,7 @@
         let _ = stream.set_nodelay(true);
         let connection = Connection { address, stream };
         let req = http::request(Method::Get, address, "/report").map_err(protocol_error)?;
-        let (status, buf) = connection.exchange(req, MAX_REPORT_BYTES).await?;
+        let (status, buf) = connection.exchange(req, "report", MAX_REPORT_BYTES).await?;
         if !status.is_success() {
             return Err(Error::Refused(status.into(), None));
         }
@@ -90,7 +90,7 @@
             http::request(Method::Post, self.address, "/orders").map_err(protocol_error)?;
         req.set_body(Body::from_string(text));
         req.insert_header("content-type", "application/json");
-        let (status, buf) = self.exchange(req, MAX_RESPONSE_BYTES).await?;
+        let (status, buf) = self.exchange(req, "order", MAX_RESPONSE_BYTES).await?;
         match status {
             status if status.is_success() => Ok(()),
             StatusCode::Conflict
@@ -109,17 +109,17 @@
     /// why the body is not complete.
     async fn exchange(
         &self,
-        req: Request,
+        mut req: Request,
+        kind: &str,
         max: usize,
     ) -> Result<(StatusCode, Result<Vec<u8>, Error>), Error> {
         let transfer = async {
-            let method = req.method();
-            let sent = async_h1::connect(self.stream.clone(), req).await;
-            let mut res: Response = sent.map_err(|_| Error::Broken)?;
-            let (framing, len) = (http::framing(&res, method), res.len());
-            let body = http::read_all(res.take_body().into_reader(), len, max).await;
-            let is_framed = framing != Framing::Close;
-            Ok((res.status(), body.ok().filter(|_| is_framed).ok_or(Error::Broken)))
+            let name = exchange::name(kind);
+            req.insert_header(ATTEMPT, name.as_str());
+            let answer = http::exchange(&self.stream, req).await.map_err(|_| Error::Broken)?;
+            let answer = exchange::own(answer, &name).await?;
+            let status = answer.head.status();
+            Ok((status, answer.bytes(max).await.map_err(|_| Error::Broken)))
         };
         let answer = transfer.or(expire(Error::Timeout)).await;
         if !matches!(answer, Ok((_, Ok(_)))) {
--- a/src/edge/endpoint/mod.rs
+++ b/src/edge/endpoint/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod call;
 pub mod control;
+mod exchange;
 
 use std::fmt;
 use std::time::Duration;
@@ -19,7 +20,8 @@
 use crate::table::OrderId;
 use crate::table::Release;
 
-/// Header: attempt ID; every part of the response repeats it.
+/// Header: attempt ID, or the name of another request to an endpoint. The response repeats it, as
+/// does every part of a stream; a response that doesn't is no evidence of what became of the request.
 pub const ATTEMPT: &str = "x-attempt";
 /// Header: priority, 0 is the most urgent.
 pub const PRIORITY: &str = "x-priority";
--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -6,6 +6,7 @@
 //! the delayed acknowledgement of the first arrives.
 
 mod pool;
+mod response;
 mod server;
 
 use std::fmt;
@@ -29,6 +30,7 @@
 pub use crate::edge::http::pool::Answer;
 pub use crate::edge::http::pool::Pool;
 pub use crate::edge::http::pool::Reuse;
+pub use crate::edge::http::pool::exchange;
 pub use crate::edge::http::pool::framing;
 pub use crate::edge::http::server::Drain;
 pub use crate::edge::http::server::Limits;
--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -1,6 +1,7 @@
 //! The HTTP client, with a pool of kept-alive connections per address.
 
 use std::collections::HashMap;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,14 +14,18 @@
 use http_types::StatusCode;
 use serde::de::DeserializeOwned;
 use smol::future::FutureExt;
-use smol::io::AsyncBufRead;
 use smol::io::AsyncBufReadExt;
+use smol::io::BufReader;
 use smol::net::TcpStream;
 
 use crate::decide::body::Framing;
 use crate::edge::http::Error;
 use crate::edge::http::expire;
 use crate::edge::http::read_all;
+use crate::edge::http::response::Body;
+use crate::edge::http::response::Reader;
+use crate::edge::http::response::is_empty;
+use crate::edge::http::response::read_head;
 
 /// Whether a request may use a pooled connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,25 +73,9 @@
             Some(stream) => stream,
             None => self.open(addr).await?,
         };
-        let method = req.method();
-        let exchange =
-            async { async_h1::connect(stream.clone(), req).await.map_err(|_| Error::Broken) };
-        let mut head = exchange.or(expire(limit)).await?;
-        let keep_alive = head
-            .header("connection")
-            .is_none_or(|value| !value.as_str().eq_ignore_ascii_case("close"));
-        let framing = framing(&head, method);
-        let body_len = head.len();
-        let reader = head.take_body().into_reader();
-        Ok(Answer {
-            head,
-            reader,
-            body_len,
-            framing,
-            addr,
-            stream: (keep_alive && framing != Framing::Close).then_some(stream),
-            pool: self.clone(),
-        })
+        let mut answer = exchange(&stream, req).or(expire(limit)).await?;
+        answer.home = answer.may_be_reused().then(|| (self.clone(), addr));
+        Ok(answer)
     }
 
     /// Sends a request and returns the status and JSON body, of at most `max` bytes.
@@ -141,12 +130,8 @@
 
 /// Returns how the body of a response to a request with this method is delimited.
 pub fn framing(head: &Response, method: Method) -> Framing {
-    let status = head.status();
-    let is_empty = method == Method::Head
-        || status.is_informational()
-        || matches!(status, StatusCode::NoContent | StatusCode::NotModified);
     let codings = head.header("transfer-encoding").map(|codings| codings.last().as_str());
-    if is_empty {
+    if is_empty(head, method) {
         Framing::Length
     } else if codings == Some("chunked") {
         Framing::Chunked
@@ -165,18 +150,27 @@
     smol::future::block_on(smol::future::poll_once(peek)).is_none()
 }
 
+/// Sends a request over a connection and reads the head of the next response on it.
+pub async fn exchange(stream: &TcpStream, req: Request) -> Result<Answer, Error> {
+    let method = req.method();
+    let mut encoder = async_h1::client::Encoder::new(req);
+    let mut writer = stream.clone();
+    smol::io::copy(&mut encoder, &mut writer).await.map_err(|_| Error::Broken)?;
+    Answer::read(BufReader::new(stream.clone()), stream.clone(), method).await
+}
+
 /// A response whose body is being read.
 pub struct Answer {
     /// Status and headers.
     pub head: Response,
-    reader: Box<dyn AsyncBufRead + Unpin + Send + Sync>,
+    body: Body,
     /// Body length in bytes, if stated.
     body_len: Option<usize>,
     framing: Framing,
-    addr: SocketAddr,
-    /// `None` if the connection cannot be reused.
-    stream: Option<TcpStream>,
-    pool: Pool,
+    method: Method,
+    stream: TcpStream,
+    /// The pool to which the connection returns, if any.
+    home: Option<(Pool, SocketAddr)>,
 }
 
 impl Answer {
@@ -185,38 +179,73 @@
     /// Maximum length of such a remainder, in bytes.
     const MAX_REMAINDER_BYTES: usize = 64;
 
-    /// Returns the value of a header.
+    async fn read(mut reader: Reader, stream: TcpStream, method: Method) -> Result<Self, Error> {
+        let head = read_head(&mut reader, method).await?;
+        let body = Body::new(reader, &head);
+        let (framing, body_len) = (head.framing, head.body_len);
+        Ok(Answer { head: head.response, body, body_len, framing, method, stream, home: None })
+    }
+
+    /// Returns the value of a header, or none if it is missing or repeated.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head.header(name).map(|value| value.as_str())
+        let mut values = self.head.header(name)?.iter();
+        values.next().filter(|_| values.next().is_none()).map(|value| value.as_str())
+    }
+
+    /// Discards this response, whose body may have at most `max` bytes, and reads the next one on
+    /// the connection, which does not return to a pool afterwards.
+    pub async fn next(mut self, max: usize) -> Result<Self, Error> {
+        self.check_framing()?;
+        if !self.discard(max).await {
+            return Err(Error::Malformed);
+        }
+        let reader = self.body.into_reader().ok_or(Error::Malformed)?;
+        Answer::read(reader, self.stream, self.method).await
     }
 
     /// Reads the complete body, of at most `max` bytes.
     pub async fn bytes(mut self, max: usize) -> Result<Vec<u8>, Error> {
         self.check_framing()?;
-        let buf = read_all(&mut self.reader, self.body_len, max).await?;
+        let buf = read_all(&mut self.body, self.body_len, max).await?;
         self.release();
         Ok(buf)
     }
 
-    /// The parser takes a body that ends with its connection for an empty one.
+    /// A body that ends with its connection is not read.
     fn check_framing(&self) -> Result<(), Error> {
         if self.framing == Framing::Close { Err(Error::Unframed) } else { Ok(()) }
     }
 
+    /// Whether the server keeps the connection open after this response.
+    fn may_be_reused(&self) -> bool {
+        let closes = self.head.header("connection").is_some_and(|values| {
+            values.iter().any(|value| value.as_str().eq_ignore_ascii_case("close"))
+        });
+        !closes && self.framing != Framing::Close
+    }
+
     /// Clears `buf` and reads one line into it; returns false at the end of the body.
     pub async fn line(&mut self, buf: &mut String) -> Result<bool, Error> {
         buf.clear();
         self.check_framing()?;
-        // `read_line` fails an assertion if the connection breaks inside a line.
         let mut bytes = std::mem::take(buf).into_bytes();
-        let read = self.reader.read_until(b'\n', &mut bytes).await;
+        while bytes.last() != Some(&b'\n') {
+            let available = self.body.fill_buf().await.map_err(|_| Error::Broken)?;
+            if available.is_empty() {
+                break;
+            }
+            let line_end = available.iter().position(|byte| *byte == b'\n');
+            let len = line_end.map_or(available.len(), |position| position + 1);
+            bytes.extend_from_slice(&available[..len]);
+            self.body.consume(len);
+        }
         *buf = String::from_utf8(bytes).map_err(|_| Error::Malformed)?;
-        read.map(|len| len > 0).map_err(|_| Error::Broken)
+        Ok(!buf.is_empty())
     }
 
     /// Whether data can be read without waiting.
     pub fn is_readable(&mut self) -> bool {
-        let fill = self.reader.fill_buf();
+        let fill = self.body.fill_buf();
         smol::pin!(fill);
         smol::future::block_on(smol::future::poll_once(fill))
             .is_some_and(|res| res.is_ok_and(|buf| !buf.is_empty()))
@@ -229,7 +258,7 @@
     /// connection.
     pub fn finish(mut self) {
         let immediate = {
-            let read_remainder = self.read_remainder();
+            let read_remainder = self.discard(Self::MAX_REMAINDER_BYTES);
             smol::pin!(read_remainder);
             smol::future::block_on(smol::future::poll_once(read_remainder))
         };
@@ -241,7 +270,7 @@
                     smol::Timer::after(Self::REMAINDER_TIMEOUT).await;
                     false
                 };
-                if self.read_remainder().or(expiry).await {
+                if self.discard(Self::MAX_REMAINDER_BYTES).or(expiry).await {
                     self.release();
                 }
             })
@@ -249,25 +278,29 @@
         }
     }
 
-    /// Reads to the end of the body; returns false on an error or if the remainder is too long.
-    async fn read_remainder(&mut self) -> bool {
-        let mut remaining = Self::MAX_REMAINDER_BYTES;
+    /// Reads to the end of the body; returns false on an error or if more than `max` bytes remain.
+    async fn discard(&mut self, max: usize) -> bool {
+        let mut remaining = max;
         loop {
-            let len = match self.reader.fill_buf().await {
+            let len = match self.body.fill_buf().await {
                 Ok(chunk) if chunk.len() <= remaining => chunk.len(),
                 _ => return false,
             };
             if len == 0 {
                 return true;
             }
-            self.reader.consume(len);
+            self.body.consume(len);
             remaining -= len;
         }
     }
 
+    /// Returns the connection to its pool, or closes it if bytes were received after the response:
+    /// they belong to no request that is still to be sent.
     fn release(&mut self) {
-        if let Some(stream) = self.stream.take() {
-            self.pool.put(self.addr, stream);
+        if !self.body.is_exhausted() {
+            let _ = self.stream.shutdown(Shutdown::Both);
+        } else if let Some((pool, addr)) = self.home.take() {
+            pool.put(addr, self.stream.clone());
         }
     }
 }
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -273,7 +273,9 @@
                 self.grant = Some(grant);
                 Ok(())
             }
-            Err(Admission::Repeat(Record::Complete(answer))) => {
+            Err(Admission::Repeat(Record::Complete(answer)))
+                if !call::promises_not_run(answer.status) =>
+            {
                 Err(End::Unsent(Ok(recorded_reply(answer))))
             }
             Err(admission) => Err(End::Unsent(Err(claim_refusal(&admission)))),
--- a/src/entry/report.rs
+++ b/src/entry/report.rs
@@ -3,11 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_types::Method;
-
 use crate::decide::flow::Event;
 use crate::edge::endpoint::Report;
-use crate::edge::http;
 use crate::edge::peer;
 use crate::entry::Entry;
 use crate::entry::rpc;
@@ -18,8 +15,6 @@
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a read of a report.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum size of a report in bytes: 1,000 resident models and adapters of about 200 bytes.
-const MAX_REPORT_BYTES: usize = 256 << 10;
 
 /// Reads the reports of endpoints until the process exits.
 pub async fn poll(entry: Arc<Entry>) {
@@ -35,12 +30,7 @@
 }
 
 async fn read_report(entry: Arc<Entry>, address: EndpointId) {
-    let Ok(req) = http::request(Method::Get, address, "/report") else {
-        return;
-    };
-    if let Ok((_, report)) =
-        entry.pool.json::<Report>(address, req, MAX_REPORT_BYTES, CALL_TIMEOUT).await
-    {
+    if let Ok(report) = entry.endpoints.report(address, CALL_TIMEOUT).await {
         record(&entry, address, report);
     }
 }
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -15,6 +15,7 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use poplarmux::edge::endpoint;
 use poplarmux::edge::http;
 use poplarmux::edge::http::Drain;
 use poplarmux::edge::http::Limits;
@@ -138,7 +139,12 @@
                 let id = inner.next.fetch_add(1, Ordering::Relaxed);
                 inner.links.lock().expect("links").insert(id, link.clone());
                 let _forget = Forget(&inner, id);
-                (inner.handler)(req, link).await
+                let name = header(&req, endpoint::ATTEMPT);
+                let mut res = (inner.handler)(req, link).await;
+                if let Some(name) = name {
+                    res.insert_header(endpoint::ATTEMPT, name);
+                }
+                res
             }
         };
         smol::spawn(http::serve(listener, limits, drain, handler)).detach();
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -245,11 +245,7 @@
         if after {
             return host::cut(link);
         }
-        let mut res = host::ok(&call);
-        if let Some(attempt) = host::header(req, endpoint::ATTEMPT) {
-            res.insert_header(endpoint::ATTEMPT, attempt);
-        }
-        res
+        host::ok(&call)
     }
 }
 
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -30,8 +30,8 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_BODY_BYTES: usize = 1 << 20;
 
-/// Serves the same bytes to each request and then closes the connection. Returns its address and
-/// the number of connections that it has accepted.
+/// Serves these answers on each connection, each with the name of its request, and then closes it.
+/// Returns its address and the number of connections that it has accepted.
 fn serve(answers: Vec<String>) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
     let addr = listener.local_addr().expect("an address");
@@ -42,7 +42,11 @@
             accepted.fetch_add(1, Ordering::Relaxed);
             let mut stream = stream.expect("a connection");
             for answer in &answers {
-                if !read_request(&mut stream) || stream.write_all(answer.as_bytes()).is_err() {
+                let Some(name) = read_request(&mut stream) else {
+                    break;
+                };
+                let answer = answer.replacen("\r\n", &format!("\r\n{name}"), 1);
+                if stream.write_all(answer.as_bytes()).is_err() {
                     break;
                 }
             }
@@ -51,19 +55,21 @@
     (addr, count)
 }
 
-/// Reads a request with its body; returns whether there was one.
-fn read_request(stream: &mut std::net::TcpStream) -> bool {
+/// Reads a request with its body, and returns the header line with its name, if it has one.
+fn read_request(stream: &mut std::net::TcpStream) -> Option<String> {
     let (mut head, mut byte) = (Vec::new(), [0; 1]);
     while !head.ends_with(b"\r\n\r\n") {
         match stream.read(&mut byte) {
             Ok(1) => head.push(byte[0]),
-            _ => return false,
+            _ => return None,
         }
     }
     let head = String::from_utf8_lossy(&head).to_lowercase();
+    let name = head.lines().find(|line| line.starts_with("x-attempt:"));
+    let name = name.map_or_else(String::new, |line| format!("{line}\r\n"));
     let len = head.split("content-length:").nth(1).and_then(|rest| rest.lines().next());
     let len = len.map_or(0, |len| len.trim().parse().expect("a length"));
-    stream.read_exact(&mut vec![0; len]).is_ok()
+    stream.read_exact(&mut vec![0; len]).ok().map(|()| name)
 }
 
 /// Ways in which a body is delimited, each with whether its framing is complete.
