Bound what is read of streams and bodies without end

One engine that sends comments, tokens or a line of a stream without end kept an entry from serving anybody: in the new test another caller's draft of five tokens took 27.6 s. A reader whose peer always sends never waits, so that the timer beside it and all other tasks of the executor had no turn; a limit of 0.4 s took 18.3 s. The line, the lines without a token and the text of an answer that isn't streamed had no bound.

Readers let other tasks run after 16 reads.

--- a/src/edge/endpoint/call.rs
+++ b/src/edge/endpoint/call.rs
@@ -28,6 +28,9 @@
 use crate::table::AttemptId;
 use crate::table::EndpointId;
 
+/// Maximum size of the lines of a stream before its next token, in bytes.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
+
 /// Maximum size of the answer to a cancellation, in bytes.
 const MAX_CANCEL_BYTES: usize = 4 << 10;
 
@@ -93,10 +96,16 @@
     }
 
     async fn read_item(&mut self) -> Result<Item, Error> {
+        let mut remaining = MAX_SKIPPED_BYTES;
         loop {
             if !self.answer.line(&mut self.line).await? {
                 return Err(Error::Truncated);
             }
+            let Some(left) = remaining.checked_sub(self.line.len()) else {
+                let text = format!("no token in {MAX_SKIPPED_BYTES} bytes");
+                return Err(Error::Protocol(text));
+            };
+            remaining = left;
             let Some(data) = self.line.strip_prefix("data:") else {
                 continue;
             };
--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -178,6 +178,8 @@
     const REMAINDER_TIMEOUT: Duration = Duration::from_secs(1);
     /// Maximum length of such a remainder, in bytes.
     const MAX_REMAINDER_BYTES: usize = 64;
+    /// Maximum length of a line, in bytes.
+    const MAX_LINE_BYTES: usize = 64 << 10;
 
     async fn read(mut reader: Reader, stream: TcpStream, method: Method) -> Result<Self, Error> {
         let head = read_head(&mut reader, method).await?;
@@ -236,6 +238,9 @@
             }
             let line_end = available.iter().position(|byte| *byte == b'\n');
             let len = line_end.map_or(available.len(), |position| position + 1);
+            if bytes.len() + len > Self::MAX_LINE_BYTES {
+                return Err(Error::TooLarge(Self::MAX_LINE_BYTES));
+            }
             bytes.extend_from_slice(&available[..len]);
             self.body.consume(len);
         }
--- a/src/edge/http/response.rs
+++ b/src/edge/http/response.rs
@@ -25,8 +25,14 @@
 const MAX_HEAD_BYTES: usize = 8 << 10;
 /// Maximum length of a line with the size of a chunk, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
-/// Maximum length of all trailers, in bytes.
-const MAX_TRAILER_BYTES: usize = 8 << 10;
+/// Length of such a line with 16 digits and without an extension, in bytes.
+const CHUNK_SIZE_LINE_BYTES: usize = 18;
+/// Maximum length of all extensions of chunks and all trailers of a body, in bytes.
+const MAX_EXTRA_BYTES: usize = 8 << 10;
+/// Number of reads from the connection after which a reader lets other tasks run. A peer that sends
+/// faster than it is read never makes a reader wait.
+const READS_PER_TURN: u32 = 16;
+
 /// A connection from which responses are read.
 pub(super) type Reader = BufReader<TcpStream>;
 
@@ -131,7 +137,9 @@
     state: State,
     is_chunked: bool,
     line: Vec<u8>,
-    trailer_bytes: usize,
+    /// Bytes of extensions of chunks and of trailers.
+    extra_bytes: usize,
+    reads: u32,
 }
 
 impl Body {
@@ -143,7 +151,7 @@
             None if is_chunked => State::ChunkSize,
             None => State::End,
         };
-        Body { reader, state, is_chunked, line: Vec::new(), trailer_bytes: 0 }
+        Body { reader, state, is_chunked, line: Vec::new(), extra_bytes: 0, reads: 0 }
     }
 
     /// Whether the body was read to its end and no bytes were received after it.
@@ -161,7 +169,15 @@
         if !self.reader.buffer().is_empty() {
             return Poll::Ready(Ok(()));
         }
-        if ready!(Pin::new(&mut self.reader).poll_fill_buf(cx))?.is_empty() {
+        if self.reads >= READS_PER_TURN {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let polled = Pin::new(&mut self.reader).poll_fill_buf(cx);
+        // A read that has to wait lets other tasks run.
+        self.reads = if polled.is_pending() { 0 } else { self.reads + 1 };
+        if ready!(polled)?.is_empty() {
             return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
         }
         Poll::Ready(Ok(()))
@@ -190,11 +206,19 @@
                 State::Data(_) | State::End => return Poll::Ready(Ok(())),
                 State::ChunkEnd => 2,
                 State::ChunkSize => MAX_CHUNK_LINE_BYTES,
-                State::Trailers => MAX_TRAILER_BYTES - self.trailer_bytes,
+                State::Trailers => MAX_EXTRA_BYTES,
             };
             ready!(self.poll_line(cx, max))?;
             let line = std::mem::take(&mut self.line);
             let text = line.trim_ascii_end();
+            self.extra_bytes += match self.state {
+                State::ChunkSize => line.len().saturating_sub(CHUNK_SIZE_LINE_BYTES),
+                State::Trailers => line.len(),
+                State::Data(_) | State::ChunkEnd | State::End => 0,
+            };
+            if self.extra_bytes > MAX_EXTRA_BYTES {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
             self.state = match self.state {
                 State::ChunkEnd if text.is_empty() => State::ChunkSize,
                 State::ChunkSize => match chunk_size(text) {
@@ -203,10 +227,7 @@
                     None => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
                 },
                 State::Trailers if text.is_empty() => State::End,
-                State::Trailers => {
-                    self.trailer_bytes += line.len();
-                    State::Trailers
-                }
+                State::Trailers => State::Trailers,
                 _ => return Poll::Ready(Err(io::ErrorKind::InvalidData.into())),
             };
         }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -56,6 +56,7 @@
         deadline: job.deadline,
         priority: priority(job.class),
         delivered: 0,
+        text_bytes: 0,
         attempt: None,
         entry,
         rx,
@@ -84,6 +85,8 @@
     priority: u8,
     /// Number of tokens received from endpoints over all attempts and passed on in this order.
     delivered: u64,
+    /// Size of the text of these tokens.
+    text_bytes: usize,
     /// The attempt in progress, which is cancelled when the caller disconnects.
     attempt: Option<(EndpointId, String)>,
     rx: Receiver<Step>,
@@ -179,6 +182,7 @@
         loop {
             match stream.next(timeout).await {
                 Ok(Item::Token(text)) => {
+                    self.check_size(&text)?;
                     self.delivered += 1;
                     entry.metrics.count(Counter::Tokens);
                     entry.on_event(Event::Progress(self.id, 1));
@@ -200,6 +204,20 @@
         }
     }
 
+    /// Returns an error if another token would make the answer larger than requested or allowed.
+    fn check_size(&mut self, token: &str) -> Result<(), endpoint::Error> {
+        let max_tokens = self.req.body["max_tokens"].as_u64();
+        if max_tokens.is_some_and(|max| self.delivered >= max) {
+            return Err(endpoint::Error::Protocol("more tokens than requested".to_string()));
+        }
+        self.text_bytes += token.len();
+        let max = self.entry.settings.limits.answer;
+        if self.text_bytes > max {
+            return Err(endpoint::Error::Protocol(format!("answer exceeds {max} bytes")));
+        }
+        Ok(())
+    }
+
     /// Cancels the attempt in progress at its endpoint.
     fn cancel(&mut self) {
         if let Some((target, attempt)) = self.attempt.take() {
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -1,6 +1,8 @@
 //! Endpoints that send bytes without end: in heads, bodies, lines of streams, refusals and answers
 //! to the placer.
 
+mod scene;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -26,7 +28,12 @@
 use poplarmux::edge::endpoint::control::Control;
 use poplarmux::edge::endpoint::control::Session;
 use poplarmux::edge::http::Pool;
+use poplarmux::edge::platform::Role;
+use scene::Scene;
+use scene::drafting;
 use smol::future::FutureExt;
+use standin::engine::text::Ask;
+use standin::site;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit of the calls.
@@ -81,6 +88,11 @@
         endless("length", &with("Content-Length: 1000000000000\r\n\r\n"), piece),
         endless("chunks", &with("Transfer-Encoding: chunked\r\n\r\n"), &chunk),
         endless("one chunk", &with("Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n"), piece),
+        endless(
+            "extensions of chunks",
+            &with("Transfer-Encoding: chunked\r\n\r\n"),
+            &format!("1;{}\r\n\n\r\n", "0123456789".repeat(20)),
+        ),
         endless("size of a chunk", &with("Transfer-Encoding: chunked\r\n\r\n"), "0"),
         endless("trailers", &with("Transfer-Encoding: chunked\r\n\r\n0\r\n"), "X-Padding: 0\r\n"),
         endless("no framing", &with("\r\n"), piece),
@@ -100,11 +112,11 @@
             let (answers, counter) = (answers.clone(), counter.clone());
             thread::spawn(move || {
                 for answer in &answers {
-                    let Some(name) = read_request(&mut stream) else {
+                    let Some(request) = read_request(&mut stream) else {
                         return;
                     };
-                    let beginning = answer.beginning.replace("NAME", &name);
-                    let piece = answer.piece.replace("NAME", &name);
+                    let beginning = answer.beginning.replace("NAME", &request.name);
+                    let piece = answer.piece.replace("NAME", &request.name);
                     if send(&mut stream, &beginning, &piece, pace, &counter).is_err() {
                         return;
                     }
@@ -139,8 +151,15 @@
     Ok(())
 }
 
-/// Reads a request with its body, and returns its name.
-fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// A request as the endpoint reads it.
+struct Request {
+    path: String,
+    name: String,
+    body: String,
+}
+
+/// Reads a request with its body.
+fn read_request(stream: &mut TcpStream) -> Option<Request> {
     let (mut head, mut byte) = (Vec::new(), [0; 1]);
     while !head.ends_with(b"\r\n\r\n") {
         match stream.read(&mut byte) {
@@ -154,8 +173,11 @@
         line.map(|line| line.trim().to_string())
     };
     let len = value("content-length:").map_or(0, |len| len.parse().expect("a length"));
-    stream.read_exact(&mut vec![0; len]).ok()?;
-    Some(value("x-attempt:").unwrap_or_default())
+    let mut body = vec![0; len];
+    stream.read_exact(&mut body).ok()?;
+    let path = head.split(' ').nth(1)?.to_string();
+    let name = value("x-attempt:").unwrap_or_default();
+    Some(Request { path, name, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
 /// Runs a call while another task of the same executor counts the time, and checks what the call
@@ -326,3 +348,104 @@
     thread::sleep(Duration::from_millis(50));
     assert_eq!(sent.load(Ordering::Relaxed), read, "{seen}: the connection was not closed");
 }
+
+/// Starts an engine with the model `endless`, which sends comments without end to prompts with that
+/// word, and tokens without end to others.
+fn engine() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            thread::spawn(move || while answer(&mut stream).is_some() {});
+        }
+    });
+    addr
+}
+
+/// Answers one request; returns none if the connection was closed.
+fn answer(stream: &mut TcpStream) -> Option<()> {
+    static SEQUENCE: AtomicUsize = AtomicUsize::new(1);
+    let request = read_request(stream)?;
+    let head = format!("HTTP/1.1 200 OK\r\nX-Attempt: {}\r\n", request.name);
+    if request.path != "/v1/chat/completions" {
+        let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
+        let report = format!(
+            "{{\"incarnation\":1,\"sequence\":{sequence},\
+             \"accelerators\":[{{\"capacity\":4000000,\"used\":1048576}}],\
+             \"resident\":[{{\"model\":\"endless\",\"version\":1,\"accelerator\":0,\
+             \"memory\":1048576,\"stage\":\"resident\"}}],\
+             \"applied\":[],\"running\":0,\"waiting\":0,\"draining\":false}}"
+        );
+        let len = report.len();
+        let answer = format!("{head}Content-Length: {len}\r\n\r\n{report}");
+        return stream.write_all(answer.as_bytes()).ok();
+    }
+    let head = format!("{head}Content-Length: 1000000000000\r\n\r\n");
+    stream.write_all(head.as_bytes()).ok()?;
+    let start = Instant::now();
+    let mut index = 0_u64;
+    while start.elapsed() < Duration::from_secs(20) {
+        let mut block = String::new();
+        for _ in 0..64 {
+            if request.body.contains("comments") {
+                block.push_str(": ping\n\n");
+            } else {
+                let (name, text) = (&request.name, "0123456789".repeat(50));
+                block.push_str(&format!(
+                    "data: {{\"attempt\":\"{name}\",\"index\":{index},\"text\":\"{text}\",\
+                     \"done\":false}}\n\n"
+                ));
+                index += 1;
+            }
+        }
+        stream.write_all(block.as_bytes()).ok()?;
+    }
+    None
+}
+
+/// Guards against an entry that runs out of memory, or serves no other callers, while engines send
+/// without end.
+#[test]
+fn entry_serves_others_while_an_engine_sends_without_end() {
+    let mut scene = Scene::with_services(vec![drafting("endless"), drafting("m")]);
+    let addr = engine();
+    scene.site.platform.put_instance(site::instance(addr, ("wien", "wien-1"), Role::Engine));
+    let other = scene.engine("m");
+    scene.entry("wien", "");
+    scene.wait_ready(&scene.entries[0], &[addr, other.addr()]);
+    let entry = &scene.entries[0];
+    let mut drafts = Vec::new();
+    for prompt in ["comments", "tokens"] {
+        for stream in [false, true] {
+            for max_tokens in [None, Some(5)] {
+                let ask = Ask { max_tokens, stream, ..Ask::chat("endless", prompt, 5) };
+                let (caller, at) = (scene.caller.clone(), entry.address);
+                let draft = thread::spawn(move || smol::block_on(caller.draft(at, &ask)));
+                drafts.push((prompt, max_tokens, draft));
+            }
+        }
+    }
+    let mut most_memory = 0;
+    let start = Instant::now();
+    let mut served = 0;
+    while start.elapsed() < Duration::from_secs(4) {
+        let ask = Ask::chat("m", &format!("letter {served}"), 5);
+        let reply = smol::block_on(scene.caller.draft(entry.address, &ask)).expect("an answer");
+        assert!(reply.answers(&ask), "{reply:?}");
+        assert!(reply.took < Duration::from_secs(2), "{reply:?}");
+        served += 1;
+        most_memory = most_memory.max(entry.resident());
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(most_memory < 256 << 20, "{most_memory} bytes of memory");
+    for (prompt, max_tokens, draft) in drafts {
+        let reply = draft.join().expect("a caller").expect("an answer");
+        let seen = format!("{prompt} {max_tokens:?}: status {}, {:?}", reply.status, reply.code);
+        assert!(reply.status != 200 || reply.code.is_some(), "{seen}");
+        assert_ne!(reply.outcome, Some(Outcome::NotRun), "{seen}");
+        let limit = max_tokens.unwrap_or(u64::MAX);
+        assert!(reply.tokens <= limit, "{seen}: {} tokens", reply.tokens);
+        assert!(reply.took < Duration::from_secs(15), "{seen}: took {:?}", reply.took);
+    }
+}
