--- a/src/edge/endpoint/exchange.rs
+++ b/src/edge/endpoint/exchange.rs
@@ -28,7 +28,10 @@
     for _ in 0..MAX_LATE_ANSWERS {
         match answer.header(ATTEMPT) {
             Some(found) if found == name => return Ok(answer),
-            Some(_) => answer = answer.next(MAX_LATE_ANSWER_BYTES).await?,
+            Some(found) => {
+                tracing::debug!(found, name, "discarding a late answer");
+                answer = answer.next(MAX_LATE_ANSWER_BYTES).await?;
+            }
             None => break,
         }
     }
