--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -22,6 +22,7 @@
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
 use crate::daemon::contact;
+use crate::daemon::foreign;
 use crate::daemon::forward;
 use crate::daemon::forward::Target;
 use crate::daemon::front::Job;
@@ -176,8 +177,8 @@
         };
         let pooled = match through {
             _ if force_new => None,
-            Some(other) => daemon.pool.borrow_mut().take(other),
-            None => daemon.pool.borrow_mut().take(addr),
+            Some(other) => daemon.pool.borrow_mut().take_for(other, job.caller.id.as_bytes()),
+            None => daemon.pool.borrow_mut().take_for(addr, job.caller.id.as_bytes()),
         };
         let reused = pooled.is_some();
         let limit = job.deadline.saturating_sub(clock::now());
@@ -237,11 +238,12 @@
         let is_observed = !job.spec.engine_service && through.is_none();
         let liveness =
             if is_observed { liveness::before_request(daemon, &place.key) } else { None };
-        log_sent(daemon, job, place, number, last_event, through, now, time_left);
+        log_sent(daemon, job, place, number, last_event, through, &link, now, time_left);
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
         job.charge.iter().for_each(Charge::record_sent);
         let head = receive_head(daemon, job, place, &mut link, req, time_left, can_retry).await;
+        foreign::record(daemon, &place.key, &job.caller.id, &link, now);
         if head.as_ref().is_err_and(|err| err.is_unsent() || link.written_at().is_none()) {
             job.charge.iter().for_each(Charge::record_not_run);
         }
@@ -267,6 +269,7 @@
             Err(_) if link.written_at().is_none() => {
                 return Outcome::Unsent(link::Error::Expired.into());
             }
+            Err(_) if !link.is_clean() => return Outcome::Indeterminate("foreign_answer"),
             Err(err) => return Outcome::Indeterminate(err.into()),
         }
     }
@@ -293,7 +296,8 @@
     time_left: Duration,
     can_retry: bool,
 ) -> Result<Response<Incoming>, link::Error> {
-    let mut head = std::pin::pin!(link.send(req, time_left));
+    let name = daemon.dialect.request_id();
+    let mut head = std::pin::pin!(link.send_named(req, &name, time_left));
     let mut remaining = time_left;
     if can_retry {
         let limit = attempt_timeout(job).min(time_left);
@@ -396,6 +400,7 @@
     number: u32,
     last_event: Option<&str>,
     through: Option<SocketAddr>,
+    link: &Link,
     now: Duration,
     time_left: Duration,
 ) {
@@ -416,6 +421,8 @@
         after: last_event.or(job.caller.last_event.as_deref()).map(str::to_string),
         resumes: job.caller.resumes.clone(),
         through: through.map(|addr| addr.to_string()),
+        connection: link.number,
+        before: link.requests,
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
         prompt: job.caller.prompt_tokens,
@@ -445,6 +452,13 @@
     let framing = link::framing(&res);
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
+    // Whether this request was executed is unknown, and so is when the rest was stated.
+    if answer.id.as_deref() != Some(job.caller.id.as_str()) {
+        let took = clock::now().saturating_sub(sent_at);
+        let (id, status) = (answer.id, parts.status);
+        foreign::log(daemon, &place.key, &job.caller.id, &link, id, status, answer.not_run, took);
+        return Outcome::Indeterminate("foreign_answer");
+    }
     if (answer.signed || answer.not_run) && !answer.is_from_other(&place.key.id) {
         statement::observe(daemon, &place.key, parts.status, &parts.headers, Source::Request);
     }
@@ -455,10 +469,6 @@
     if answer.not_run {
         return handle_not_run(daemon, job, place, link, body, &parts, &answer).await;
     }
-    // A late response to another request: whether this one was executed is unknown.
-    if answer.id.as_deref() != Some(job.caller.id.as_str()) {
-        return Outcome::Indeterminate("foreign_answer");
-    }
     if !answer.signed {
         return Outcome::Indeterminate("no_seal");
     }
