Close the connections of reports and orders

Change: they are closed. The test that required requests to use these connections now requires that none of them is left in the pool, and still that a report or an order is the first call on its connection.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -5,8 +5,7 @@
 //! or runs late sends nothing under a lease that another daemon may hold by then.
 //!
 //! Responses do not name the call that they answer, and an endpoint may repeat an earlier response
-//! late. Each call therefore opens a connection, which callers' requests may use afterwards: their
-//! responses name them.
+//! late. Each call therefore has a connection of its own.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -114,7 +113,6 @@
     daemon.fleet.borrow_mut().record_control_call(key);
     let res = call(daemon, key, &mut link, req, ORDER_TIMEOUT).await.ok()?;
     statement::observe(daemon, key, res.status(), res.headers(), Source::Report);
-    daemon.pool.borrow_mut().put(link, None);
     daemon.dialect.parse_report(&res).ok()
 }
 
@@ -219,9 +217,6 @@
     progress.written = link.written_at();
     let res = res?;
     statement::observe(daemon, key, res.status(), res.headers(), Source::Order);
-    if link.set_unacked_timeout(link::UNACKED_TIMEOUT).is_ok() {
-        daemon.pool.borrow_mut().put(link, None);
-    }
     Ok(res)
 }
 
