Compare the id of a call's response, and write on new connections

The response to one call between entries, late, was taken for that to the next, and one to a write of the platform made the next write count as applied or as refused: a claim would be granted that was never written, and its call could run twice.

A response between entries has to bear the call's id. The platform's responses name nothing, so a write is sent on a connection that has carried nothing. Reads are sent on kept connections as before.

--- a/src/edge/peer.rs
+++ b/src/edge/peer.rs
@@ -114,6 +114,9 @@
         let text = value.to_string();
         let res: RpcResponse<'_, Value> =
             serde_json::from_str(&text).map_err(|_| Error::Malformed)?;
+        if res.id != Id::Number(id) {
+            return Err(Error::Unknown);
+        }
         match res.payload {
             ResponsePayload::Success(value) => {
                 serde_json::from_value(value.into_owned()).map_err(|_| Error::Malformed)
--- a/src/edge/platform/http.rs
+++ b/src/edge/platform/http.rs
@@ -171,7 +171,7 @@
     async fn write(&self, counter: Counter, req: Request) -> Result<Update, Error> {
         let limit = self.shared.settings.timeout;
         let call = self.shared.admit(counter)?;
-        let result = call.send(req, Reuse::Idle, MAX_VALUE_BYTES, limit).await;
+        let result = call.send(req, Reuse::Fresh, MAX_VALUE_BYTES, limit).await;
         match call.record(result) {
             Ok(reply) => parse_update(&reply),
             Err(http::Error::Connect) => Err(Error::Unreachable),
