Take only responses to the lease's own write for the lease

Found by review, as the same cause elsewhere: the store's connections serve all kinds of objects, and a 200 to a write of the lease was taken for it whatever object it described. A late response to a registration would have made two daemons hold the lease. The name has to be that of the lease, and after a write the holder, term and renewal those that were written.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -128,7 +128,8 @@
         return;
     };
     let mut placer = daemon.placer.borrow_mut();
-    if daemon.store.era() != era {
+    let is_other = found.as_ref().is_some_and(|found| found.name != object_name(era));
+    if daemon.store.era() != era || is_other {
         return;
     }
     let absent = Revision { era, number: 0 };
@@ -194,7 +195,19 @@
     res: &Response<Bytes>,
 ) -> &'static str {
     let mut placer = daemon.placer.borrow_mut();
+    let name = object_name(daemon.store.era());
     match daemon.dialect.parse_write(res) {
+        Ok(WriteResult::Done(object) | WriteResult::Conflict(Some(object)))
+            if object.name != name =>
+        {
+            "foreign"
+        }
+        // Whether it was applied is unknown: the response is to another write of this object.
+        Ok(WriteResult::Done(done))
+            if parse_lease(&done).is_none_or(|(_, lease)| lease != write.lease) =>
+        {
+            "foreign"
+        }
         Ok(WriteResult::Done(done)) => {
             placer.revision = done.revision;
             placer.watch.on_applied(now, done.revision.number, write);
