--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -61,7 +61,7 @@
 /// Shortest time limit of an attempt: two round trips between regions.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Largest response body that is not a stream: it is buffered completely before it is forwarded.
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// A response whose body has not been read yet.
 pub struct Head {
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -44,7 +44,7 @@
 
 /// Longest event of a stream that may be resumed, in bytes: it is buffered completely before it is
 /// forwarded.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = send::MAX_BODY_BYTES;
 
 /// A stream that is being forwarded.
 pub struct Forwarder {
@@ -122,7 +122,7 @@
         while self.head.is_some() {
             let end = match self.receive().await {
                 Received::Data(data) => match self.release(data) {
-                    None if self.buffer.len() > MAX_EVENT_BYTES => body::End::Failed,
+                    None if self.buffer.len() > MAX_EVENT_BYTES => body::End::TooLong,
                     Some(bytes) => {
                         self.bind();
                         return Some(Ok(Frame::data(bytes)));
@@ -241,7 +241,8 @@
         let time_left = self.job.deadline.saturating_sub(clock::now());
         let route = &self.job.route;
         self.head = None;
-        if end == body::End::Timeout
+        // Another endpoint would send the same event.
+        if matches!(end, body::End::Timeout | body::End::TooLong)
             || !route.resumable
             || !self.scanner.can_resume()
             || !self.is_free()
--- a/src/decide/body.rs
+++ b/src/decide/body.rs
@@ -34,6 +34,8 @@
     Closed,
     /// The connection was reset.
     Reset,
+    /// A part of it is longer than allowed.
+    TooLong,
     /// Its time ran out.
     Timeout,
     /// It failed for another reason.
--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -197,6 +197,10 @@
                 return Ok(taken);
             }
         };
+        // One that broke off before this one would lend it a status or headers.
+        if contains_status_line(&self.held[1..len]) {
+            return Err(Error::Malformed);
+        }
         let head = head(&res);
         let held = self.held.split();
         self.on_head(head, &held[..len], out)?;
@@ -330,6 +334,16 @@
     bytes.windows(2).any(|pair| pair == b"\n\n") || bytes.windows(3).any(|part| part == b"\n\r\n")
 }
 
+/// Returns whether a status line is among the bytes, such as `HTTP/1.1 200`, wherever it begins.
+fn contains_status_line(bytes: &[u8]) -> bool {
+    bytes.windows(12).any(|part| {
+        part.starts_with(b"HTTP/1.")
+            && part[7].is_ascii_digit()
+            && part[8] == b' '
+            && part[9..].iter().all(u8::is_ascii_digit)
+    })
+}
+
 /// Returns the status and the headers; none if one of them is not valid.
 fn head(res: &httparse::Response<'_, '_>) -> Option<Head> {
     let status = StatusCode::from_u16(res.code?).ok()?;
--- a/tests/response_filter.rs
+++ b/tests/response_filter.rs
@@ -128,6 +128,22 @@
     }
 }
 
+/// Guards against a response that broke off in its head, and whose status or headers are taken for those
+/// of the next one.
+#[test]
+fn head_inside_a_head_fails_the_connection() {
+    let own = framed("own")[0].clone();
+    let refusal = b"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: other\r\n\r\n";
+    for len in 1..refusal.len() - 4 {
+        let mut filter = filter("own");
+        let result = push(&mut filter, &[&refusal[..len], &own].concat(), 5);
+        let is_unchanged = result.as_ref().is_ok_and(|out| *out == own);
+        // The HTTP client rejects what does not begin with a status line.
+        let is_rejected = result.as_ref().is_ok_and(|out| !out.starts_with(b"HTTP/1.1 "));
+        assert!(result.is_err() || is_unchanged || is_rejected, "{len}: {result:?}");
+    }
+}
+
 /// Guards against a head that is parsed again with each of many empty lines.
 #[test]
 fn empty_lines_fail_the_connection() {
