Let the tests' stand-ins read whole requests

The stand-in took each read from its socket for a request, and the client writes the head and the body separately: if the body came with a second read, the stand-in took the next request's response for it and closed the connection of the next request.

Five test files read requests in four ways.

--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -1,9 +1,9 @@
 //! Endpoints that send bytes without end: in heads, bodies, lines of streams, refusals and answers
 //! to the placer.
 
+mod request;
 mod scene;
 
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -127,11 +127,11 @@
             let (answers, counter) = (answers.clone(), counter.clone());
             thread::spawn(move || {
                 for answer in &answers {
-                    let Some(request) = read_request(&mut stream) else {
+                    let Some(request) = request::read(&mut stream) else {
                         return;
                     };
-                    let beginning = answer.beginning.replace("NAME", &request.name);
-                    let piece = answer.piece.replace("NAME", &request.name);
+                    let beginning = answer.beginning.replace("NAME", request.attempt());
+                    let piece = answer.piece.replace("NAME", request.attempt());
                     if send(&mut stream, &beginning, &piece, pace, &counter).is_err() {
                         return;
                     }
@@ -167,35 +167,6 @@
     Err(std::io::ErrorKind::ConnectionAborted.into())
 }
 
-/// A request as the endpoint reads it.
-struct Request {
-    path: String,
-    name: String,
-    body: String,
-}
-
-/// Reads a request with its body.
-fn read_request(stream: &mut TcpStream) -> Option<Request> {
-    let (mut head, mut byte) = (Vec::new(), [0; 1]);
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let value = |name: &str| {
-        let line = head.lines().find_map(|line| line.strip_prefix(name));
-        line.map(|line| line.trim().to_string())
-    };
-    let len = value("content-length:").map_or(0, |len| len.parse().expect("a length"));
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).ok()?;
-    let path = head.split(' ').nth(1)?.to_string();
-    let name = value("x-attempt:").unwrap_or_default();
-    Some(Request { path, name, body: String::from_utf8_lossy(&body).into_owned() })
-}
-
 /// Returns for how long the machine has let a thread of this process wait beyond what it slept, up
 /// to now.
 fn stalled() -> Duration {
@@ -405,8 +376,8 @@
 /// Answers one request; returns none if the connection was closed.
 fn answer(stream: &mut TcpStream) -> Option<()> {
     static SEQUENCE: AtomicUsize = AtomicUsize::new(1);
-    let request = read_request(stream)?;
-    let head = format!("HTTP/1.1 200 OK\r\nX-Attempt: {}\r\n", request.name);
+    let request = request::read(stream)?;
+    let head = format!("HTTP/1.1 200 OK\r\nX-Attempt: {}\r\n", request.attempt());
     if request.path != "/v1/chat/completions" {
         let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
         let report = format!(
@@ -430,7 +401,7 @@
             if request.body.contains("comments") {
                 block.push_str(": ping\n\n");
             } else {
-                let (name, text) = (&request.name, "0123456789".repeat(50));
+                let (name, text) = (request.attempt(), "0123456789".repeat(50));
                 block.push_str(&format!(
                     "data: {{\"attempt\":\"{name}\",\"index\":{index},\"text\":\"{text}\",\
                      \"done\":false}}\n\n"
--- a/tests/framing.rs
+++ b/tests/framing.rs
@@ -1,6 +1,7 @@
 //! Answers of endpoints and of the platform that end early, on the product's own interface.
 
-use std::io::Read;
+mod request;
+
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -42,10 +43,11 @@
             accepted.fetch_add(1, Ordering::Relaxed);
             let mut stream = stream.expect("a connection");
             for answer in &answers {
-                let Some(name) = read_request(&mut stream) else {
+                let Some(request) = request::read(&mut stream) else {
                     break;
                 };
-                let answer = answer.replacen("\r\n", &format!("\r\n{name}"), 1);
+                let name = format!("\r\nx-attempt: {}\r\n", request.attempt());
+                let answer = answer.replacen("\r\n", &name, 1);
                 if stream.write_all(answer.as_bytes()).is_err() {
                     break;
                 }
@@ -55,23 +57,6 @@
     (addr, count)
 }
 
-/// Reads a request with its body, and returns the header line with its name, if it has one.
-fn read_request(stream: &mut std::net::TcpStream) -> Option<String> {
-    let (mut head, mut byte) = (Vec::new(), [0; 1]);
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let name = head.lines().find(|line| line.starts_with("x-attempt:"));
-    let name = name.map_or_else(String::new, |line| format!("{line}\r\n"));
-    let len = head.split("content-length:").nth(1).and_then(|rest| rest.lines().next());
-    let len = len.map_or(0, |len| len.trim().parse().expect("a length"));
-    stream.read_exact(&mut vec![0; len]).ok().map(|()| name)
-}
-
 /// Ways in which a body is delimited, each with whether its framing is complete.
 fn framings(body: &str) -> Vec<(&'static str, bool, String)> {
     let chunk = format!("{:x}\r\n{body}\r\n", body.len());
--- a/tests/late_answers.rs
+++ b/tests/late_answers.rs
@@ -1,10 +1,9 @@
 //! Answers of earlier requests that endpoints send once more on a connection that is kept, when the
 //! next request has arrived on it.
 
+mod request;
 mod scene;
 
-use std::collections::HashMap;
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -32,6 +31,7 @@
 use poplarmux::edge::http::Pool;
 use poplarmux::edge::platform::Instance;
 use poplarmux::edge::platform::Role;
+use request::Request;
 use scene::Scene;
 use scene::drafting;
 use scene::plain;
@@ -94,15 +94,6 @@
     kinds
 }
 
-/// A request as the endpoint reads it.
-#[derive(Debug, Clone)]
-struct Request {
-    path: String,
-    name: Option<String>,
-    headers: HashMap<String, String>,
-    body: String,
-}
-
 /// An answer of the endpoint, without its name.
 #[derive(Debug, Clone)]
 struct Answer {
@@ -154,8 +145,8 @@
     let _ = stream.set_nodelay(true);
     let mut previous: Option<(Answer, String)> = None;
     let mut piece_sent = false;
-    while let Some(request) = read_request(&mut stream) {
-        let own_name = request.name.clone().unwrap_or_default();
+    while let Some(request) = request::read(&mut stream) {
+        let own_name = request.attempt().to_string();
         let copied = match late.copied {
             Copied::Previous => previous.clone(),
             Copied::Refusal => refusals.lock().expect("refusals").clone(),
@@ -203,28 +194,6 @@
     Ok(())
 }
 
-/// Reads a request with its body.
-fn read_request(stream: &mut TcpStream) -> Option<Request> {
-    let (mut head, mut byte) = (Vec::new(), [0; 1]);
-    while !head.ends_with(b"\r\n\r\n") {
-        match stream.read(&mut byte) {
-            Ok(1) => head.push(byte[0]),
-            _ => return None,
-        }
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let path = head.split(' ').nth(1)?.to_string();
-    let headers = head.lines().skip(1).filter_map(|line| line.split_once(':'));
-    let headers = headers
-        .map(|(name, value)| (name.to_lowercase(), value.trim().to_string()))
-        .collect::<HashMap<_, _>>();
-    let len = headers.get("content-length").map_or(0, |len| len.parse().expect("a length"));
-    let mut body = vec![0; len];
-    stream.read_exact(&mut body).ok()?;
-    let body = String::from_utf8_lossy(&body).into_owned();
-    Some(Request { path, name: headers.get("x-attempt").cloned(), headers, body })
-}
-
 /// An answer which states that the request did not run.
 fn refusal(status: u16) -> Answer {
     let head = format!(
@@ -239,7 +208,7 @@
     if let Some(status) = request.path.strip_prefix("/refuse/") {
         return refusal(status.parse().expect("a status"));
     }
-    let body = format!("ran {}", request.name.as_deref().unwrap_or_default());
+    let body = format!("ran {}", request.attempt());
     Answer::new("200 OK\r\nX-Load: 1/0", &body)
 }
 
@@ -336,7 +305,7 @@
     if request.path.starts_with("/refuse/") {
         return run(request);
     }
-    let name = request.name.as_deref().unwrap_or_default();
+    let name = request.attempt();
     let first = request.headers.get("x-resume-from").map_or("0", String::as_str);
     let first = first.parse::<u64>().expect("an index");
     let part = |index: u64, done: bool| {
--- a/tests/late_peers.rs
+++ b/tests/late_peers.rs
@@ -1,7 +1,8 @@
 //! Tests of responses of the platform and of other entries that come late, on a connection that is used
 //! again.
 
-use std::io::Read;
+mod request;
+
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -22,9 +23,6 @@
 use poplarmux::metric::Metrics;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
-/// Time in which a client has sent its request.
-const SEND_TIME: Duration = Duration::from_millis(20);
-
 /// Serves connections. The responses are sent in turn, over all of them, and each once more where that
 /// to the next request on its connection is due.
 fn serve(responses: Vec<String>) -> SocketAddr {
@@ -42,9 +40,8 @@
 
 fn respond(mut stream: TcpStream, responses: &Mutex<IntoIter<String>>) {
     let mut last = String::new();
-    while stream.read(&mut [0; 4096]).is_ok_and(|len| len > 0) {
+    while request::read(&mut stream).is_some() {
         let Some(response) = responses.lock().expect("responses").next() else { return };
-        thread::sleep(SEND_TIME);
         // The client may have closed the connection.
         let _ = stream.write_all((last + &response).as_bytes());
         last = response;
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -1,7 +1,8 @@
 //! Responses as the HTTP client reads them: what it skips, rejects, and does before it uses a
 //! connection again.
 
-use std::io::Read;
+mod request;
+
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -42,8 +43,7 @@
             let counts = shared.clone();
             thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
-                let mut buf = [0; 4096];
-                while stream.read(&mut buf).is_ok_and(|len| len > 0) {
+                while request::read(&mut stream).is_some() {
                     for piece in response.as_bytes().chunks(piece) {
                         if stream.write_all(piece).is_err() {
                             break;
