Split the exchange of an attempt into steps

`send::exchange` opened the connection, checked all that may forbid the send, and judged the end of the wait in one function of 150 lines, so a reader could not see which of its returns come before bytes can have left. `open` and `prepare` hold what comes before; `without_response` names the outcome when no valid response came. The order of the checks is the same, and no outcome changes: tests late_answer, late_reports, serve, contact and retry pass as before.

--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -175,60 +175,23 @@
             contact::on_undelivered(daemon, &place.key);
             return Outcome::Unsent("undelivered");
         };
-        let pooled = match through {
-            _ if force_new => None,
-            Some(other) => daemon.pool.borrow_mut().take(other),
-            None => daemon.pool.borrow_mut().take_for(addr, job.caller.id.as_bytes()),
-        };
-        let reused = pooled.is_some();
-        let limit = job.deadline.saturating_sub(clock::now());
-        let mut link = match (pooled, through) {
-            (Some(link), _) => link,
-            (None, None) => match connect(daemon, &place.key, addr, limit).await {
-                Ok(link) => link,
-                Err(_) if is_last_resort(daemon, job, &place.key) => continue,
-                Err(link::Error::Refused) => return Outcome::Unsent("connection_refused"),
-                Err(_) => return Outcome::Unsent("connect"),
-            },
-            (None, Some(other)) => match forward::connect(daemon, other, limit).await {
-                Ok(link) => link,
-                Err(_) => {
-                    tried_daemons.push(other);
-                    continue;
-                }
-            },
+        let opened = open(daemon, job, &place.key, addr, through, force_new).await;
+        let (mut link, is_reused) = match opened {
+            Ok(opened) => opened,
+            Err(Obstacle::Lost) => continue,
+            Err(Obstacle::Daemon(other)) => {
+                tried_daemons.push(other);
+                continue;
+            }
+            Err(Obstacle::Endpoint(reason)) => return Outcome::Unsent(reason),
         };
         // Checked after connecting: that or a suspension of the machine may have used up the time.
         let now = clock::now();
         let time_left = job.deadline.saturating_sub(now);
-        if time_left.is_zero() {
-            return Outcome::Unsent("deadline");
-        }
-        if let Err(closed) = gate::check(daemon, &place.key, Call::Request) {
-            return Outcome::Unsent(closed.into());
-        }
-        if !runs_software(daemon, job, &place.key) {
-            return Outcome::Unsent("other_software");
-        }
-        if let Some(refusal) = quarantine::refusal(daemon, job.fingerprint) {
-            return Outcome::Quarantined(refusal);
-        }
-        let Ok(team) = team(daemon, job) else {
-            return Outcome::Forbidden;
-        };
-        let team = team.as_ref().map(|team| team.name.as_str());
-        let mut req = match request(daemon, job, &place.key, time_left, last_event, team) {
+        let req = match prepare(daemon, job, &place.key, through, time_left, last_event) {
             Ok(req) => req,
-            Err(_) => return Outcome::Unsent("unencodable"),
-        };
-        let target = Target {
-            key: place.key.clone(),
-            fingerprint: job.fingerprint,
-            confirm: job.software.get().is_some(),
+            Err(outcome) => return *outcome,
         };
-        if through.is_some() && target.insert(req.headers_mut()).is_err() {
-            return Outcome::Unsent("unencodable");
-        }
         // Last, so that a credit is spent when the request is sent and only then.
         if is_repeat && !is_paid && !retry::spend(daemon, job) {
             return Outcome::NoCredit;
@@ -265,17 +228,98 @@
                 let exchange = Exchange { link, sent_at: now, liveness, confirmed };
                 return classify(daemon, job, place, exchange, res, time_left).await;
             }
-            Err(link::Error::Unsent) if reused => force_new = true,
-            Err(err) if err.is_unsent() => return Outcome::Unsent(err.into()),
-            // Dropping the link discards the queued request, so no part of it can be written later.
-            Err(_) if link.written_at().is_none() => {
-                return Outcome::Unsent(link::Error::Expired.into());
-            }
-            Err(link::Error::Timeout | link::Error::Malformed) if !link.is_clean() => {
-                return Outcome::Indeterminate("foreign_answer");
-            }
-            Err(err) => return Outcome::Indeterminate(err.into()),
+            Err(link::Error::Unsent) if is_reused => force_new = true,
+            Err(err) => return without_response(err, &link),
+        }
+    }
+}
+
+/// Why there is no connection on which a request could be sent.
+enum Obstacle {
+    /// The endpoint was lost just now and may be reached through another daemon.
+    Lost,
+    /// This daemon, which would pass the request on, could not be connected to.
+    Daemon(SocketAddr),
+    /// The endpoint could not be connected to. Holds the reason.
+    Endpoint(&'static str),
+}
+
+/// Returns a connection to an endpoint, or to the daemon `through` which a request reaches it, and
+/// whether the connection has been used before.
+async fn open(
+    daemon: &Rc<Daemon>,
+    job: &Job,
+    key: &Key,
+    addr: SocketAddr,
+    through: Option<SocketAddr>,
+    force_new: bool,
+) -> Result<(Link, bool), Obstacle> {
+    let pooled = match through {
+        _ if force_new => None,
+        Some(other) => daemon.pool.borrow_mut().take(other),
+        None => daemon.pool.borrow_mut().take_for(addr, job.caller.id.as_bytes()),
+    };
+    if let Some(link) = pooled {
+        return Ok((link, true));
+    }
+    let limit = job.deadline.saturating_sub(clock::now());
+    let opened = match through {
+        Some(other) => {
+            forward::connect(daemon, other, limit).await.map_err(|_| Obstacle::Daemon(other))
+        }
+        None => connect(daemon, key, addr, limit).await.map_err(|err| match err {
+            _ if is_last_resort(daemon, job, key) => Obstacle::Lost,
+            link::Error::Refused => Obstacle::Endpoint("connection_refused"),
+            _ => Obstacle::Endpoint("connect"),
+        }),
+    };
+    opened.map(|link| (link, false))
+}
+
+/// Returns the request for an endpoint, or why it must not be sent now. `time_left` is the time
+/// until its deadline.
+fn prepare(
+    daemon: &Rc<Daemon>,
+    job: &Job,
+    key: &Key,
+    through: Option<SocketAddr>,
+    time_left: Duration,
+    last_event: Option<&str>,
+) -> Result<Request<Bytes>, Box<Outcome>> {
+    let unsent = |reason| Box::new(Outcome::Unsent(reason));
+    if time_left.is_zero() {
+        return Err(unsent("deadline"));
+    }
+    gate::check(daemon, key, Call::Request).map_err(|closed| unsent(closed.into()))?;
+    if !runs_software(daemon, job, key) {
+        return Err(unsent("other_software"));
+    }
+    if let Some(refusal) = quarantine::refusal(daemon, job.fingerprint) {
+        return Err(Box::new(Outcome::Quarantined(refusal)));
+    }
+    let team = team(daemon, job).map_err(|_| Box::new(Outcome::Forbidden))?;
+    let team = team.as_ref().map(|team| team.name.as_str());
+    let Ok(mut req) = request(daemon, job, key, time_left, last_event, team) else {
+        return Err(unsent("unencodable"));
+    };
+    let confirm = job.software.get().is_some();
+    let target = Target { key: key.clone(), fingerprint: job.fingerprint, confirm };
+    if through.is_some() && target.insert(req.headers_mut()).is_err() {
+        return Err(unsent("unencodable"));
+    }
+    Ok(req)
+}
+
+/// Returns the result of an attempt to which no valid response was received.
+fn without_response(err: link::Error, link: &Link) -> Outcome {
+    match err {
+        err if err.is_unsent() => Outcome::Unsent(err.into()),
+        // Dropping the link discards the queued request, so no part of it can be written later.
+        _ if link.written_at().is_none() => Outcome::Unsent(link::Error::Expired.into()),
+        link::Error::Timeout | link::Error::Malformed if !link.is_clean() => {
+            Outcome::Indeterminate("foreign_answer")
         }
+        err => Outcome::Indeterminate(err.into()),
     }
 }
 
