Use connections again after responses that are passed on

A daemon that passes a request on to an endpoint opened a connection for each response with a length: the server asks for no more parts of a body than its length needs, so the end was never read and the connection was dropped. Endpoints see a new connection for every request of a daemon that has lost them.

The connection is returned once the last part of a body with a length has been read.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -13,6 +13,7 @@
 use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
@@ -282,7 +283,7 @@
 
 impl Exchange {
     /// Returns the response for the daemon that sent the request.
-    fn pass_back(self, res: Response<Incoming>) -> Response<Payload> {
+    fn pass_back(mut self, res: Response<Incoming>) -> Response<Payload> {
         let framing = link::framing(&res);
         let (parts, body) = res.into_parts();
         let answer = self.daemon.dialect.parse_response(&parts);
@@ -295,6 +296,10 @@
         remove_hop_headers(&mut headers);
         headers.remove(UNDELIVERED);
         headers.remove(CONFIRMED);
+        // The server asks for no more parts than the length of a body needs.
+        if framing == Framing::Length && body.is_end_stream() {
+            self.release(&answer);
+        }
         let state = Some((self, body, answer));
         let frames = smol::stream::unfold(state, move |state| async move {
             let (mut exchange, mut body, answer) = state?;
@@ -332,6 +337,9 @@
         match smol::future::or(frame, timeout).await {
             Some(Ok(data)) => {
                 self.daemon.fleet.borrow_mut().record_received(clock::now());
+                if framing == Framing::Length && body.is_end_stream() {
+                    self.release(answer);
+                }
                 Some(Ok(Frame::data(data)))
             }
             Some(Err(err)) => {
@@ -343,15 +351,19 @@
             }
             None if framing == Framing::Close && self.has_crashed().await => self.abort().await,
             None => {
-                if let Some(link) = self.link.take() {
-                    let key = &self.target.key;
-                    send::return_to_pool(&self.daemon, key, link, answer.idle_timeout);
-                }
+                self.release(answer);
                 None
             }
         }
     }
 
+    /// Returns the connection to the pool once the response is complete.
+    fn release(&mut self, answer: &Answer) {
+        if let Some(link) = self.link.take() {
+            send::return_to_pool(&self.daemon, &self.target.key, link, answer.idle_timeout);
+        }
+    }
+
     /// Returns whether the endpoint has crashed that has just ended its response by closing the
     /// connection.
     async fn has_crashed(&mut self) -> bool {
