Delimit responses as the HTTP client does

`link::framing` had the same test of the coding; with "xchunked" a body up to the end of the connection counted as complete by its chunks.

Trailer lines have to end in CRLF, and the last coding has to be "chunked", as for the client; one function decides for both. A length has to consist of digits. One empty line before a head is skipped, as the client does; it made the response malformed.

--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -36,7 +36,6 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -118,10 +117,7 @@
     if res.body().size_hint().exact().is_some() {
         return Framing::Length;
     }
-    let codings = res.headers().get_all(header::TRANSFER_ENCODING).iter().next_back();
-    let is_chunked = codings.is_some_and(|codings| {
-        codings.as_bytes().trim_ascii_end().to_ascii_lowercase().ends_with(b"chunked")
-    });
+    let is_chunked = response_filter::is_chunked(res.headers()) == Some(true);
     if is_chunked { Framing::Chunked } else { Framing::Close }
 }
 
--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -198,7 +198,8 @@
             }
         };
         // One that broke off before this one would lend it a status or headers.
-        if contains_status_line(&self.held[1..len]) {
+        let begin = self.held.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        if contains_status_line(&self.held[begin + 1..len]) {
             return Err(Error::Malformed);
         }
         let head = head(&res);
@@ -289,8 +290,13 @@
             }
             Body::Trailer => {
                 let (len, line) = self.take_line(bytes)?;
-                let is_last = line.is_some_and(|line| line.trim_ascii_end().is_empty());
-                Ok((len, (!is_last).then_some(Body::Trailer)))
+                match line.as_deref() {
+                    None => Ok((len, Some(Body::Trailer))),
+                    Some(b"\r\n") => Ok((len, None)),
+                    Some(line) if line.ends_with(b"\r\n") => Ok((len, Some(Body::Trailer))),
+                    // The HTTP client does not take it for a line.
+                    Some(_) => Err(Error::Malformed),
+                }
             }
         }
     }
@@ -355,20 +361,29 @@
     Some(Head { status, headers })
 }
 
+/// Returns whether a body with transfer codings is delimited by chunks; none without any coding.
+pub fn is_chunked(headers: &HeaderMap) -> Option<bool> {
+    let codings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back()?;
+    let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
+    Some(last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")))
+}
+
 /// Returns how the body after a head is delimited (RFC 9112, section 6.3); none if that is not clear.
 fn body(head: &Head, is_head: bool) -> Option<Body> {
     let is_empty = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     if is_head || is_empty {
         return Some(Body::Length(0));
     }
-    if let Some(codings) = head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
-        let codings = codings.as_bytes().trim_ascii_end().to_ascii_lowercase();
-        return Some(if codings.ends_with(b"chunked") { Body::Size } else { Body::Close });
+    if let Some(is_chunked) = is_chunked(&head.headers) {
+        return Some(if is_chunked { Body::Size } else { Body::Close });
     }
     let mut len = None;
     for value in head.headers.get_all(header::CONTENT_LENGTH) {
-        for text in value.to_str().ok()?.split(',') {
-            let other = text.trim().parse().ok()?;
+        for text in value.to_str().ok()?.split(',').map(str::trim) {
+            if !text.bytes().all(|byte| byte.is_ascii_digit()) {
+                return None;
+            }
+            let other = text.parse().ok()?;
             if *len.get_or_insert(other) != other {
                 return None;
             }
--- a/tests/response_filter.rs
+++ b/tests/response_filter.rs
@@ -156,10 +156,23 @@
     }
 }
 
+/// Guards against a complete response that is rejected for an empty line before it.
+#[test]
+fn empty_line_before_a_response_is_skipped() {
+    let own = response("Id: own\r\nContent-Length: 5\r\n", "hello");
+    for piece in [1, 3, 4096] {
+        let mut filter = filter("own");
+        let bytes = [b"\r\n", &own[..]].concat();
+        assert_eq!(push(&mut filter, &bytes, piece), Ok(bytes));
+    }
+}
+
 /// Guards against a response whose length is not clear, behind which bytes would not be told apart.
 #[test]
 fn length_that_is_not_clear_fails_the_connection() {
-    for (lengths, expected) in [("5", true), ("5, 5", true), ("5, 6", false), ("x", false)] {
+    for (lengths, expected) in
+        [("5", true), ("5, 5", true), ("5, 6", false), ("x", false), ("+5", false)]
+    {
         let own = response(&format!("Id: own\r\nContent-Length: {lengths}\r\n"), "hello");
         let mut filter = filter("own");
         assert_eq!(push(&mut filter, &own, 3).is_ok(), expected, "{lengths}");
