Match a counter's replies to the messages that they answer

What callers see: a team gets more than its quota where the network delivers datagrams twice, as the units of a reply that comes twice are granted twice. And it is refused (429) within its quota: the reply to a report of spent or unused units is taken for the reply to a request for units that is open at the time, grants nothing, and ends the wait of the callers whose units are on their way.

Cause: a reply named the time at which its message was sent, and that was only used for its age. Whether a message of that time was open, which one it was, and whether it had been answered was not asked. A reply to an earlier process at the same address counted as well.

Change: each message bears a ticket, numbered from a random one for each daemon and team, and `Meter` keeps those that are open. A reply counts for an open message, once, and only that to the request for units ends its wait. Messages to a counter that was given up are no longer open. The limit on the age of a reply goes by the daemon's own clock alone.

The simulation in tests/decide_quota.rs hands the tickets on; its bounds are unchanged.

--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use event_listener::Event as Notifier;
+use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
 use smol::Timer;
@@ -29,6 +30,7 @@
 use crate::decide::quota::Request;
 use crate::decide::quota::Response;
 use crate::decide::quota::Role;
+use crate::decide::quota::Ticket;
 use crate::table::TeamId;
 use crate::table::team::Quota;
 use crate::table::team::Team;
@@ -37,9 +39,6 @@
 const MAX_QUERIES: usize = 4;
 /// A counter that has not replied to a spending report for this long is taken as unresponsive.
 const COUNTER_TIMEOUT: Duration = Duration::from_millis(700);
-/// Replies to queries older than this are ignored: the daemon has returned those tokens already, or
-/// another counter has granted some since.
-const MAX_REPLY_AGE: Duration = Duration::from_millis(450);
 /// A counter that replied within this time may still reply to other daemons.
 const COUNTER_CHANGE_WINDOW: Duration = Duration::from_secs(5);
 /// Time for which a daemon that has asked for units counts as one that asks here.
@@ -56,8 +55,8 @@
     Report {
         /// The team.
         team: TeamId,
-        /// When the message was sent, in milliseconds of its sender's clock.
-        sent_at: u64,
+        /// Id of the message.
+        ticket: Ticket,
         /// Units spent without a grant; negative if more was returned.
         spent: i64,
         /// Units that the first waiting request needs; 0 if none waits.
@@ -71,9 +70,8 @@
     Reply {
         /// The team.
         team: TeamId,
-        /// The send time of the message that this replies to, in milliseconds of its sender's
-        /// clock.
-        sent_at: u64,
+        /// The ticket of the message that this replies to.
+        ticket: Ticket,
         /// Units that may be spent.
         granted: u32,
         /// Whether daemons need a grant before they spend.
@@ -95,8 +93,8 @@
 }
 
 impl Usage {
-    fn new(now: Duration) -> Self {
-        Usage { meter: Meter::new(now), reply_event: Rc::default(), last_reply: None }
+    fn new(now: Duration, first_ticket: Ticket) -> Self {
+        Usage { meter: Meter::new(now, first_ticket), reply_event: Rc::default(), last_reply: None }
     }
 }
 
@@ -160,6 +158,11 @@
         }
     }
 
+    fn usage(&mut self, daemon: &Daemon, now: Duration, team: &str) -> &mut Usage {
+        let first_ticket = || daemon.rng.borrow_mut().random();
+        self.usages.entry(team.to_string()).or_insert_with(|| Usage::new(now, first_ticket()))
+    }
+
     /// Returns the units granted since the start of the daemon.
     pub fn granted(&self) -> impl Iterator<Item = (Grantor, u64)> + '_ {
         self.granted.iter().map(|(grantor, units)| (*grantor, *units))
@@ -279,7 +282,7 @@
         };
         let (step, listener) = {
             let mut quotas = daemon.quotas.borrow_mut();
-            let usage = quotas.usages.entry(team.name.clone()).or_insert_with(|| Usage::new(now));
+            let usage = quotas.usage(daemon, now, &team.name);
             let listener = usage.reply_event.listen();
             let step = if is_first {
                 usage.meter.request(now, cost)
@@ -351,7 +354,7 @@
     let daemons = daemon.nodes.borrow().known_count();
     let mut quotas = daemon.quotas.borrow_mut();
     let started_at = quotas.started_at;
-    let usage = quotas.usages.entry(team.name.clone()).or_insert_with(|| Usage::new(now));
+    let usage = quotas.usage(daemon, now, &team.name);
     let since = usage.last_reply.map_or(started_at, |(_, replied_at)| replied_at);
     let message = Request { minimum: cost, requested: cost, ..Request::default() };
     let (response, level) = usage.meter.charge_local_share(now, quota, daemons, since, &message);
@@ -411,7 +414,7 @@
     let last_reply = daemon.quotas.borrow().usages.get(team).and_then(|usage| usage.last_reply);
     let message = Message::Report {
         team: team.to_string(),
-        sent_at: now.as_millis() as u64,
+        ticket: count.ticket,
         spent: count.spent,
         min_units: count.minimum,
         requested: count.requested,
@@ -472,11 +475,12 @@
 pub fn on_message(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     let now = clock::now();
     match message {
-        Message::Report { team, sent_at, spent, min_units, requested, counter_changed } => {
+        Message::Report { team, ticket, spent, min_units, requested, counter_changed } => {
             let Some(quota) = quota_of(daemon, &team) else {
                 return;
             };
             let count = Request {
+                ticket,
                 spent,
                 minimum: min_units,
                 requested: requested.max(min_units),
@@ -485,20 +489,18 @@
             let reply = apply_report(daemon, now, &team, &quota, &count, Some(from));
             let retry_after_ms = u32::try_from(reply.retry_after.as_millis()).unwrap_or(u32::MAX);
             let (granted, strict) = (reply.granted, reply.strict);
-            let message = Message::Reply { team, sent_at, granted, strict, retry_after_ms };
+            let message = Message::Reply { team, ticket, granted, strict, retry_after_ms };
             peer::spawn_send(daemon, vec![from], peer::Message::Quota(message));
         }
-        Message::Reply { team, sent_at, granted, strict, retry_after_ms } => {
-            if now > Duration::from_millis(sent_at) + MAX_REPLY_AGE {
-                return;
-            }
+        Message::Reply { team, ticket, granted, strict, retry_after_ms } => {
             let reply = Response {
                 granted,
                 strict,
                 retry_after: Duration::from_millis(retry_after_ms.into()),
             };
-            if let Some(usage) = daemon.quotas.borrow_mut().usages.get_mut(&team) {
-                usage.meter.on_response(now, &reply, &mut daemon.rng.borrow_mut());
+            if let Some(usage) = daemon.quotas.borrow_mut().usages.get_mut(&team)
+                && usage.meter.on_response(now, ticket, &reply, &mut daemon.rng.borrow_mut())
+            {
                 usage.last_reply = Some((from, now));
                 usage.reply_event.notify(usize::MAX);
             }
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -24,6 +24,7 @@
 //! grants to daemons that do not know the new one yet, plus what two counters grant until a cut is
 //! noticed, about a second.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use rand::Rng;
@@ -65,6 +66,8 @@
 const MIN_REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 /// Time within which a counter answers: twice the round trip between regions.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(130);
+/// Time after which an answer is ignored: another counter may have granted units since.
+const MAX_RESPONSE_AGE: Duration = Duration::from_millis(450);
 /// Consecutive unanswered requests after which a counter counts as unresponsive: a single datagram
 /// may be lost.
 const MAX_TIMEOUTS: u32 = 2;
@@ -85,9 +88,15 @@
     )
 }
 
+/// Id of a message to a counter, which its answer names. Those of one daemon and team are numbered
+/// from a random one, so that no two daemons or incarnations share one.
+pub type Ticket = u64;
+
 /// A daemon's message to the counter of a team: units spent and units requested.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Request {
+    /// Id of the message.
+    pub ticket: Ticket,
     /// Units that were spent without a request; negative if more were given back.
     pub spent: i64,
     /// Units that the first waiting request needs; 0 if none are requested.
@@ -262,8 +271,12 @@
     balance: (u32, Duration),
     /// The time until which requests are refused, and the retry-after that they get.
     refusal: (Duration, Duration),
-    /// When the unanswered request was sent to the counter.
-    requested_at: Option<Duration>,
+    /// Ticket of the next message.
+    next_ticket: Ticket,
+    /// When each message was sent that the counter has not answered.
+    open: HashMap<Ticket, Duration>,
+    /// The unanswered request for units, and when it was sent to the counter.
+    requested: Option<(Ticket, Duration)>,
     /// Requests that timed out since the counter's last answer.
     timeouts: u32,
     /// When the first message after the counter's last answer was sent.
@@ -275,14 +288,16 @@
 
 impl Meter {
     /// Creates the state of a daemon that has received nothing from a counter.
-    pub fn new(now: Duration) -> Self {
+    pub fn new(now: Duration, first_ticket: Ticket) -> Self {
         Meter {
             strict: true,
             unreported: 0,
             unreported_since: None,
             balance: (0, Duration::ZERO),
             refusal: (Duration::ZERO, Duration::ZERO),
-            requested_at: None,
+            next_ticket: first_ticket,
+            open: HashMap::new(),
+            requested: None,
             timeouts: 0,
             unanswered_since: None,
             demand: Rate::new(now, DEMAND_WINDOW),
@@ -310,15 +325,16 @@
         if now < self.refusal.0 {
             return Decision::Refuse(self.refusal.1);
         }
-        if self.requested_at.is_some() {
+        if self.requested.is_some() {
             return Decision::Wait;
         }
-        self.requested_at = Some(now);
+        let report = self.take_report(now);
+        self.requested = Some((report.ticket, now));
         let prefetch = (self.demand.per_second(now) * PREFETCH_SECONDS) as u32;
         Decision::AskCounter(Request {
             minimum: cost,
             requested: cost.saturating_add(prefetch),
-            ..self.take_report(now)
+            ..report
         })
     }
 
@@ -327,9 +343,19 @@
         self.spend(now, -i64::from(cost));
     }
 
-    /// Handles the counter's answer.
-    pub fn on_response(&mut self, now: Duration, response: &Response, rng: &mut SmallRng) {
-        let was_requested = self.requested_at.take().is_some();
+    /// Handles the counter's answer to a message, and returns whether that was open.
+    pub fn on_response(
+        &mut self,
+        now: Duration,
+        ticket: Ticket,
+        response: &Response,
+        rng: &mut SmallRng,
+    ) -> bool {
+        let sent_at = self.open.remove(&ticket);
+        if sent_at.is_none_or(|sent_at| now > sent_at + MAX_RESPONSE_AGE) {
+            return false;
+        }
+        let was_requested = self.requested.take_if(|(open, _)| *open == ticket).is_some();
         (self.unanswered_since, self.timeouts) = (None, 0);
         self.local_bucket = None;
         self.strict = response.strict;
@@ -341,6 +367,7 @@
             let until = now + MIN_REQUEST_INTERVAL.mul_f64(rng.random_range(1.0..1.5));
             self.refusal = (until, response.retry_after.mul_f64(rng.random_range(0.9..1.3)));
         }
+        true
     }
 
     /// Handles the notification that daemons must request units before they spend.
@@ -351,10 +378,10 @@
     /// Handles a request that waited for the counter in vain, and returns whether the counter
     /// counts as unresponsive. The request may have waited for a message that was sent earlier.
     pub fn on_timeout(&mut self, now: Duration) -> bool {
-        if self.requested_at.is_none_or(|at| now < at + RESPONSE_TIMEOUT) {
+        if self.requested.is_none_or(|(_, at)| now < at + RESPONSE_TIMEOUT) {
             return false;
         }
-        self.requested_at = None;
+        self.requested = None;
         self.timeouts += 1;
         let unresponsive = self.timeouts >= MAX_TIMEOUTS;
         if unresponsive {
@@ -365,7 +392,8 @@
 
     /// Discards the state of the counter when another one replaces it.
     pub fn reset_counter(&mut self) {
-        (self.requested_at, self.unanswered_since, self.timeouts) = (None, None, 0);
+        (self.requested, self.unanswered_since, self.timeouts) = (None, None, 0);
+        self.open.clear();
         self.strict = true;
     }
 
@@ -408,7 +436,11 @@
     fn take_report(&mut self, now: Duration) -> Request {
         self.unreported_since = None;
         self.unanswered_since.get_or_insert(now);
-        Request { spent: std::mem::take(&mut self.unreported), ..Request::default() }
+        self.open.retain(|_, sent_at| now <= *sent_at + MAX_RESPONSE_AGE);
+        let ticket = self.next_ticket;
+        self.next_ticket = ticket.wrapping_add(1);
+        self.open.insert(ticket, now);
+        Request { ticket, spent: std::mem::take(&mut self.unreported), ..Request::default() }
     }
 
     fn expire(&mut self, now: Duration) {
--- a/tests/decide_quota.rs
+++ b/tests/decide_quota.rs
@@ -14,6 +14,7 @@
 use poplarmux::decide::quota::Request;
 use poplarmux::decide::quota::Response;
 use poplarmux::decide::quota::Role;
+use poplarmux::decide::quota::Ticket;
 use poplarmux::table::instance::Node;
 use poplarmux::table::team::Quota;
 use poplarmux::table::team::Unit;
@@ -33,8 +34,8 @@
 enum Event {
     Arrival,
     Tick(usize),
-    ToCounter(usize, i64, u32, u32),
-    FromCounter(usize, u32, bool, Duration),
+    ToCounter(usize, Ticket, i64, u32, u32),
+    FromCounter(usize, Ticket, u32, bool, Duration),
     Timeout(usize),
 }
 
@@ -157,8 +158,10 @@
             Decision::AskCounter(count) => {
                 all[at].waiting += 1;
                 let delay = world.delay();
-                world
-                    .push(delay, Event::ToCounter(at, count.spent, count.minimum, count.requested));
+                world.push(
+                    delay,
+                    Event::ToCounter(at, count.ticket, count.spent, count.minimum, count.requested),
+                );
                 world.push(quota::RESPONSE_TIMEOUT, Event::Timeout(at));
             }
         }
@@ -169,7 +172,10 @@
 fn report(world: &mut World, daemon: &mut Daemon, at: usize, quota: &Quota, daemons: usize) {
     if let Some(count) = daemon.meter.due_report(world.now, quota, daemons) {
         let delay = world.delay();
-        world.push(delay, Event::ToCounter(at, count.spent, count.minimum, count.requested));
+        world.push(
+            delay,
+            Event::ToCounter(at, count.ticket, count.spent, count.minimum, count.requested),
+        );
     }
 }
 
@@ -181,7 +187,7 @@
         number: 0,
         rng: SmallRng::seed_from_u64(seed),
     };
-    let new = |_| Daemon { meter: Meter::new(Duration::ZERO), waiting: 0, last_counter: None };
+    let new = |_| Daemon { meter: Meter::new(Duration::ZERO, 0), waiting: 0, last_counter: None };
     let mut all: Vec<Daemon> = (0..plan.daemons).map(new).collect();
     let mut bucket = Bucket::new(Duration::ZERO, &quota, Role::Counter, Duration::ZERO);
     let mut previous = bucket.clone();
@@ -211,7 +217,9 @@
         }
         if restarts.front().is_some_and(|restart| at > *restart) {
             restarts.pop_front();
-            all = (0..plan.daemons).map(|_| Daemon { meter: Meter::new(at), ..new(0) }).collect();
+            all = (0..plan.daemons)
+                .map(|_| Daemon { meter: Meter::new(at, at.as_nanos() as Ticket), ..new(0) })
+                .collect();
             bucket = Bucket::new(at, &quota, Role::Counter, at);
             relaxed = false;
         }
@@ -230,7 +238,7 @@
                 world.push(TICK_INTERVAL, Event::Tick(to));
                 report(&mut world, &mut all[to], to, &quota, plan.daemons);
             }
-            Event::ToCounter(from, spent, minimum, requested) => {
+            Event::ToCounter(from, ticket, spent, minimum, requested) => {
                 outcome.messages += 2;
                 let sent_to_previous =
                     counter_index > 0 && from % 2 == 1 && at < moved_at + NOTICE_DELAY;
@@ -248,13 +256,14 @@
                 let quota = quota.scaled(if is_cut && at >= CUT_NOTICE { 0.5 } else { 1.0 });
                 let counter_changed =
                     all[from].last_counter.replace(index).is_some_and(|last| last != index);
-                let count = Request { spent, minimum, requested, counter_changed };
+                let count = Request { ticket, spent, minimum, requested, counter_changed };
                 let response = target.handle(at, &quota, Role::Counter, &count);
                 if relaxed && response.strict {
                     for to in 0..plan.daemons {
                         outcome.messages += 1;
                         let delay = world.delay();
-                        world.push(delay, Event::FromCounter(to, u32::MAX, true, Duration::ZERO));
+                        world
+                            .push(delay, Event::FromCounter(to, 0, u32::MAX, true, Duration::ZERO));
                     }
                 }
                 relaxed = !response.strict;
@@ -263,16 +272,17 @@
                     delay,
                     Event::FromCounter(
                         from,
+                        ticket,
                         response.granted,
                         response.strict,
                         response.retry_after,
                     ),
                 );
             }
-            Event::FromCounter(to, u32::MAX, ..) => all[to].meter.set_strict(),
-            Event::FromCounter(to, granted, strict, retry_after) => {
+            Event::FromCounter(to, _, u32::MAX, ..) => all[to].meter.set_strict(),
+            Event::FromCounter(to, ticket, granted, strict, retry_after) => {
                 let response = Response { granted, strict, retry_after };
-                all[to].meter.on_response(at, &response, &mut world.rng);
+                all[to].meter.on_response(at, ticket, &response, &mut world.rng);
                 decide(&mut world, &mut all, to, false, &mut outcome);
             }
             Event::Timeout(to) => {
@@ -461,7 +471,7 @@
     let ask = Request { minimum: COST, requested: COST, ..Request::default() };
     let mut accepted = 0;
     for _ in 0..plan.daemons {
-        let mut meter = Meter::new(Duration::ZERO);
+        let mut meter = Meter::new(Duration::ZERO, 0);
         for ms in 0..8_000 {
             let now = Duration::from_millis(ms);
             accepted += u32::from(
@@ -480,7 +490,7 @@
 #[test]
 fn one_lost_answer_keeps_the_counter() {
     let now = Duration::from_secs(1);
-    let mut meter = Meter::new(now);
+    let mut meter = Meter::new(now, 0);
     let response = Response { granted: 0, strict: true, retry_after: Duration::from_secs(1) };
     let mut rng = SmallRng::seed_from_u64(1);
     for at in 1..20 {
@@ -489,12 +499,14 @@
         // A request that arrived a little later waits for the same answer.
         let later = now + quota::RESPONSE_TIMEOUT;
         assert!(!meter.on_timeout(later), "after one timeout");
-        assert!(matches!(meter.retry(later, COST), Decision::AskCounter(_)));
+        let Decision::AskCounter(request) = meter.retry(later, COST) else {
+            panic!("no request");
+        };
         assert!(
             !meter.on_timeout(later + Duration::from_millis(10)),
             "the next message was just sent"
         );
-        meter.on_response(later, &response, &mut rng);
+        assert!(meter.on_response(later, request.ticket, &response, &mut rng));
     }
     let now = now * 20;
     assert!(matches!(meter.request(now, COST), Decision::AskCounter(_)));
