Keep the need for a grant when an earlier reply arrives after the notice

What callers see: a team gets more than its quota. The counter tells all daemons that its bucket runs low and that they need a grant from now on; a reply that it sent before, and that arrives after the notice, says that none is needed, and the daemon spends without one until the next reply, up to half a second later.

Cause: what was received last was believed, whatever was sent last.

Change: a reply lifts the need for a grant only if the message that it answers was sent after the need was last stated. The next reply lifts it otherwise; a daemon that needs grants asks one message at a time, so this costs nothing there.

--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -507,7 +507,7 @@
         }
         Message::Strict(team) => {
             if let Some(usage) = daemon.quotas.borrow_mut().usages.get_mut(&team) {
-                usage.meter.set_strict();
+                usage.meter.set_strict(now);
             }
         }
     }
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -263,6 +263,8 @@
 pub struct Meter {
     /// Whether units must be requested before spending; true until the counter says otherwise.
     strict: bool,
+    /// When the counter last said so.
+    strict_at: Duration,
     /// Units that were spent and not reported yet.
     unreported: i64,
     /// Since when there are unreported units.
@@ -291,6 +293,7 @@
     pub fn new(now: Duration, first_ticket: Ticket) -> Self {
         Meter {
             strict: true,
+            strict_at: now,
             unreported: 0,
             unreported_since: None,
             balance: (0, Duration::ZERO),
@@ -352,15 +355,20 @@
         rng: &mut SmallRng,
     ) -> bool {
         let sent_at = self.open.remove(&ticket);
-        if sent_at.is_none_or(|sent_at| now > sent_at + MAX_RESPONSE_AGE) {
+        let Some(sent_at) = sent_at.filter(|sent_at| now <= *sent_at + MAX_RESPONSE_AGE) else {
             return false;
-        }
+        };
         let was_requested = self.requested.take_if(|(open, _)| *open == ticket).is_some();
         (self.unanswered_since, self.timeouts) = (None, 0);
         self.local_bucket = None;
-        self.strict = response.strict;
+        if response.strict {
+            self.set_strict(now);
+        } else if sent_at >= self.strict_at {
+            // An answer to an earlier message may be older than the notice.
+            self.strict = false;
+        }
         self.balance = (self.balance.0.saturating_add(response.granted), now + GRANT_TIMEOUT);
-        if !response.strict {
+        if !self.strict {
             self.return_balance(now);
         }
         if was_requested && response.granted == 0 && response.strict {
@@ -371,8 +379,8 @@
     }
 
     /// Handles the notification that daemons must request units before they spend.
-    pub fn set_strict(&mut self) {
-        self.strict = true;
+    pub fn set_strict(&mut self, now: Duration) {
+        (self.strict, self.strict_at) = (true, now);
     }
 
     /// Handles a request that waited for the counter in vain, and returns whether the counter
--- a/tests/decide_quota.rs
+++ b/tests/decide_quota.rs
@@ -279,7 +279,7 @@
                     ),
                 );
             }
-            Event::FromCounter(to, _, u32::MAX, ..) => all[to].meter.set_strict(),
+            Event::FromCounter(to, _, u32::MAX, ..) => all[to].meter.set_strict(at),
             Event::FromCounter(to, ticket, granted, strict, retry_after) => {
                 let response = Response { granted, strict, retry_after };
                 all[to].meter.on_response(at, ticket, &response, &mut world.rng);
