Count a report to a quota's counter once

What callers see: a team gets more than its quota, or is refused within it, where the network delivers datagrams twice: a report that its counter receives twice counts the units twice that its daemon has given back, or spent.

Cause: the counter applied each report it received.

Evidence: in platform/tests/quota_replies.rs, on the code before, `units_in_a_report_delivered_twice_return_once` is granted 15 units after 10 were given back, and `units_in_a_report_delivered_twice_are_spent_once` 0 after 6 of 20 were spent.

Change: `decide::duplicate::Filter` knows the sender, team and ticket of the reports of the last five seconds at least, and a repeated one is ignored. Nobody sends a report again: a query without a reply is followed by one with a ticket of its own.

A copy that comes later than the filter remembers counts twice, as before.

--- a/src/daemon/quota.rs
+++ b/src/daemon/quota.rs
@@ -2,7 +2,7 @@
 //!
 //! One daemon, the counter of a team, keeps the team's token bucket. All messages are datagrams.
 //! The spending in a lost datagram is never counted: at most a few in a hundred, on links that lose
-//! packets.
+//! packets. That in a datagram that is delivered twice is counted once.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -23,6 +23,7 @@
 use crate::daemon::node;
 use crate::daemon::peer;
 use crate::decide::broker::Suspects;
+use crate::decide::duplicate::Filter;
 use crate::decide::quota;
 use crate::decide::quota::Bucket;
 use crate::decide::quota::Decision;
@@ -137,6 +138,8 @@
     usages: HashMap<TeamId, Usage>,
     buckets: HashMap<TeamId, Bucket>,
     suspects: Suspects,
+    /// Reports received here.
+    reports: Filter<(SocketAddr, TeamId, Ticket)>,
     /// When each daemon last asked for a team's units here.
     askers: HashMap<TeamId, HashMap<SocketAddr, Duration>>,
     flows: HashMap<(TeamId, Grantor), Flow>,
@@ -152,6 +155,7 @@
             usages: HashMap::new(),
             buckets: HashMap::new(),
             suspects: Suspects::default(),
+            reports: Filter::default(),
             askers: HashMap::new(),
             flows: HashMap::new(),
             granted: HashMap::new(),
@@ -479,6 +483,9 @@
             let Some(quota) = quota_of(daemon, &team) else {
                 return;
             };
+            if !daemon.quotas.borrow_mut().reports.insert(now, (from, team.clone(), ticket)) {
+                return;
+            }
             let count = Request {
                 ticket,
                 spent,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod demand;
 pub mod drain;
 mod dump;
+pub mod duplicate;
 pub mod endpoint;
 pub mod event;
 pub mod fleet;
