Take one permit for a request that is delivered several times

What callers see: 503 `limited` below the limit that an endpoint states, where the network delivers datagrams twice: each copy of a request for a permit takes one, and the second answer is used by nobody.

Cause: the counter answered each request it received. Answers were right already: the ticket, drawn at random for each request, tells which request an answer is to, and it is taken once.

Change: a request that `decide::duplicate::Filter` knows is ignored. Nobody sends a request again under the same ticket.

--- a/src/daemon/limit.rs
+++ b/src/daemon/limit.rs
@@ -1,7 +1,8 @@
 //! Follows the limits that endpoints state, and obtains permits for calls to limited endpoints;
 //! `decide::limit` makes the decisions.
 //!
-//! All messages are datagrams. A lost answer costs a permit that nobody uses.
+//! All messages are datagrams. A lost answer costs a permit that nobody uses; a request that is
+//! delivered twice takes one.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
 use crate::decide::broker::Suspects;
+use crate::decide::duplicate::Filter;
 use crate::decide::limit;
 use crate::decide::limit::Bucket;
 use crate::decide::limit::Statement;
@@ -123,6 +125,8 @@
 #[derive(Default)]
 pub struct Limits {
     pending: HashMap<Ticket, Sender<Verdict>>,
+    /// Requests for permits received here.
+    requests: Filter<(SocketAddr, Ticket)>,
     buckets: HashMap<Key, Bucket>,
     /// Unanswered requests in a row, by counter.
     timeouts: HashMap<SocketAddr, u32>,
@@ -334,6 +338,9 @@
     let now = clock::now();
     match message {
         Message::Requested { ticket, key, statement } => {
+            if !daemon.limits.borrow_mut().requests.insert(now, (from, ticket)) {
+                return;
+            }
             let (verdict, current) = issue(daemon, now, &key, statement.statement(now));
             let statement = Aged::new(now, current);
             let answer = Message::Answered { ticket, key, statement, verdict };
