Keep connections to the store apart by what is read on them

What callers see: requests are refused or go to few endpoints, as a daemon does not know an endpoint, or another daemon, that was registered while the store was fine; in principle also an older configuration. It stays so until the kind is listed again.

Cause: all calls to the store shared four connections, and took the next response for theirs. Nothing in a response names its call: not the kind, not the revision that a watch starts from. The revision that it states is that of the store, of all kinds. The response to a watch of one kind that comes once more and is taken for that of another moves the other one's position past changes that it has not seen.

That a store repeats responses is assumed; no record shows it.

Change: a connection serves one kind, and either its lists and watches or its other calls. A response to an earlier watch of the same kind lacks nothing: what changed after an earlier revision includes what changed after a later one. A list, from which what is missing is removed, begins on a new connection. Weighed against a connection for each call, which is some 20 a second and daemon: this is six connections that are kept instead of four, and one for each list.

What remains: a late response to an empty watch counts as a sign of the store from the time at which it is read, and a late one to a registration as that of the next; both are written again or read again seconds later.

--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -111,11 +112,31 @@
     }
 }
 
+/// The calls that share a connection. Nothing in a response names its call, so a late one is taken
+/// for the response to the next call of its lane. To a watch that is harmless: what changed after an
+/// earlier revision includes what changed after this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Lane {
+    kind: Kind,
+    /// Whether the calls are lists and watches of all objects.
+    follows: bool,
+}
+
+impl Lane {
+    fn new(kind: Kind, op: Op) -> Self {
+        let follows = match op {
+            Op::List | Op::ListStale | Op::Watch => true,
+            Op::Get | Op::GetStale | Op::Create | Op::Replace | Op::Remove => false,
+        };
+        Lane { kind, follows }
+    }
+}
+
 /// Client of the store.
 pub struct Client {
     ex: Executor,
     addr: SocketAddr,
-    idle: RefCell<Vec<Link>>,
+    idle: RefCell<HashMap<Lane, Link>>,
     is_up: Cell<bool>,
     /// When calls last began to fail.
     failing_since: Cell<Duration>,
@@ -137,9 +158,6 @@
 }
 
 impl Client {
-    /// Maximum number of idle connections: one for each task that follows the store.
-    const MAX_IDLE_CONNECTIONS: usize = 4;
-
     /// Creates a client without connections.
     pub fn new(ex: Executor, addr: SocketAddr) -> Self {
         Client {
@@ -228,24 +246,20 @@
         &self.tally
     }
 
-    /// Returns an idle or new connection.
-    async fn connect(&self) -> Result<Link, link::Error> {
-        loop {
-            let idle_link = self.idle.borrow_mut().pop();
-            match idle_link {
-                Some(link) if link.is_ready() => return Ok(link),
-                Some(_) => {}
-                None => return link::dial(&self.ex, self.addr, CONNECT_TIMEOUT).await,
-            }
+    /// Returns a connection for a call. A list begins on a new one: objects that it lacks count as
+    /// removed.
+    async fn connect(&self, lane: Lane, op: Op) -> Result<Link, link::Error> {
+        let idle_link = self.idle.borrow_mut().remove(&lane);
+        let is_list = matches!(op, Op::List | Op::ListStale);
+        match idle_link.filter(|link| !is_list && link.is_ready()) {
+            Some(link) => Ok(link),
+            None => link::dial(&self.ex, self.addr, CONNECT_TIMEOUT).await,
         }
     }
 
     /// Keeps a connection whose last response is complete.
-    fn keep(&self, link: Link) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < Self::MAX_IDLE_CONNECTIONS {
-            idle.push(link);
-        }
+    fn keep(&self, lane: Lane, link: Link) {
+        self.idle.borrow_mut().insert(lane, link);
     }
 }
 
@@ -259,19 +273,17 @@
     limit: Duration,
 ) -> Result<Response<Bytes>, link::Error> {
     let client = &daemon.store;
-    let mut link = client.connect().await?;
+    let lane = Lane::new(kind, op);
+    let mut link = client.connect(lane, op).await?;
     if let Ok(host) = http::HeaderValue::from_str(&client.addr.to_string()) {
         req.headers_mut().insert(http::header::HOST, host);
     }
-    let res = match op {
-        Op::List | Op::ListStale | Op::Watch => {
-            transfer::receive(daemon, &mut link, client.addr, kind, req, limit).await?
-        }
-        Op::Get | Op::GetStale | Op::Create | Op::Replace | Op::Remove => {
-            link.call(req, MAX_RESPONSE_BYTES, limit).await?
-        }
+    let res = if lane.follows {
+        transfer::receive(daemon, &mut link, client.addr, kind, req, limit).await?
+    } else {
+        link.call(req, MAX_RESPONSE_BYTES, limit).await?
     };
-    client.keep(link);
+    client.keep(lane, link);
     Ok(res)
 }
 
