Ask another daemon about an endpoint on a connection of its own

What callers see: a request is refused as one that crashes endpoints, or an endpoint that others reach gets no requests, after the answer about one endpoint ("refused": nothing listens there) was taken for that about another.

Cause: `forward::ask_daemon` took the next response on a connection that earlier questions and forwarded requests had used. An answer names no endpoint.

Change: a question opens a connection, which is closed afterwards. Questions are few: one for each endpoint that is newly lost and for each crash that a refused connection shows.

--- a/src/daemon/forward/mod.rs
+++ b/src/daemon/forward/mod.rs
@@ -149,17 +149,13 @@
     Contact::Unknown
 }
 
+/// Asks a daemon, on a connection of its own: an answer does not name the endpoint.
 async fn ask_daemon(daemon: &Rc<Daemon>, addr: SocketAddr, key: &Key) -> Option<Contact> {
-    let pooled = daemon.pool.borrow_mut().take(addr);
-    let mut link = match pooled {
-        Some(link) => link,
-        None => connect(daemon, addr, ASK_TIMEOUT).await.ok()?,
-    };
+    let mut link = connect(daemon, addr, ASK_TIMEOUT).await.ok()?;
     let req = Request::get(CONTACT_PATH).header(http::header::HOST, addr.to_string());
     let mut req = req.body(Bytes::new()).ok()?;
     Target { key: key.clone(), fingerprint: 0, confirm: false }.insert(req.headers_mut()).ok()?;
     let res = link.call(req, MAX_ANSWER_BYTES, ASK_TIMEOUT).await.ok()?;
-    daemon.pool.borrow_mut().put(link, None);
     str::from_utf8(res.body()).ok()?.parse().ok()
 }
 
