Take the time at which a list of grants can have arrived for its age

What callers see: requests wait at an engine, as its broker has granted a slot twice. A broker that stood still reads the lists that daemons sent meanwhile. One that was sent before its daemon had received a grant lacks it, and looks half a second younger than it is: the grant is released while its request runs, and the slot goes to another request.

Cause: a list counted as received when it was read.

Change: a grant counts as known to its daemon only if the receive buffer was empty after the time of grace, as any datagram that is read later may have arrived right then. Heartbeats already went by this.

The calls in tests/decide_broker.rs pass the time of reading as that of arrival; what they check is unchanged.

--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -324,7 +324,10 @@
     rows: &[(Ticket, Class, Key)],
     complete: bool,
 ) {
-    let change = daemon.broker.borrow_mut().grants.reconcile(clock::now(), from, rows, complete);
+    let now = clock::now();
+    let received_after = daemon.nodes.borrow().received_after(now);
+    let change =
+        daemon.broker.borrow_mut().grants.reconcile(now, received_after, from, rows, complete);
     let mut fleet = daemon.fleet.borrow_mut();
     change.adopted.iter().for_each(|key| fleet.adopt_grant(key));
     change.released.iter().for_each(|key| fleet.release_grant(key));
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -156,14 +156,19 @@
         self.buffer_empty_at = Some(now);
     }
 
+    /// Returns the earliest time at which the datagram that is being handled can have arrived.
+    pub fn received_after(&self, now: Duration) -> Duration {
+        self.buffer_empty_at.unwrap_or(now)
+    }
+
     /// Records a direct heartbeat.
     pub fn on_heartbeat(&mut self, now: Duration, heartbeat: &Heartbeat) {
+        let received_after = self.received_after(now);
         match self.rows.get_mut(&heartbeat.name) {
             Some(row) if row.node.started_at == heartbeat.incarnation => {
                 row.last_heartbeat = Some(now);
                 row.node.ready = heartbeat.ready;
-                row.outage_reported_at =
-                    heartbeat.store_unreachable.then_some(self.buffer_empty_at.unwrap_or(now));
+                row.outage_reported_at = heartbeat.store_unreachable.then_some(received_after);
             }
             _ => self.unknown_heartbeat_at = Some(now),
         }
--- a/src/decide/broker.rs
+++ b/src/decide/broker.rs
@@ -130,17 +130,19 @@
     }
 
     /// Reconciles the grants with the ones that a daemon lists; `complete` says that it lists all
-    /// of them.
+    /// of them. The list may have arrived at any time since `received_after`.
     pub fn reconcile(
         &mut self,
         now: Duration,
+        received_after: Duration,
         from: SocketAddr,
         listed: &[(Ticket, Class, Key)],
         complete: bool,
     ) -> Change {
         let mut change = Change::default();
         self.rows.retain(|(to, ticket), grant| {
-            let expected = complete && *to == from && now >= grant.granted_at + LIST_GRACE_PERIOD;
+            let is_known = received_after >= grant.granted_at + LIST_GRACE_PERIOD;
+            let expected = complete && *to == from && is_known;
             let lost = expected && !listed.iter().any(|(other, ..)| other == ticket);
             if lost {
                 change.released.push(grant.key.clone());
--- a/tests/decide_broker.rs
+++ b/tests/decide_broker.rs
@@ -115,20 +115,29 @@
     }
     let listed = [(2, 7, key("e"))];
     assert_eq!(
-        grants.reconcile(ms(100), addr(1), &listed, true),
+        grants.reconcile(ms(100), ms(100), addr(1), &listed, true),
         Change::default(),
         "the list may have been sent before the grant arrived"
     );
-    let change = grants.reconcile(ms(600), addr(1), &listed, true);
+    let change = grants.reconcile(ms(600), ms(600), addr(1), &listed, true);
     assert_eq!(change.released, [key("e")]);
     assert_eq!(
-        grants.reconcile(ms(700), addr(2), &[], true),
+        grants.reconcile(ms(700), ms(700), addr(2), &[], true),
         Change::default(),
         "the list of another daemon"
     );
     assert!(grants.get(addr(1), 2).is_some());
 }
 
+/// A broker that has stood still reads lists from before its grants arrived.
+#[test]
+fn list_that_is_read_late_releases_no_grant() {
+    let mut grants = Grants::<()>::default();
+    grants.issue(ms(0), addr(1), 1, key("e"), 7, ());
+    assert_eq!(grants.reconcile(ms(2_000), ms(100), addr(1), &[], true), Change::default());
+    assert_eq!(grants.reconcile(ms(2_010), ms(2_005), addr(1), &[], true).released, [key("e")]);
+}
+
 /// A daemon may have more streams than one datagram can list, and then sends partial lists. When
 /// such a daemon sent no list, its grants were released while they ran, and the engines that it
 /// filled counted as idle.
@@ -139,12 +148,13 @@
         grants.issue(ms(0), addr(1), ticket, key("e"), 7, ());
     }
     for ticket in 1..=2 {
-        let change = grants.reconcile(ms(1_000), addr(1), &[(ticket, 7, key("e"))], false);
+        let change =
+            grants.reconcile(ms(1_000), ms(1_000), addr(1), &[(ticket, 7, key("e"))], false);
         assert_eq!(change, Change::default());
     }
     assert!(grants.expire(ms(2_000)).is_empty());
     // A grant whose end was lost appears in no part.
-    grants.reconcile(ms(2_000), addr(1), &[(1, 7, key("e"))], false);
+    grants.reconcile(ms(2_000), ms(2_000), addr(1), &[(1, 7, key("e"))], false);
     assert_eq!(grants.expire(ms(3_000)), [key("e")]);
     assert_eq!(grants.len(), 1);
 }
@@ -155,7 +165,7 @@
     let mut grants = Grants::<()>::default();
     grants.issue(ms(0), addr(1), 1, key("e"), 7, ());
     assert!(grants.expire(ms(1_000)).is_empty());
-    grants.reconcile(ms(1_000), addr(1), &[(1, 7, key("e"))], true);
+    grants.reconcile(ms(1_000), ms(1_000), addr(1), &[(1, 7, key("e"))], true);
     assert!(grants.expire(ms(2_000)).is_empty());
     assert_eq!(grants.expire(ms(3_000)), [key("e")]);
     assert!(grants.is_empty());
@@ -166,8 +176,11 @@
 fn new_broker_adopts_listed_grants() {
     let mut grants = Grants::<()>::default();
     let listed = [(1, 7, key("e")), (2, 7, key("f"))];
-    assert_eq!(grants.reconcile(ms(0), addr(1), &listed, true).adopted, [key("e"), key("f")]);
-    assert!(grants.reconcile(ms(10), addr(1), &listed, true).adopted.is_empty());
+    assert_eq!(
+        grants.reconcile(ms(0), ms(0), addr(1), &listed, true).adopted,
+        [key("e"), key("f")]
+    );
+    assert!(grants.reconcile(ms(10), ms(10), addr(1), &listed, true).adopted.is_empty());
     let grant = grants.release(addr(1), 1).expect("an adopted grant");
     assert_eq!((grant.key, grant.payload), (key("e"), None));
 }
