Copy the parts of a body into one buffer as they arrive

Bodies that are kept until they are complete were collected as a list of frames. A frame is many times as large as the byte of a chunk of one byte, and the bodies may have 8 MiB: one such answer can take more memory than a daemon has, and its callers lose the daemon.

Answers of endpoints, callers' bodies, those passed on by other daemons and calls to engines and the store use it. A body of one frame is not copied, as before; the body of a refusal is read and dropped.

--- /dev/null
+++ b/src/daemon/collect.rs
@@ -0,0 +1,53 @@
+//! Collects bodies that are kept until they are complete.
+//!
+//! Load pattern: a body of a few megabytes arrives in chunks of one byte. A frame is many times as
+//! large as a byte, and refers to a buffer of the connection, so that frames are copied into one
+//! buffer as they arrive.
+
+use std::error::Error;
+use std::pin::pin;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Body;
+
+/// Returns the content of a body of at most `max` bytes. A longer one is an error, as by `Limited`.
+pub async fn collect<B>(body: B, max: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut body = pin!(Limited::new(body, max));
+    // Most bodies are a single frame, which needs no copy.
+    let mut first = Bytes::new();
+    let mut all = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        // Trailers are no content.
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        if first.is_empty() && all.is_empty() {
+            first = data;
+            continue;
+        }
+        all.extend_from_slice(&std::mem::take(&mut first));
+        all.extend_from_slice(&data);
+    }
+    Ok(if all.is_empty() { first } else { all.freeze() })
+}
+
+/// Reads a body of at most `max` bytes to its end and discards it; returns whether it was complete.
+pub async fn drain<B: Body<Data = Bytes>>(body: B, max: usize) -> bool
+where
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let mut body = pin!(Limited::new(body, max));
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
+}
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -12,7 +12,6 @@
 use http::header;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 
@@ -25,6 +24,7 @@
 use super::is_undelivered;
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::collect;
 use crate::daemon::foreign;
 use crate::daemon::front::Payload;
 use crate::daemon::front::Truncated;
@@ -133,12 +133,12 @@
     let open = OpenRequest::new(daemon);
     let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
     let max = limits.map_or(0, |limits| limits.max_body_bytes);
-    let Ok(body) = Limited::new(body, max).collect().await else {
+    let Ok(body) = collect::collect(body, max).await else {
         return Ok(undelivered("body"));
     };
     remove_hop_headers(&mut head.headers);
     let name = daemon.dialect.request_id();
-    let mut req = Request::from_parts(head, body.to_bytes());
+    let mut req = Request::from_parts(head, body);
     let mut reused = true;
     loop {
         let mut link = match connect(daemon, &target, deadline, reused.then_some(id)).await {
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -20,9 +20,7 @@
 use http::Uri;
 use http::Version;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -44,6 +42,7 @@
 use crate::daemon::admission::Refusal;
 use crate::daemon::admission::Spec;
 use crate::daemon::clock;
+use crate::daemon::collect;
 use crate::daemon::gauge::Admission;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
@@ -395,8 +394,8 @@
     limit: Duration,
 ) -> Result<Bytes, Response<Payload>> {
     let read = async {
-        match Limited::new(body, max).collect().await {
-            Ok(body) => Ok(body.to_bytes()),
+        match collect::collect(body, max).await {
+            Ok(body) => Ok(body),
             Err(err) if err.is::<LengthLimitError>() => {
                 Err(error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
             }
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -57,6 +57,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::clock;
+use crate::daemon::collect;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
 use crate::edge::response_filter;
@@ -472,8 +473,8 @@
     ) -> Result<Response<Bytes>, Error> {
         let complete = async {
             let (head, body) = self.send(req, limit).await?.into_parts();
-            let body = Limited::new(body, max).collect().await.map_err(|_| Error::Broken)?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = collect::collect(body, max).await.map_err(|_| Error::Broken)?;
+            Ok(Response::from_parts(head, body))
         };
         let outcome = complete.or(fail_after(limit, Error::Timeout)).await;
         outcome.map_err(|err| if self.is_expired() { Error::Expired } else { err })
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod broker;
 pub mod clock;
+pub mod collect;
 pub mod compression;
 pub mod contact;
 pub mod directory;
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -9,9 +9,6 @@
 use http::Response;
 use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Collected;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -21,6 +18,7 @@
 use crate::daemon::admission::Permit;
 use crate::daemon::admission::Refusal;
 use crate::daemon::clock;
+use crate::daemon::collect;
 use crate::daemon::contact;
 use crate::daemon::foreign;
 use crate::daemon::forward;
@@ -550,9 +548,8 @@
 
 /// Reads a body to its end.
 async fn read_body(body: Incoming) -> Result<Bytes, BodyEnd> {
-    let read = Limited::new(body, MAX_BODY_BYTES).collect().await;
-    read.map(Collected::to_bytes)
-        .map_err(|err| err.downcast_ref().map_or(BodyEnd::Failed, link::end_of))
+    let read = collect::collect(body, MAX_BODY_BYTES).await;
+    read.map_err(|err| err.downcast_ref().map_or(BodyEnd::Failed, link::end_of))
 }
 
 async fn handle_not_run(
@@ -565,7 +562,7 @@
     answer: &Answer,
 ) -> Outcome {
     // The body is short; reading it allows the connection to be reused.
-    let drained = async { Limited::new(body, MAX_BODY_BYTES).collect().await.is_ok() };
+    let drained = collect::drain(body, MAX_BODY_BYTES);
     let timeout = async {
         Timer::after(MIN_ATTEMPT_TIMEOUT).await;
         false
