Let tests of the platform's client not depend on how soon it is answered

What was seen: 5 of 60 copies of the test binary, 12 at once beside three busy processes, failed in breaker_opens_when_the_platform_hangs (one call of two had arrived), client_sends_no_burst_after_an_outage, lost_response_is_resolved_by_reading_back and client_follows_the_http_api; with the processes stopped again and again for up to 400 ms (SIGSTOP), 9 of 36, and also read_is_resent_after_a_broken_connection and client_sends_nothing_until_retry_after.

Cause: the tests. Their calls end after 20 or 200 ms, whether or not the scripted platform has had the processor by then. A call that ends early counts as Unknown or Unreachable, and takes its step of the script with it or leaves it to the next call. The breaker's test counted the requests at once after the last call, before the platform's thread had to have read them.

Change: calls that the platform answers have a timeout that no passing test waits for. The hanging platform is called with 20 ms, and with twice as long while not both calls reached it; that no third call was sent is taken from the client's counters, in every attempt. The outage before the burst is shown by a 503. The rest of a retry-after time is compared with the time that passed. No process can be given the port of the platform that cannot be reached. A lost response and a platform that hangs have scenes of their own.

The tests still fail on a breaker that never opens, on a burst that is kept after an outage, on a retry-after time that is not kept and on a write without an answer that is said to have failed (each tried on a scratch edit of the product).

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use poplarmux::decide::breaker;
 use poplarmux::decide::breaker::Breaker;
@@ -29,6 +30,8 @@
 use smol::net::TcpStream;
 
 const MS: Duration = Duration::from_millis(1);
+/// Timeout of calls that the platform answers; no passing test waits for it.
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -69,7 +72,7 @@
 
 fn client(addr: SocketAddr, settings: Settings) -> (Client, Arc<Metrics>) {
     let metrics = Arc::new(Metrics::new(None));
-    let pool = Pool::new(Duration::from_secs(1), Duration::from_secs(10));
+    let pool = Pool::new(TIMEOUT, Duration::from_secs(10));
     (Client::new(addr, pool, metrics.clone(), settings), metrics)
 }
 
@@ -110,8 +113,8 @@
     }
 }
 
-fn short_timeout() -> Settings {
-    Settings { timeout: 200 * MS, ..Settings::default() }
+fn long_timeout() -> Settings {
+    Settings { timeout: TIMEOUT, ..Settings::default() }
 }
 
 #[test]
@@ -128,7 +131,7 @@
         respond(410, "", ""),
         respond(200, "", "[]"),
     ];
-    let scene = scene(steps, short_timeout());
+    let scene = scene(steps, long_timeout());
     let api = &scene.client;
     smol::block_on(async {
         let object = api.get("k", "a/b c").await.unwrap().unwrap();
@@ -162,12 +165,15 @@
     // A writer sends an update; the platform applies it and then crashes, returns a 5xx or does not
     // respond. If this counted as a failure, the writer would write again, or report "not run" to
     // its caller for an update that was applied.
-    let steps = [Step::Close, Step::Hang, respond(503, "", ""), respond(200, "", "not json")];
-    let scene = scene(steps, short_timeout());
+    let answered = [Step::Close, respond(503, "", ""), respond(200, "", "not json")];
+    let short_timeout = Settings { timeout: 200 * MS, ..Settings::default() };
+    let scenes = [(scene(answered, long_timeout()), 3), (scene([Step::Hang], short_timeout), 1)];
     smol::block_on(async {
-        for _ in 0..4 {
-            let update = scene.client.put("k", "x", None, &json!(1)).await;
-            assert_eq!(update, Ok(Update::Unknown));
+        for (scene, calls) in scenes {
+            for _ in 0..calls {
+                let update = scene.client.put("k", "x", None, &json!(1)).await;
+                assert_eq!(update, Ok(Update::Unknown));
+            }
         }
     });
 }
@@ -178,7 +184,7 @@
     // resent, the caller sees no failure, and no failure is counted against the platform. An update
     // is not resent.
     let steps = [Step::Close, respond(404, "", ""), Step::Close];
-    let scene = scene(steps, short_timeout());
+    let scene = scene(steps, long_timeout());
     smol::block_on(async {
         assert_eq!(scene.client.get("k", "x").await, Ok(None));
         assert_eq!(scene.client.delete("k", "x", 1).await, Ok(Update::Unknown));
@@ -189,10 +195,8 @@
 
 #[test]
 fn unsent_update_returns_an_error() {
-    let port = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a port");
-    let addr = port.local_addr().expect("an address");
-    drop(port);
-    let (api, _) = client(addr, short_timeout());
+    // No process listens there, nor can it be given to one as a free port.
+    let (api, _) = client(SocketAddr::from(([127, 0, 0, 1], 1)), long_timeout());
     smol::block_on(async {
         assert_eq!(api.put("k", "x", None, &json!(1)).await, Err(Error::Unreachable));
         let large = json!("x".repeat(platform::MAX_VALUE_BYTES));
@@ -223,7 +227,7 @@
         respond(503, "", ""),
         respond(503, "", ""),
     ];
-    let scene = scene(steps, short_timeout());
+    let scene = scene(steps, long_timeout());
     let settle = |expect| platform::put_resolved(&scene.client, "k", "x", expect, &own_value);
     smol::block_on(async {
         assert_eq!(settle(Some(7)).await, Ok(Resolution::Applied(8)));
@@ -239,13 +243,15 @@
     // The platform returns a 429 with a retry-after time. A client that keeps calling would stay
     // limited and use up the rate of other clients, so it must send nothing until that time is
     // over.
-    let scene = scene([respond(429, "retry-after: 30\r\n", "")], short_timeout());
+    let scene = scene([respond(429, "retry-after: 30\r\n", "")], long_timeout());
     smol::block_on(async {
+        let sent_at = Instant::now();
         let first = scene.client.put("k", "x", None, &json!(1)).await;
         assert_eq!(first, Err(Error::RateLimited(Duration::from_secs(30))));
         let limited = scene.client.get("k", "x").await;
+        let passed = sent_at.elapsed();
         assert!(
-            matches!(limited, Err(Error::RateLimited(after)) if after > Duration::from_secs(29))
+            matches!(limited, Err(Error::RateLimited(after)) if after + passed > Duration::from_secs(29))
         );
     });
     assert_eq!(scene.requests.lock().unwrap().len(), 1);
@@ -256,8 +262,18 @@
 fn breaker_opens_when_the_platform_hangs() {
     // The platform hangs. Each call would occupy its request for a full timeout, for as long as the
     // outage lasts. After a few failures, calls must fail immediately and state when to retry.
+    let mut timeout = 20 * MS;
+    while !breaker_opens(timeout) {
+        timeout *= 2;
+        assert!(timeout < TIMEOUT, "the calls did not reach the platform");
+    }
+}
+
+/// Checks that the breaker opens after two calls that end with this timeout. Returns whether both
+/// reached the platform, so that it was the platform that let them hang.
+fn breaker_opens(timeout: Duration) -> bool {
     let settings = Settings {
-        timeout: 20 * MS,
+        timeout,
         breaker: breaker::Settings {
             max_failures: 2,
             initial_wait: Duration::from_secs(60),
@@ -266,6 +282,7 @@
         ..Settings::default()
     };
     let scene = scene([Step::Hang, Step::Hang], settings);
+    let arrived = || scene.requests.lock().expect("requests").len();
     smol::block_on(async {
         for _ in 0..2 {
             assert_eq!(scene.client.get("k", "x").await, Err(Error::Unreachable));
@@ -276,8 +293,16 @@
             Err(Error::BreakerOpen(_))
         ));
         assert!(!scene.client.is_healthy());
+        // What a call has written may be read after the call has ended.
+        let waiting_since = Instant::now();
+        while arrived() < 2 && waiting_since.elapsed() < timeout {
+            smol::Timer::after(MS).await;
+        }
     });
-    assert_eq!(scene.requests.lock().unwrap().len(), 2);
+    assert_eq!(scene.metrics.get(Counter::PlatformCalls), 2);
+    assert_eq!(scene.metrics.get(Counter::PlatformRefused), 2);
+    assert!(arrived() <= 2, "{} calls", arrived());
+    arrived() == 2
 }
 
 #[test]
@@ -385,12 +410,13 @@
     // The platform recovers from an outage in which this process saved up its complete burst. After
     // the one probe, calls must be sent at the configured rate and not in a burst.
     let settings = Settings {
-        timeout: 20 * MS,
+        timeout: TIMEOUT,
         rate: 0.001,
         burst: 10.0,
         breaker: breaker::Settings { max_failures: 1, initial_wait: MS, max_wait: MS },
     };
-    let scene = scene([Step::Hang, respond(404, "", ""), respond(404, "", "")], settings);
+    let steps = [respond(503, "", ""), respond(404, "", ""), respond(404, "", "")];
+    let scene = scene(steps, settings);
     smol::block_on(async {
         assert_eq!(scene.client.get("k", "x").await, Err(Error::Unreachable));
         while let Err(Error::BreakerOpen(after)) = scene.client.get("k", "x").await {
