Call the product's platform on a connection for each call

What callers see: a process of the product's side takes an object of the platform for another one: a claim's record, the configuration or a list, where the platform sends a response once more, late.

Cause: reads and watches took the next response on a pooled connection; a response names neither the object nor its kind. Writes had a connection of their own already.

Evidence: `late_response_to_a_read_does_not_answer_the_next_one` in tests/late_peers.rs: on the code before, the second of two reads returns the first one's object. The part on watches was added with the change and was not run before it.

Change: each call to the platform opens a connection, which is closed after the response (`Reuse::Never`). An entry makes a read of the instances every two seconds, one long watch, and reads of claims that it does not hold; comparing what a body names would need a name in each of them, which the platform does not give.

--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -34,6 +34,8 @@
     Idle,
     /// Open a new connection: if that fails, nothing was sent.
     Fresh,
+    /// Open a new connection, and close it after the response.
+    Never,
 }
 
 /// Idle connections by address, each with the time since when it is idle.
@@ -67,14 +69,15 @@
     ) -> Result<Answer, Error> {
         let idle = match reuse {
             Reuse::Idle => self.take(addr),
-            Reuse::Fresh => None,
+            Reuse::Fresh | Reuse::Never => None,
         };
         let stream = match idle {
             Some(stream) => stream,
             None => self.open(addr).await?,
         };
         let mut answer = exchange(&stream, req).or(expire(limit)).await?;
-        answer.home = answer.may_be_reused().then(|| (self.clone(), addr));
+        let is_kept = reuse != Reuse::Never && answer.may_be_reused();
+        answer.home = is_kept.then(|| (self.clone(), addr));
         Ok(answer)
     }
 
--- a/src/edge/platform/http.rs
+++ b/src/edge/platform/http.rs
@@ -153,13 +153,13 @@
     async fn read(&self, counter: Counter, req: &Request, max: usize) -> Result<Reply, Error> {
         let limit = self.shared.settings.timeout;
         let call = self.shared.admit(counter)?;
-        let result = call.send(req.clone(), Reuse::Idle, max, limit).await;
-        // The platform may have closed an idle connection; a read is safe to resend.
+        let result = call.send(req.clone(), max, limit).await;
+        // The platform may have closed the connection without a response; a read is safe to resend.
         let result = match result {
             Err(http::Error::Broken) => {
                 self.shared.metrics.count(Counter::PlatformCalls);
                 self.shared.metrics.count(counter);
-                call.send(req.clone(), Reuse::Fresh, max, limit).await
+                call.send(req.clone(), max, limit).await
             }
             result => result,
         };
@@ -171,7 +171,7 @@
     async fn write(&self, counter: Counter, req: Request) -> Result<Update, Error> {
         let limit = self.shared.settings.timeout;
         let call = self.shared.admit(counter)?;
-        let result = call.send(req, Reuse::Fresh, MAX_VALUE_BYTES, limit).await;
+        let result = call.send(req, MAX_VALUE_BYTES, limit).await;
         match call.record(result) {
             Ok(reply) => parse_update(&reply),
             Err(http::Error::Connect) => Err(Error::Unreachable),
@@ -218,16 +218,11 @@
 }
 
 impl Call<'_> {
-    async fn send(
-        &self,
-        req: Request,
-        reuse: Reuse,
-        max: usize,
-        limit: Duration,
-    ) -> Result<Reply, http::Error> {
+    /// Sends the request on a connection of its own: a response does not name it.
+    async fn send(&self, req: Request, max: usize, limit: Duration) -> Result<Reply, http::Error> {
         let shared = self.shared;
         let transfer = async {
-            let answer = shared.pool.send(shared.addr, req, reuse, limit).await?;
+            let answer = shared.pool.send(shared.addr, req, Reuse::Never, limit).await?;
             let status = answer.head.status();
             let version = answer.header("etag").and_then(parse_etag);
             let retry_after = answer.header("retry-after").and_then(parse_seconds);
@@ -344,7 +339,7 @@
         let query = Watch { watch: since, timeout_ms };
         req.set_query(&query).map_err(|_| Error::Protocol(0))?;
         let limit = wait + self.shared.settings.timeout;
-        let result = call.send(req, Reuse::Idle, MAX_LIST_BYTES, limit).await;
+        let result = call.send(req, MAX_LIST_BYTES, limit).await;
         let reply = call.record(result).map_err(read_error)?;
         check_status(&reply)?;
         let changes: Changes = parse(&reply)?;
--- a/tests/late_peers.rs
+++ b/tests/late_peers.rs
@@ -93,3 +93,46 @@
         }
     });
 }
+
+/// Guards against an object that is taken for another one, which was read before on the connection.
+#[test]
+fn late_response_to_a_read_does_not_answer_the_next_one() {
+    let object = |version: u64, name: &str| {
+        let head = format!("200 OK\r\nETag: \"{version}\"");
+        response(&head, &json!({"is": name}).to_string())
+    };
+    let list = |name: &str| {
+        let body = json!({"version": 9, "objects": [{"name": name, "version": 1, "value": {}}]});
+        response("200 OK", &body.to_string())
+    };
+    let changes = |version: u64, name: &str| {
+        let body = json!({"changes": [{"name": name, "version": version, "value": {}}]});
+        response("200 OK", &body.to_string())
+    };
+    let responses = vec![
+        object(3, "a"),
+        object(4, "b"),
+        list("c"),
+        list("d"),
+        changes(5, "e"),
+        changes(6, "f"),
+    ];
+    let addr = serve(responses);
+    let pool = Pool::new(TIMEOUT, TIMEOUT);
+    let metrics = Arc::new(Metrics::new(None));
+    let client = http::Client::new(addr, pool, metrics, http::Settings::default());
+    smol::block_on(async {
+        for (version, name) in [(3, "a"), (4, "b")] {
+            let object = client.get("k", name).await.expect("a response").expect("an object");
+            assert_eq!((object.version, object.value), (version, json!({"is": name})));
+        }
+        for name in ["c", "d"] {
+            let (_, objects) = client.list("k", name).await.expect("a list");
+            assert_eq!(objects[0].name, name);
+        }
+        for (version, name) in [(5, "e"), (6, "f")] {
+            let changes = client.watch("k", version - 1, SEND_TIME).await.expect("changes");
+            assert_eq!((changes[0].version, changes[0].name.as_str()), (version, name));
+        }
+    });
+}
