Compare the stream that an answer on its origin names

What callers see: none of this was seen. A stream that is taken up would go on at the version of another one, whose text does not fit.

Cause: a question where a stream began is matched with its answer by the ticket; the stream that the row in the answer names was not compared.

Evidence: `origin_of_another_stream_is_not_believed` in platform/tests/origin_answers.rs, with a daemon that answers with another stream's row: 200 on the code before, 503 `origin_unknown` now.

Change: a row of another stream counts as an answer without one.

--- a/src/daemon/origin.rs
+++ b/src/daemon/origin.rs
@@ -230,7 +230,7 @@
         send(daemon, silent.clone(), Message::Asked { ticket, id });
         let round_end = clock::now() + REPLY_TIMEOUT;
         while let Some((from, row)) = receive(&answers, round_end).await {
-            if let Some(row) = row {
+            if let Some(row) = row.filter(|row| row.id == id) {
                 record(daemon, &row);
                 return (Source::Peer, Some(row.origin));
             }
