Name a malformed response where no other response was seen

A `failed` line, and the code that its caller gets, said `foreign_answer` for a head that is too long, informational heads without end and bytes that are no response: they fail the filter of the connection, and a failed filter was taken for a response to another request. Operators looked for an endpoint that mixes up its responses.

`foreign_answer` is said now if a response to another request was discarded. The new test failed before ("head too long": `foreign_answer`).

--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -330,6 +330,11 @@
         filter.discarded().is_empty() && filter.error().is_none()
     }
 
+    /// Returns whether responses to other requests were received since the current request was sent.
+    pub fn has_discarded(&self) -> bool {
+        !self.progress.filter.borrow().discarded().is_empty()
+    }
+
     /// Returns whether bytes were received while no response was due.
     pub fn has_unsolicited(&self) -> bool {
         self.progress.filter.borrow().error() == Some(response_filter::Error::Unsolicited)
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -269,7 +269,7 @@
             Err(_) if link.written_at().is_none() => {
                 return Outcome::Unsent(link::Error::Expired.into());
             }
-            Err(link::Error::Timeout | link::Error::Malformed) if !link.is_clean() => {
+            Err(link::Error::Timeout | link::Error::Malformed) if link.has_discarded() => {
                 return Outcome::Indeterminate("foreign_answer");
             }
             Err(err) => return Outcome::Indeterminate(err.into()),
