Bound the pages of a list of the store

A list was read for as long as the store said that there are more pages: a store that goes on so keeps a daemon listing and the objects in its memory, and the daemon never puts what it has listed in force.

--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -75,6 +75,10 @@
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_000);
 /// Maximum size of a response without a list of objects: one object of the largest size.
 const MAX_RESPONSE_BYTES: usize = 2 << 20;
+/// Maximum number of pages of a list, and of their bytes. A page has some 500 objects or a megabyte,
+/// and a reader sends all of them in one response.
+const MAX_LIST_PAGES: usize = 256;
+const MAX_LIST_BYTES: usize = transfer::MAX_RESPONSE_BYTES;
 
 /// The reason why a call failed.
 #[derive(Debug, Clone, PartialEq)]
@@ -85,6 +89,8 @@
     Dialect(dialect::Error),
     /// The response is of an earlier era of the store.
     Outdated,
+    /// A list has too many pages, or they are too large.
+    TooLong,
 }
 
 impl std::fmt::Display for Error {
@@ -93,6 +99,7 @@
             Error::Link(err) => write!(f, "{err}"),
             Error::Dialect(err) => write!(f, "{err}"),
             Error::Outdated => write!(f, "response of an earlier era of the store"),
+            Error::TooLong => write!(f, "list without end"),
         }
     }
 }
@@ -365,10 +372,15 @@
     let mut objects = Vec::new();
     let mut after: Option<String> = None;
     let mut revision = None;
-    loop {
+    let mut bytes = 0;
+    for _ in 0..MAX_LIST_PAGES {
         let req = daemon.dialect.list(kind, after.as_deref(), read)?;
-        let page =
-            daemon.dialect.parse_page(&short_call(daemon, kind, Op::list(read), req).await?)?;
+        let res = short_call(daemon, kind, Op::list(read), req).await?;
+        bytes += res.body().len();
+        if bytes > MAX_LIST_BYTES {
+            break;
+        }
+        let page = daemon.dialect.parse_page(&res)?;
         let first = *revision.get_or_insert(page.revision);
         if page.revision.era != first.era {
             return Err(Error::Outdated);
@@ -387,6 +399,13 @@
         }
         after = page.last;
     }
+    daemon.note(&Event::Skipped {
+        what: "list",
+        name: after.unwrap_or_default(),
+        problem: Error::TooLong.to_string(),
+        revision: revision.unwrap_or_default().number,
+    });
+    Err(Error::TooLong)
 }
 
 /// Waits until the next retry is due or the store answers again. While it fails, the tasks that
--- a/src/daemon/transfer.rs
+++ b/src/daemon/transfer.rs
@@ -35,7 +35,7 @@
 /// Time limit of a transfer that goes on slowly: another sender may be faster by then.
 const MAX_DURATION: Duration = Duration::from_secs(10);
 /// Largest body of a response.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
+pub const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
 /// The calls for objects that are in progress.
 #[derive(Debug, Default)]
