Give up transfers of a few bytes at a time

A transfer could go on for 10 s as long as a byte came each second. Of a reader or a store that sends a few bytes at a time a daemon got no objects for that time, and asked no other one for a configuration, which has to be in force within 3 s.

That is 4 KiB a second; a transfer at that rate would have 40 KiB after the 10 s that it may take.

--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -189,6 +189,10 @@
     pub head: Duration,
     /// Between two parts of its body.
     pub pause: Duration,
+    /// For each further `min_bytes` of its body.
+    pub span: Duration,
+    /// Least number of bytes in each `span`.
+    pub min_bytes: usize,
     /// For all of it.
     pub total: Duration,
 }
@@ -444,10 +448,18 @@
             let (head, body) = head.into_parts();
             let mut body = std::pin::pin!(self.count(Limited::new(body, max)));
             let mut bytes = BytesMut::new();
+            let (mut due, mut enough) = (clock::now() + limits.span, limits.min_bytes);
             loop {
                 let frame = async { Ok(body.frame().await) };
-                match frame.or(fail_after(limits.pause, Error::Timeout)).await? {
-                    Some(Ok(frame)) => bytes.extend(frame.into_data()),
+                let limit = limits.pause.min(due.saturating_sub(clock::now()));
+                match frame.or(fail_after(limit, Error::Timeout)).await? {
+                    Some(Ok(frame)) => {
+                        bytes.extend(frame.into_data());
+                        if bytes.len() >= enough {
+                            (due, enough) =
+                                (clock::now() + limits.span, bytes.len() + limits.min_bytes);
+                        }
+                    }
                     Some(Err(_)) => return Err(Error::Broken),
                     None => return Ok(Response::from_parts(head, bytes.freeze())),
                 }
--- a/src/daemon/transfer.rs
+++ b/src/daemon/transfer.rs
@@ -4,7 +4,9 @@
 //! them over links that carry little more than a megabyte per second. A transfer that is cut off
 //! starts again from its first byte, and one that runs beside another takes twice as long. A limit
 //! on the time of a whole transfer would therefore keep such a daemon from ever completing one. So
-//! a transfer may go on as long as bytes arrive, and is given up only after a pause.
+//! a transfer may go on as long as bytes arrive, and is given up only after a pause. A sender that
+//! sends a few bytes at a time would keep it going without a pause, and the daemon from asking
+//! another one, so a least rate is asked for, far below that of such a link.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -32,6 +34,9 @@
 const STALL_THRESHOLD: Duration = Duration::from_millis(300);
 /// Longest pause within a response: several retransmissions of a lost packet.
 const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+/// Least rate: so many bytes have to arrive in each such span.
+const MIN_RATE_BYTES: usize = 8 << 10;
+const MIN_RATE_SPAN: Duration = Duration::from_secs(2);
 /// Time limit of a transfer that goes on slowly: another sender may be faster by then.
 const MAX_DURATION: Duration = Duration::from_secs(10);
 /// Largest body of a response.
@@ -64,7 +69,13 @@
     req: Request<Bytes>,
     head_limit: Duration,
 ) -> Result<Response<Bytes>, link::Error> {
-    let limits = Limits { head: head_limit, pause: MAX_PAUSE, total: MAX_DURATION };
+    let limits = Limits {
+        head: head_limit,
+        pause: MAX_PAUSE,
+        span: MIN_RATE_SPAN,
+        min_bytes: MIN_RATE_BYTES,
+        total: MAX_DURATION,
+    };
     let mut transfer = Transfer::start(daemon, from, kind, link);
     let res = link.transfer(req, MAX_RESPONSE_BYTES, limits).await;
     transfer.complete = res.is_ok();
