Test the response filter with any bytes in any pieces

The bounds of heads, of lines between chunks and of what is discarded stood on single examples. Two properties are added: what is kept stays within the bounds for any bytes in any pieces, and no byte of a response to another request, complete or cut off in its first 100 bytes, is taken for a part of the own one: the HTTP client gets the own response or what it rejects.

Filter::held is new, for the test.

--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -147,6 +147,11 @@
         self.is_head
     }
 
+    /// Returns the number of bytes kept of a head or of a line that is not complete.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
     /// Returns why the connection has failed, if it has.
     pub fn error(&self) -> Option<Error> {
         self.error
--- a/tests/response_filter.rs
+++ b/tests/response_filter.rs
@@ -186,6 +186,79 @@
     assert_eq!(push(&mut filter, b"H", 1), Err(Error::Unsolicited));
 }
 
+/// Largest head, responses and bytes that are discarded for one request.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+const MAX_DISCARDED: usize = 32;
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+
+/// Stands in each head and body of a response to another request, and in no own one.
+const MARK: u8 = b'~';
+
+/// Returns a response to another request.
+fn marked() -> impl Strategy<Value = Vec<u8>> {
+    let head = "Id: other\r\nMark: ~\r\n";
+    let chunks = "3;~\r\n~~~\r\n0\r\nmark: ~\r\n\r\n";
+    prop_oneof![
+        Just(response(&format!("{head}Content-Length: 3\r\n"), "~~~")),
+        Just(response(&format!("{head}Content-Length: 400\r\n"), &"~".repeat(400))),
+        Just(response(&format!("{head}Transfer-Encoding: chunked\r\n"), chunks)),
+        Just(response(&format!("{head}Filler: {}\r\n", "~".repeat(300)), "~~~")),
+        Just(b"HTTP/1.1 503 ~\r\nNot-Run: ~\r\nId: other\r\nContent-Length: 0\r\n\r\n".to_vec()),
+        Just(b"HTTP/1.1 103 ~\r\nMark: ~\r\n\r\n".to_vec()),
+        Just(b"HTTP/1.1 204 ~\r\nMark: ~\r\n\r\n".to_vec()),
+    ]
+}
+
+/// Returns the beginning of a response, after which anything may come.
+fn beginning() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(vec![
+        "",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nId: own\r\nX: ",
+        "HTTP/1.1 200 OK\r\nId: own\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    ])
+}
+
+/// Returns a part of a response, or of what is none, once or many times.
+fn fragment() -> impl Strategy<Value = Vec<u8>> {
+    let text = prop::sample::select(vec![
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n",
+        "Content-Length: 5\r\n",
+        "X: y\r\n",
+        "\r\n",
+        "\n",
+        " ",
+        "0",
+        "1;",
+        "5\r\nhello\r\n",
+        "a",
+    ]);
+    let count = prop_oneof![1 => 1..4_usize, 1 => 10_000..100_000_usize];
+    prop_oneof![
+        8 => (text, count).prop_map(|(text, count)| text.repeat(count).into_bytes()),
+        1 => prop::collection::vec(any::<u8>(), 0..300),
+    ]
+}
+
+/// Returns the bytes in pieces of these sizes, over and over.
+fn pieces<'a>(mut bytes: &'a [u8], sizes: &'a [usize]) -> impl Iterator<Item = &'a [u8]> {
+    let mut sizes = sizes.iter().cycle();
+    std::iter::from_fn(move || {
+        let size = bytes.len().min(*sizes.next()?);
+        let (piece, rest) = bytes.split_at(size);
+        bytes = rest;
+        (!piece.is_empty()).then_some(piece)
+    })
+}
+
 /// Pieces in which bytes arrive.
 const PIECES: Range<usize> = 1..40;
 
@@ -206,4 +279,67 @@
             prop_assert_eq!(push(&mut filter, &bytes, piece), Ok(own));
         }
     }
+
+    /// Guards against bytes of any kind and in any pieces that are kept without a bound.
+    #[test]
+    fn memory_is_bounded(
+        beginning in beginning(),
+        fragments in prop::collection::vec(fragment(), 1..4),
+        sizes in prop::collection::vec(prop_oneof![PIECES, 1_000..20_000_usize], 1..8),
+        named in any::<bool>(),
+    ) {
+        let bytes = [beginning.as_bytes(), &fragments.concat()].concat();
+        let mut filter = if named { filter("own") } else { Filter::default() };
+        if !named {
+            filter.expect(Expected::Next, false);
+        }
+        let (mut out, mut received) = (BytesMut::new(), 0);
+        for piece in pieces(&bytes, &sizes) {
+            let result = filter.push(piece, &mut out);
+            received += piece.len();
+            prop_assert!(filter.held() <= MAX_HEAD_BYTES, "{} held", filter.held());
+            prop_assert!(out.len() <= received);
+            prop_assert!(filter.discarded().len() <= MAX_DISCARDED);
+            let headers = filter.discarded().iter().flat_map(|head| &head.headers);
+            let kept: usize =
+                headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+            prop_assert!(kept <= MAX_DISCARDED_BYTES, "{kept} kept");
+            prop_assert_eq!(result.err(), filter.error());
+            if result.is_err() {
+                break;
+            }
+        }
+    }
+
+    /// Guards against bytes of a response to another request, complete or cut off, that are taken for
+    /// a part of the own one.
+    #[test]
+    fn no_byte_of_another_response_is_taken_for_the_own_one(
+        others in prop::collection::vec((marked(), prop::option::of(0..100_usize)), 0..4),
+        kind in 0..3_usize,
+        after in prop::collection::vec(marked(), 0..3),
+        sizes in prop::collection::vec(PIECES, 1..8),
+    ) {
+        let is_whole = others.iter().all(|(other, cut)| cut.is_none_or(|cut| cut >= other.len()));
+        let others = others.into_iter().map(|(mut other, cut)| {
+            other.truncate(cut.unwrap_or(other.len()));
+            other
+        });
+        let own = framed("own")[kind].clone();
+        let bytes = [others.collect::<Vec<_>>().concat(), own.clone(), after.concat()].concat();
+        let (mut filter, mut out) = (filter("own"), BytesMut::new());
+        for piece in pieces(&bytes, &sizes) {
+            if filter.push(piece, &mut out).is_err() {
+                break;
+            }
+        }
+        // The HTTP client, whose parser this is, rejects what can't be parsed.
+        let mut headers = [httparse::EMPTY_HEADER; 16];
+        let is_rejected = httparse::Response::new(&mut headers).parse(&out).is_err();
+        prop_assert!(is_rejected || !out.contains(&MARK), "{:?}", out);
+        let has_close = bytes.windows(6).any(|part| part == b"Filler");
+        if is_whole && !has_close {
+            prop_assert_eq!(&out[..], &own[..]);
+        }
+    }
 }
