--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -314,7 +314,7 @@
         err if err.is_unsent() => Outcome::Unsent(err.into()),
         // Dropping the link discards the queued request, so no part of it can be written later.
         _ if link.written_at().is_none() => Outcome::Unsent(link::Error::Expired.into()),
-        link::Error::Timeout | link::Error::Malformed if !link.is_clean() => {
+        link::Error::Timeout | link::Error::Malformed if link.has_discarded() => {
             Outcome::Indeterminate("foreign_answer")
         }
         err => Outcome::Indeterminate(err.into()),
