Tell the next holder of the lease which engines may have late orders

What callers would see: an engine that is ordered beyond its memory crashes with all its streams. A holder of the lease that had started after an engine restarted, where no daemon had outlived the restart (all are killed at once), did not know of the restart. It ordered the engine while an order of the earlier holder was still out, and the engine took both. One late order is enough if its number follows the new holder's.

Cause: an order names the engine's id and the number of orders before it, and both are the same in the next incarnation. Only daemons that had seen the earlier incarnation knew of it.

Evidence: the search of interleavings took restarts for known, and its hold on a restarted engine was its own. It uses LateOrders::held_until now, and has a mode in which no daemon has outlived the restart.

Change: the holder names each engine in the lease object before it orders it, with its incarnation and the lowest number of its orders from then on, so that a holder that is killed has told what matters. An engine that is new or has restarted is listed by an early renewal. An engine that is listed with its incarnation, or that was never listed, waits for nothing. After an older release or a restored store, which tell nothing, the rule is the one of before.

--- a/src/daemon/engine.rs
+++ b/src/daemon/engine.rs
@@ -238,6 +238,10 @@
         tracker.resident.iter().map(|row| row.model.clone()).collect()
     };
     let token = daemon.placer.borrow().watch.term(started_at)?;
+    // The lease may have been renewed since the order was decided.
+    if !daemon.placer.borrow().is_covered(key, expect) {
+        return None;
+    }
     let order = Order {
         action: task.action,
         model: task.model.clone(),
--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -11,6 +11,7 @@
 use crate::daemon::clock;
 use crate::daemon::contact;
 use crate::daemon::journal::Event;
+use crate::daemon::placer;
 use crate::daemon::store;
 use crate::daemon::tally::Op;
 use crate::decide::lease;
@@ -103,12 +104,27 @@
             && now >= paused_until
             && !contact::should_hand_over(daemon, now)
             && !defers_to_larger(daemon, now));
-    let write = if may_write { daemon.placer.borrow_mut().watch.next_write(now) } else { None };
+    let write = if may_write { next_write(daemon, now) } else { None };
     if let Some(write) = write {
         send_write(daemon, &write).await;
     }
 }
 
+/// Returns the write of the lease that is due. An engine that the lease object does not list gets no
+/// orders, so it is listed at once.
+fn next_write(daemon: &Daemon, now: Duration) -> Option<lease::Write> {
+    let mut placer = daemon.placer.borrow_mut();
+    let due = placer.watch.next_write(now);
+    if due.is_none() && !placer.holds_lease(now) {
+        return None;
+    }
+    let engines = placer::engines(daemon);
+    let is_unlisted = due.is_none() && placer.has_unlisted(&engines);
+    let mut write = if is_unlisted { placer.watch.renewal(now) } else { due }?;
+    write.lease.handover = Some(placer.handover(now, write.lease.term, engines));
+    Some(write)
+}
+
 /// Returns whether the lease, if it is free, is left to a larger daemon for now.
 fn defers_to_larger(daemon: &Daemon, now: Duration) -> bool {
     let free_since = daemon.placer.borrow().watch.free_since(now);
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -29,6 +29,7 @@
 use crate::daemon::settings::Settings;
 use crate::decide::demand::Demand;
 use crate::decide::endpoint::Endpoint;
+use crate::decide::handover::Handover;
 use crate::decide::late_orders::LateOrders;
 use crate::decide::lease::Elector;
 use crate::decide::lease::Holder;
@@ -141,6 +142,11 @@
     missing_models: HashMap<ModelId, Duration>,
     /// Orders without an answer, also those from before the lease was lost.
     pub late_orders: LateOrders,
+    /// What was last written into the lease object for its next holder. The write may have had no
+    /// effect.
+    last_handover: Handover,
+    /// What the lease object said when this daemon last tried to acquire the lease.
+    previous_handover: Handover,
     /// Start times of the recent loads from the weight store.
     cold_loads: VecDeque<Duration>,
     plan_logged_at: Duration,
@@ -161,6 +167,8 @@
             missing_adapters: HashMap::new(),
             missing_models: HashMap::new(),
             late_orders: LateOrders::default(),
+            last_handover: Handover::default(),
+            previous_handover: Handover::unknown(),
             cold_loads: VecDeque::new(),
             logged_term: None,
             plan_logged_at: Duration::ZERO,
@@ -184,7 +192,41 @@
 
     /// Records that the lease was acquired under `token`.
     pub fn on_acquired(&mut self, now: Duration, token: u64) {
-        self.late_orders.on_acquired(now, token, token == FIRST_TOKEN);
+        let is_first = token == FIRST_TOKEN;
+        self.late_orders.on_acquired(now, token, is_first, &self.previous_handover);
+    }
+
+    /// Returns what a write of the lease under `token` tells its next holder. `engines` are those
+    /// that may be ordered then.
+    pub fn handover(&mut self, now: Duration, token: u64, engines: Vec<Key>) -> Handover {
+        self.last_handover = if self.watch.term(now) == Some(token) {
+            let accepted = |key: &Key| self.trackers.get(key)?.accepted_orders;
+            let engines = engines.into_iter().map(|key| (key.clone(), accepted(&key)));
+            self.late_orders.handover(now, engines)
+        } else {
+            let nothing = || match token {
+                FIRST_TOKEN => Handover::default(),
+                _ => Handover::unknown(),
+            };
+            let previous = self.watch.observed().and_then(|lease| lease.handover.clone());
+            self.previous_handover = previous.unwrap_or_else(nothing);
+            self.previous_handover.including(engines)
+        };
+        self.last_handover.clone()
+    }
+
+    /// Returns whether one of these engines is not listed in the lease object.
+    pub fn has_unlisted(&self, engines: &[Key]) -> bool {
+        let handover = self.watch.observed().and_then(|lease| lease.handover.as_ref());
+        handover.is_some_and(|handover| engines.iter().any(|key| !handover.lists(key)))
+    }
+
+    /// Returns whether the next holder of the lease takes an order into account, whether or not the
+    /// last write of the lease took effect.
+    pub fn is_covered(&self, key: &Key, expect: u64) -> bool {
+        let handover = self.watch.observed().and_then(|lease| lease.handover.as_ref());
+        handover.is_some_and(|handover| handover.covers(key, expect))
+            && self.last_handover.covers(key, expect)
     }
 
     /// Resets the lease when the store is in a new era, in which nobody holds it yet.
@@ -371,6 +413,19 @@
     }
 }
 
+/// Returns the engines that a holder of the lease may order.
+pub fn engines(daemon: &Daemon) -> Vec<Key> {
+    let config = daemon.config.borrow();
+    let places_models = |service: &str| {
+        let services = config.as_ref().map(|config| &config.services);
+        let service = services.and_then(|services| services.get(service));
+        service.is_some_and(|service| service.engines.is_some())
+    };
+    let fleet = daemon.fleet.borrow();
+    let rows = fleet.rows().filter(|row| places_models(&row.instance.service));
+    rows.map(|row| row.instance.key.clone()).collect()
+}
+
 /// Adds trackers for newly registered engines, and removes those of engines that are gone.
 fn sync_trackers(daemon: &Daemon, now: Duration, config: &Config) {
     let fleet = daemon.fleet.borrow();
--- a/src/daemon/placer/order.rs
+++ b/src/daemon/placer/order.rs
@@ -35,6 +35,10 @@
     }
     let (task, expect) = {
         let mut placer = daemon.placer.borrow_mut();
+        let expect = placer.tracker(key).and_then(|tracker| tracker.accepted_orders);
+        if !expect.is_some_and(|expect| placer.is_covered(key, expect)) {
+            return;
+        }
         let Placer { trackers, demand, cold_loads, missing_adapters, late_orders, .. } =
             &mut *placer;
         let starved = |model: &str, adapter: &str| {
--- a/src/decide/late_orders.rs
+++ b/src/decide/late_orders.rs
@@ -12,13 +12,19 @@
 //!
 //! Bound: an order is sent only if the engine has room for it together with all late orders that
 //! could follow it without a gap in their numbers, and for those that could follow one another from
-//! the start of an empty engine. The orders of other holders are not known: an engine that is known
-//! to have restarted gets none until those of earlier holders can't be carried out any more.
+//! the start of an empty engine. Of the orders of other holders only the lowest number is known, by
+//! what they have told in the lease object: an engine that has restarted gets no order from which on
+//! one of them could follow, until they can't be carried out any more. Where the lease object does
+//! not tell, an engine that is known to have restarted gets none.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crate::decide::handover;
+use crate::decide::handover::Floor;
+use crate::decide::handover::Handover;
 use crate::decide::orders;
 use crate::decide::orders::Task;
 use crate::decide::orders::Tracker;
@@ -99,6 +105,8 @@
     last_token: Option<u64>,
     /// Until when the orders of other holders may be carried out.
     others_until: Duration,
+    /// What the last other holder has told about them.
+    inherited: Handover,
 }
 
 impl LateOrders {
@@ -133,20 +141,79 @@
     }
 
     /// Records that this process has acquired the lease. `is_first` is whether nobody held it
-    /// before.
-    pub fn on_acquired(&mut self, now: Duration, token: u64, is_first: bool) {
+    /// before, and `previous` is what the last holder has told.
+    pub fn on_acquired(&mut self, now: Duration, token: u64, is_first: bool, previous: &Handover) {
         let is_successor = self.last_token.is_some_and(|last| last + 1 == token);
         if !is_first && !is_successor {
             self.others_until = now + MAX_DELAY;
+            self.inherited = previous.clone();
         }
         self.last_token = Some(token);
     }
 
+    /// Returns what other holders have told, as long as their orders may be carried out.
+    fn inherited(&self, now: Duration) -> Option<&Handover> {
+        (now < self.others_until).then_some(&self.inherited)
+    }
+
+    /// Returns what the next holder has to know. `engines` are those that may be ordered, with the
+    /// number of orders that each has accepted, if that is known.
+    pub fn handover(
+        &self,
+        now: Duration,
+        engines: impl IntoIterator<Item = (Key, Option<u64>)>,
+    ) -> Handover {
+        let is_partial = now < self.others_until && self.inherited.is_partial;
+        let mut rows: BTreeMap<String, Floor> =
+            self.inherited(now).map(|told| told.engines.clone()).unwrap_or_default();
+        for (key, accepted) in engines {
+            let floor = self.floor(now, &key, accepted);
+            rows.insert(key.id, floor);
+        }
+        // An engine that is not known now may come back.
+        for (id, orders) in &self.rows {
+            let orders = orders.iter().filter(|row| now < row.expires_at);
+            if let Some(newest) = orders.map(|row| row.born).max()
+                && rows.get(id).is_none_or(|floor| floor.born < newest)
+            {
+                let key = Key { id: id.clone(), born: newest };
+                rows.insert(id.clone(), self.floor(now, &key, None));
+            }
+        }
+        Handover { is_partial, engines: rows }.bounded()
+    }
+
+    /// Returns the lowest numbers of the orders to an engine that are out, and of those that follow
+    /// `accepted` orders.
+    fn floor(&self, now: Duration, key: &Key, accepted: Option<u64>) -> Floor {
+        let rows = self.rows.get(&key.id).into_iter().flatten().filter(|row| now < row.expires_at);
+        let (current, earlier): (Vec<&Row>, Vec<&Row>) = rows.partition(|row| row.born == key.born);
+        let expect = |rows: Vec<&Row>| rows.iter().map(|row| row.expect).min();
+        let told = self.inherited(now).and_then(|told| told.engines.get(&key.id));
+        let told_current = told.filter(|floor| floor.born == key.born).map(|floor| floor.current);
+        let next = accepted.or(told_current).unwrap_or(0);
+        let out = handover::lowest(expect(current), told_current);
+        let told_earlier = told.and_then(|floor| floor.before(key.born));
+        Floor {
+            born: key.born,
+            current: out.map_or(next, |out| out.min(next)),
+            earlier: handover::lowest(expect(earlier), told_earlier),
+        }
+    }
+
     /// Returns until when an engine that had an earlier incarnation gets no orders, as those of other
-    /// holders to that one may be carried out; `None` if it may get orders now. `age` is the time
-    /// since it started, by the wall clock.
+    /// holders to that one may be carried out, and those have not told of them all; `None` if it may
+    /// get orders now. `age` is the time since it started, by the wall clock.
     pub fn held_until(&self, now: Duration, age: Duration) -> Option<Duration> {
-        (age < MAX_EXPOSED_AGE && now < self.others_until).then_some(self.others_until)
+        let is_exposed = age < MAX_EXPOSED_AGE && now < self.others_until;
+        (is_exposed && self.inherited.is_partial).then_some(self.others_until)
+    }
+
+    /// Returns until when an order that follows `expect` others must not be sent, as one of another
+    /// holder to another incarnation could follow it.
+    fn exposed_until(&self, now: Duration, key: &Key, expect: u64) -> Option<Duration> {
+        let lowest = self.inherited(now)?.engines.get(&key.id)?.before(key.born)?;
+        (lowest <= expect + 1).then_some(self.others_until)
     }
 
     /// Returns until when the next order to an engine must not be sent, or `None` if it may be sent
@@ -159,8 +226,11 @@
         task: &Task,
         engines: &Engines,
     ) -> Option<Duration> {
-        let rows = self.rows.get(&key.id)?;
         let expect = tracker.accepted_orders?;
+        if let Some(until) = self.exposed_until(now, key, expect) {
+            return Some(until);
+        }
+        let rows = self.rows.get(&key.id)?;
         let rows: Vec<&Row> = rows.iter().filter(|row| now < row.expires_at).collect();
         let earlier: Vec<&Row> = rows.iter().copied().filter(|row| row.born != key.born).collect();
         let mut contents = Contents::new(tracker);
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -21,6 +21,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::handover;
+use crate::decide::handover::Handover;
 use crate::edge::platform::Version;
 use crate::table::Fence;
 use crate::table::Incarnation;
@@ -53,6 +55,13 @@
     pub renewal: u64,
     /// The validity of the lease after each renewal, in milliseconds.
     pub duration_ms: u64,
+    /// What the next holder has to know about orders to engines; none if that is not told.
+    #[serde(
+        default,
+        deserialize_with = "handover::decode",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub handover: Option<Handover>,
 }
 
 /// A write of the lease object to be sent.
@@ -200,9 +209,9 @@
         }
         self.free_since(now)?;
         let Some((version, lease, _)) = self.observed.clone() else {
-            return Some(self.acquire(now, None, 0, 0));
+            return Some(self.acquire(now, None, 0, 0, None));
         };
-        Some(self.acquire(now, Some(version), lease.term, lease.renewal))
+        Some(self.acquire(now, Some(version), lease.term, lease.renewal, lease.handover))
     }
 
     /// Stops acting at once and returns the write that gives the lease back, if it was held.
@@ -236,7 +245,8 @@
         self.on_read(now, object);
     }
 
-    fn renewal(&mut self, now: Duration) -> Option<Write> {
+    /// Returns a renewal of the lease if it is held.
+    pub fn renewal(&mut self, now: Duration) -> Option<Write> {
         let term = self.term(now)?;
         let (version, lease, _) = self.observed.clone()?;
         if lease.holder.as_ref() != Some(&self.me) || lease.term != term {
@@ -253,12 +263,14 @@
         expect: Option<Version>,
         term: Fence,
         renewal: u64,
+        handover: Option<Handover>,
     ) -> Write {
         let lease = Lease {
             holder: Some(self.me.clone()),
             term: (term + 1).max(self.min_term),
             renewal: self.next_renewal(renewal),
             duration_ms: self.duration.as_millis() as u64,
+            handover,
         };
         Write { expect, lease, sent: now }
     }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod event;
 pub mod fleet;
 pub mod flow;
+pub mod handover;
 pub mod lag;
 pub mod late_orders;
 pub mod lease;
--- a/tests/decide_interleavings.rs
+++ b/tests/decide_interleavings.rs
@@ -4,14 +4,17 @@
 //! the daemon. Orders and reports may be lost, or arrive at any later time, also after the lease has
 //! changed hands, as they do after a freeze that is longer than the lease; reports may show the
 //! engine as it was before its last change; timers may fire at any time; the engine may restart
-//! under its id, which the holder of the lease knows. The holder's record of late orders and the
-//! time for which a restarted engine gets none are as short as they can be: they end with the last
-//! order that may still arrive. A search is bounded by the number of orders, changes of the lease
-//! and restarts; a larger one is run by hand with the environment variables that the test reads.
+//! under its id. The holder of the lease knows a restart that it has seen itself, and an earlier one
+//! if a daemon has outlived it. The holder's record of late orders and the time for which a
+//! restarted engine gets none are as short as they can be: they end with the last order that may
+//! still arrive. A search is bounded by the number of orders, changes of the lease and restarts; a
+//! larger one is run by hand with the environment variables that the tests read.
 
 use std::collections::HashSet;
 use std::time::Duration;
 
+use poplarmux::decide::handover::Floor;
+use poplarmux::decide::handover::Handover;
 use poplarmux::decide::late_orders::LateOrders;
 use poplarmux::decide::orders;
 use poplarmux::decide::orders::Target;
@@ -27,18 +30,43 @@
 use poplarmux::table::routing::Engines;
 use poplarmux::table::routing::Model;
 
-/// Models and their weights in MB. Any two of them fit, the three of them do not.
-const MODELS: [(&str, f64); 3] = [("a", 40.0), ("b", 40.0), ("c", 50.0)];
+const MODELS: [&str; 3] = ["a", "b", "c"];
 const WEIGHTS_MB: f64 = 100.0;
 const NOW: Duration = Duration::from_secs(1);
+const FIRST_TOKEN: u64 = 1;
 
 /// Set of models, one bit each.
 type Set = u8;
 
-fn engines() -> Engines {
-    let model = |(name, weights): (&str, f64)| Model {
+/// The weights of the models, and what the engine holds at first.
+#[derive(Debug, Clone, Copy)]
+enum Stock {
+    /// Any two models fit, the three of them do not.
+    Two,
+    /// No two models fit.
+    One,
+}
+
+impl Stock {
+    fn weights_mb(self) -> [f64; 3] {
+        match self {
+            Stock::Two => [40.0, 40.0, 50.0],
+            Stock::One => [60.0; 3],
+        }
+    }
+
+    fn resident(self) -> Set {
+        match self {
+            Stock::Two => 0b011,
+            Stock::One => 0b001,
+        }
+    }
+}
+
+fn engines(stock: Stock) -> Engines {
+    let model = |(name, weights_mb): (&str, f64)| Model {
         name: name.to_string(),
-        weights_mb: weights,
+        weights_mb,
         adapter_mb: 0.0,
         store_load_time: Duration::from_secs(3),
         disk_load_time: Duration::from_secs(1),
@@ -50,22 +78,38 @@
         weights_mb: WEIGHTS_MB,
         adapter_slots: 2,
         loads_per_second: 1.0,
-        models: MODELS.map(model).into(),
+        models: MODELS.into_iter().zip(stock.weights_mb()).map(model).collect(),
     }
 }
 
-fn fits_in_memory(models: Set) -> bool {
-    let weights = MODELS.iter().enumerate().filter(|(index, _)| models & (1 << index) != 0);
-    weights.map(|(_, (_, weights))| weights).sum::<f64>() <= WEIGHTS_MB
+fn fits_in_memory(engines: &Engines, models: Set) -> bool {
+    let rows = engines.models.iter().enumerate().filter(|(index, _)| models & (1 << index) != 0);
+    rows.map(|(_, model)| model.weights_mb).sum::<f64>() <= WEIGHTS_MB
+}
+
+/// Returns the engine after a number of restarts.
+fn key(restarts: u8) -> Key {
+    Key { id: "i-0".to_string(), born: restarts.into() }
+}
+
+/// Returns a lease object's handover with this floor of the engine.
+fn handover(floor: Option<Floor>) -> Handover {
+    let engines = floor.into_iter().map(|floor| (key(0).id, floor)).collect();
+    Handover { is_partial: floor.is_none(), engines }
+}
+
+fn floor(handover: &Handover) -> Option<Floor> {
+    assert!(!handover.is_partial, "the holder tells of all orders");
+    handover.engines.get(&key(0).id).copied()
 }
 
 fn index(model: &str) -> usize {
-    MODELS.iter().position(|(name, _)| *name == model).expect("a known model")
+    MODELS.iter().position(|name| *name == model).expect("a known model")
 }
 
 fn names(models: Set) -> Vec<ModelId> {
     let names = MODELS.iter().enumerate().filter(|(index, _)| models & (1 << index) != 0);
-    names.map(|(_, (name, _))| (*name).to_string()).collect()
+    names.map(|(_, name)| (*name).to_string()).collect()
 }
 
 fn set<'a>(models: impl IntoIterator<Item = &'a ModelId>) -> Set {
@@ -98,7 +142,7 @@
     fn task(&self) -> Task {
         Task {
             action: if self.is_load { Action::Load } else { Action::Unload },
-            model: MODELS[self.model].0.to_string(),
+            model: MODELS[self.model].to_string(),
             adapter: None,
         }
     }
@@ -141,8 +185,9 @@
     }
 
     /// Returns whether the load in progress exceeds the memory.
-    fn is_overcommitted(&self) -> bool {
-        matches!(self.operation, Some((true, model)) if !fits_in_memory(self.resident | 1 << model))
+    fn is_overcommitted(&self, engines: &Engines) -> bool {
+        let fits = |model: usize| fits_in_memory(engines, self.resident | 1 << model);
+        matches!(self.operation, Some((true, model)) if !fits(model))
     }
 }
 
@@ -184,7 +229,7 @@
         tracker.accepted_orders = self.orders.map(u64::from);
         tracker.next_poll = self.is_poll_due.then_some(NOW);
         tracker.target = self.target.map(|(model, evicted, load_accepted, orders)| Target {
-            model: MODELS[model].0.to_string(),
+            model: MODELS[model].to_string(),
             evicted: names(evicted),
             set_at: NOW,
             load_accepted,
@@ -265,6 +310,17 @@
     orders: u8,
     lease_changes: u8,
     restarts: u8,
+    witness: Witness,
+    stock: Stock,
+}
+
+/// Who tells a new holder of the lease of a restart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Witness {
+    /// A daemon that knew the engine before.
+    Daemon,
+    /// Nobody: all daemons start again when the lease changes hands.
+    None,
 }
 
 /// The engine, the holder of the lease and the messages between them. A former holder keeps nothing
@@ -280,19 +336,29 @@
     sent_orders: u8,
     lease_changes: u8,
     restarts: u8,
+    /// Whether the holder knows that the engine has restarted.
+    knows_restart: bool,
+    /// What the lease object tells the next holder of the engine; none if it tells nothing.
+    floor: Option<Floor>,
+    /// What the holder has read there as it acquired the lease.
+    inherited: Option<Floor>,
 }
 
 impl World {
-    fn new() -> Self {
-        let previous = View { orders: 0, resident: 0b011, busy: false };
+    fn new(resident: Set, witness: Witness) -> Self {
+        let new_floor = Floor { born: 0, current: 0, earlier: None };
+        let previous = View { orders: 0, resident, busy: false };
         World {
-            engine: Engine { orders: 0, resident: 0b011, operation: None, previous },
+            engine: Engine { orders: 0, resident, operation: None, previous },
             holder: Placer::new(),
             orders_in_flight: Vec::new(),
             answer: None,
             sent_orders: 0,
             lease_changes: 0,
             restarts: 0,
+            knows_restart: false,
+            floor: (witness == Witness::None).then_some(new_floor),
+            inherited: None,
         }
     }
 
@@ -329,6 +395,7 @@
                 let previous = View { orders: 0, resident: 0, busy: false };
                 world.engine = Engine { orders: 0, resident: 0, operation: None, previous };
                 world.restarts += 1;
+                world.knows_restart = true;
                 // The next incarnation is another engine to the placer.
                 world.forget();
             }));
@@ -396,13 +463,25 @@
                 world.lease_changes += 1;
                 world.forget();
                 world.orders_in_flight.iter_mut().for_each(|order| order.is_foreign = true);
+                world.knows_restart &= bounds.witness == Witness::Daemon;
+                world.inherited = world.floor;
+                if world.floor.is_some() {
+                    world.floor = floor(&handover(world.floor).including([key(world.restarts)]));
+                }
+            }));
+        }
+        // A renewal of the lease.
+        if self.floor.is_some() {
+            next.push(self.with(|world| {
+                let engine = (key(world.restarts), world.holder.orders.map(u64::from));
+                world.floor = floor(&world.late_orders().handover(NOW, [engine]));
             }));
         }
         if !self.holder.is_idle() {
             return;
         }
         if self.holder.target.is_none() {
-            self.target_events(next);
+            self.target_events(engines, next);
             return;
         }
         // A target that is not reached in time is given up.
@@ -420,29 +499,40 @@
         }
     }
 
-    /// Returns whether orders of other holders to an earlier incarnation may still arrive.
+    /// Returns the holder's record of late orders.
+    fn late_orders(&self) -> LateOrders {
+        let mut late_orders = LateOrders::default();
+        for sent in self.orders_in_flight.iter().filter(|sent| !sent.is_foreign) {
+            late_orders.on_sent(NOW, &key(sent.restarts), &sent.task(), sent.expect.into());
+        }
+        // Its time ends with the last order of another holder that may still arrive.
+        if self.orders_in_flight.iter().any(|order| order.is_foreign) {
+            let token = FIRST_TOKEN + u64::from(self.lease_changes);
+            late_orders.on_acquired(NOW, token, false, &handover(self.inherited));
+        }
+        late_orders
+    }
+
+    /// Returns whether the engine gets no order, as it is known to have restarted.
     fn is_held(&self) -> bool {
-        let is_exposed = |order: &Order| order.is_foreign && order.restarts < self.restarts;
-        self.orders_in_flight.iter().any(is_exposed)
+        self.knows_restart && self.late_orders().held_until(NOW, Duration::ZERO).is_some()
     }
 
     /// Returns whether the holder's record of its late orders forbids an order.
     fn is_blocked(&self, order: &Order, engines: &Engines) -> bool {
-        let key = |restarts: u8| Key { id: "i-0".to_string(), born: restarts.into() };
-        let mut late_orders = LateOrders::default();
-        for sent in self.orders_in_flight.iter().filter(|sent| !sent.is_foreign) {
-            late_orders.on_sent(NOW, &key(sent.restarts), &sent.task(), sent.expect.into());
-        }
         let (key, tracker) = (key(self.restarts), self.holder.tracker());
-        late_orders.blocked_until(NOW, &key, &tracker, &order.task(), engines).is_some()
+        let late_orders = self.late_orders();
+        !handover(self.floor).covers(&key, order.expect.into())
+            || late_orders.blocked_until(NOW, &key, &tracker, &order.task(), engines).is_some()
     }
 
     /// Sets each target that fits what the holder knows.
-    fn target_events(&self, next: &mut Vec<World>) {
+    fn target_events(&self, engines: &Engines, next: &mut Vec<World>) {
         let resident = self.holder.resident;
         for model in (0..MODELS.len()).filter(|model| resident & (1 << model) == 0) {
             let evictions = (0..1 << MODELS.len()).filter(|evicted: &Set| evicted & !resident == 0);
-            for evicted in evictions.filter(|set| fits_in_memory(resident & !set | 1 << model)) {
+            let fits = |set: &Set| fits_in_memory(engines, resident & !set | 1 << model);
+            for evicted in evictions.filter(fits) {
                 next.push(
                     self.with(|world| world.holder.target = Some((model, evicted, false, 0))),
                 );
@@ -453,13 +543,14 @@
 
 /// Visits all reachable worlds in order of their distance, and returns their number.
 fn search(bounds: Bounds) -> usize {
-    let engines = engines();
-    let mut seen = HashSet::from([World::new()]);
-    let mut worlds = vec![(World::new(), 0)];
+    let engines = engines(bounds.stock);
+    let first = World::new(bounds.stock.resident(), bounds.witness);
+    let mut seen = HashSet::from([first.clone()]);
+    let mut worlds = vec![(first, 0)];
     let mut position = 0;
     while position < worlds.len() {
         for next in worlds[position].0.successors(&engines, bounds) {
-            if next.engine.is_overcommitted() {
+            if next.engine.is_overcommitted(&engines) {
                 panic!("{}", describe_path(&worlds, position, &next));
             }
             if !seen.contains(&next) {
@@ -484,19 +575,40 @@
     path.iter().rev().map(|world| format!("{world:?}\n")).collect()
 }
 
-/// Guards against an engine that is ordered to load more than it has memory for, in any
-/// interleaving of orders, answers, reports and changes of the lease.
-#[test]
-fn no_interleaving_overcommits_an_engine() {
+fn check(default: Bounds) {
     let bound = |name: &str, default: u8| {
         std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
     };
     let bounds = Bounds {
-        orders: bound("POPLARMUX_SEARCH_ORDERS", 4),
-        lease_changes: bound("POPLARMUX_SEARCH_LEASE_CHANGES", 1),
-        restarts: bound("POPLARMUX_SEARCH_RESTARTS", 0),
+        orders: bound("POPLARMUX_SEARCH_ORDERS", default.orders),
+        lease_changes: bound("POPLARMUX_SEARCH_LEASE_CHANGES", default.lease_changes),
+        restarts: bound("POPLARMUX_SEARCH_RESTARTS", default.restarts),
+        ..default
     };
     let count = search(bounds);
     println!("{count} states, {bounds:?}");
     assert!(count > 1_000, "the search ends early: {count} states");
 }
+
+/// Guards against an engine that is ordered to load more than it has memory for, in any
+/// interleaving of orders, answers, reports and changes of the lease.
+#[test]
+fn no_interleaving_overcommits_an_engine() {
+    check(Bounds {
+        orders: 4,
+        lease_changes: 1,
+        restarts: 0,
+        witness: Witness::Daemon,
+        stock: Stock::Two,
+    });
+}
+
+/// Guards against the same if the engine has restarted and no daemon has outlived that.
+#[test]
+fn no_interleaving_overcommits_an_engine_that_no_daemon_saw_restart() {
+    let stock = match std::env::var("POPLARMUX_SEARCH_STOCK").as_deref() {
+        Ok("two") => Stock::Two,
+        _ => Stock::One,
+    };
+    check(Bounds { orders: 3, lease_changes: 1, restarts: 1, witness: Witness::None, stock });
+}
--- a/tests/decide_lease.rs
+++ b/tests/decide_lease.rs
@@ -447,7 +447,8 @@
     rival.on_read(ms(10), None);
     rival.on_read(ms(30), None);
     assert_eq!(rival.free_since(ms(40)), Some(ms(10)));
-    let lease = Lease { holder: Some(name("a")), term: 1, renewal: 1, duration_ms: 1_000 };
+    let lease =
+        Lease { holder: Some(name("a")), term: 1, renewal: 1, duration_ms: 1_000, handover: None };
     rival.on_read(ms(50), Some((1, lease.clone())));
     assert_eq!(rival.free_since(ms(1_059)), None, "the lease has not expired");
     assert_eq!(rival.free_since(ms(1_500)), Some(ms(1_060)));
