List an engine with its incarnation whatever its clock says

An engine whose machine's clock was set back before it restarted has an earlier start than the incarnation that the late orders were meant for. The handover listed it with that incarnation, so it got no orders for 15 s. What is known of the fleet goes first now. The new test failed before.

--- a/src/decide/late_orders.rs
+++ b/src/decide/late_orders.rs
@@ -166,20 +166,18 @@
         let is_partial = now < self.others_until && self.inherited.is_partial;
         let mut rows: BTreeMap<String, Floor> =
             self.inherited(now).map(|told| told.engines.clone()).unwrap_or_default();
-        for (key, accepted) in engines {
-            let floor = self.floor(now, &key, accepted);
-            rows.insert(key.id, floor);
-        }
         // An engine that is not known now may come back.
         for (id, orders) in &self.rows {
             let orders = orders.iter().filter(|row| now < row.expires_at);
-            if let Some(newest) = orders.map(|row| row.born).max()
-                && rows.get(id).is_none_or(|floor| floor.born < newest)
-            {
-                let key = Key { id: id.clone(), born: newest };
+            if let Some(born) = orders.map(|row| row.born).max() {
+                let key = Key { id: id.clone(), born };
                 rows.insert(id.clone(), self.floor(now, &key, None));
             }
         }
+        for (key, accepted) in engines {
+            let floor = self.floor(now, &key, accepted);
+            rows.insert(key.id, floor);
+        }
         Handover { is_partial, engines: rows }.bounded()
     }
 
--- a/tests/decide_late_orders.rs
+++ b/tests/decide_late_orders.rs
@@ -215,6 +215,17 @@
     assert_eq!(floor(&expired), Floor { born: 2, current: 1, earlier: None });
 }
 
+/// Guards against an engine without orders because its machine's clock was set back before it
+/// restarted.
+#[test]
+fn engine_is_listed_with_its_incarnation_whatever_its_clock_says() {
+    let mut late_orders = LateOrders::default();
+    late_orders.on_sent(NOW, &key(9), &load("c"), 3);
+    let told = late_orders.handover(NOW, [(key(2), Some(0))]);
+    assert!(told.covers(&key(2), 0));
+    assert!(blocked_until(&successor(&told), NOW, 2, &load("b"), 2, &[]).is_some());
+}
+
 /// Guards against late orders of the holder before the last one, as the lease changes hands twice
 /// within their time.
 #[test]
