Keep each state of the search of interleavings once

Each state was kept twice, once to know it again and once for the path to it, so larger searches needed more memory than allowed. A search can begin with an empty engine (POPLARMUX_SEARCH_STOCK=empty), by hand.

--- a/tests/decide_interleavings.rs
+++ b/tests/decide_interleavings.rs
@@ -11,6 +11,7 @@
 //! larger one is run by hand with the environment variables that the tests read.
 
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use poplarmux::decide::handover::Floor;
@@ -45,12 +46,14 @@
     Two,
     /// No two models fit.
     One,
+    /// As `Two`, but the engine is empty at first.
+    Empty,
 }
 
 impl Stock {
     fn weights_mb(self) -> [f64; 3] {
         match self {
-            Stock::Two => [40.0, 40.0, 50.0],
+            Stock::Two | Stock::Empty => [40.0, 40.0, 50.0],
             Stock::One => [60.0; 3],
         }
     }
@@ -59,6 +62,7 @@
         match self {
             Stock::Two => 0b011,
             Stock::One => 0b001,
+            Stock::Empty => 0,
         }
     }
 }
@@ -544,7 +548,7 @@
 /// Visits all reachable worlds in order of their distance, and returns their number.
 fn search(bounds: Bounds) -> usize {
     let engines = engines(bounds.stock);
-    let first = World::new(bounds.stock.resident(), bounds.witness);
+    let first = Rc::new(World::new(bounds.stock.resident(), bounds.witness));
     let mut seen = HashSet::from([first.clone()]);
     let mut worlds = vec![(first, 0)];
     let mut position = 0;
@@ -554,6 +558,7 @@
                 panic!("{}", describe_path(&worlds, position, &next));
             }
             if !seen.contains(&next) {
+                let next = Rc::new(next);
                 seen.insert(next.clone());
                 worlds.push((next, position));
             }
@@ -565,7 +570,7 @@
 
 /// Returns the worlds on the way to one, one a line; each world comes with its predecessor's
 /// position.
-fn describe_path(worlds: &[(World, usize)], end: usize, last: &World) -> String {
+fn describe_path(worlds: &[(Rc<World>, usize)], end: usize, last: &World) -> String {
     let mut path = vec![last];
     let mut position = end;
     while position != 0 {
@@ -608,6 +613,7 @@
 fn no_interleaving_overcommits_an_engine_that_no_daemon_saw_restart() {
     let stock = match std::env::var("POPLARMUX_SEARCH_STOCK").as_deref() {
         Ok("two") => Stock::Two,
+        Ok("empty") => Stock::Empty,
         _ => Stock::One,
     };
     check(Bounds { orders: 3, lease_changes: 1, restarts: 1, witness: Witness::None, stock });
