--- a/tests/decide_late_orders.rs
+++ b/tests/decide_late_orders.rs
@@ -252,6 +252,17 @@
     assert!(Handover::unknown().including([key(2)]).is_partial);
 }
 
+/// Guards against an engine that restarts after a change of the lease, and then takes late orders of
+/// both holders one after another, which exceed its memory.
+#[test]
+fn late_orders_of_two_holders_that_an_empty_engine_could_take_fit_together() {
+    let mut earlier = LateOrders::default();
+    earlier.on_sent(NOW, &key(1), &load("b"), 0);
+    earlier.on_sent(NOW, &key(1), &load("a"), 1);
+    let late_orders = successor(&earlier.handover(NOW, [(key(1), Some(2))]));
+    assert!(blocked_until(&late_orders, NOW, 1, &load("c"), 2, &[]).is_some());
+}
+
 /// Guards against an order of which the lease object does not tell.
 #[test]
 fn order_is_covered_only_from_its_number_on() {
