Test that a lease is readable whatever its handover

Guards for the handover in the lease object: one of another form, or of a release that has none, leaves the lease readable, a lease without one is encoded as before, and acquisition, renewal and return keep what was read.

--- a/tests/decide_lease.rs
+++ b/tests/decide_lease.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use poplarmux::decide::handover::Handover;
 use poplarmux::decide::lease::Elector;
 use poplarmux::decide::lease::Holder;
 use poplarmux::decide::lease::Lease;
 use poplarmux::decide::lease::MAX_DRIFT_PERCENT;
 use poplarmux::decide::lease::Write;
+use poplarmux::table::instance::Key;
 use proptest::prelude::*;
+use serde::Deserialize;
+use serde_json::json;
 
 const LEASE_DURATION: Duration = Duration::from_millis(1000);
 
@@ -455,3 +459,43 @@
     rival.on_read(ms(1_600), Some((2, Lease { holder: None, renewal: 2, ..lease })));
     assert_eq!(rival.free_since(ms(1_700)), Some(ms(1_600)));
 }
+
+/// Guards against a lease that is taken for absent because its handover is of another release.
+#[test]
+fn lease_is_readable_whatever_its_handover() {
+    let told = Handover::default().including([Key { id: "i-0".to_string(), born: 7 }]);
+    let lease =
+        Lease { holder: None, term: 3, renewal: 4, duration_ms: 1_000, handover: Some(told) };
+    let silent = Lease { handover: None, ..lease.clone() };
+    let encoded = json!(lease);
+    assert_eq!(Lease::deserialize(&encoded).ok(), Some(lease));
+    for handover in [json!(null), json!([1]), json!({"engines": {"i-0": ["x"]}})] {
+        let mut other = encoded.clone();
+        other["handover"] = handover;
+        assert_eq!(Lease::deserialize(&other).ok().as_ref(), Some(&silent), "{other}");
+    }
+    let older = json!({"holder": null, "term": 3, "renewal": 4, "duration_ms": 1000});
+    assert_eq!(Lease::deserialize(&older).ok().as_ref(), Some(&silent));
+    assert_eq!(json!(silent), older);
+}
+
+/// Guards against a holder that does not read what the one before has told, and against a renewal
+/// that removes it.
+#[test]
+fn writes_keep_the_handover_that_was_read() {
+    let ms = Duration::from_millis;
+    let name = |at: &str| Holder { address: at.to_string(), incarnation: 1 };
+    let told = Handover::default().including([Key { id: "i-0".to_string(), born: 7 }]);
+    let handover = Some(told.clone());
+    let lease =
+        Lease { holder: Some(name("a")), term: 1, renewal: 1, duration_ms: 1_000, handover };
+    let mut elector = Elector::new(name("b"), LEASE_DURATION);
+    elector.on_read(ms(0), Some((1, lease)));
+    let write = elector.next_write(ms(1_100)).expect("the lease is free");
+    assert_eq!(write.lease.handover.as_ref(), Some(&told));
+    elector.on_applied(ms(1_110), 2, &write);
+    let renewal = elector.renewal(ms(1_200)).expect("the lease is held");
+    assert_eq!(renewal.lease.handover.as_ref(), Some(&told));
+    let returned = elector.resign(ms(1_300)).expect("the lease is held");
+    assert_eq!(returned.lease.handover.as_ref(), Some(&told));
+}
