List new engines in the lease object as soon as they are known

An engine that starts gets no orders before the lease object lists it. The loop that writes the lease looked every 0.2 s: in one run of new_engine_is_listed_in_the_lease_before_it_is_ordered the renewal came 179 ms after the engine was seen. The placer wakes it now as it begins to track a new engine, one step (0.1 s) before it can send the first order. The wait that is left is that of the write; it was not measured.

--- a/src/daemon/lease.rs
+++ b/src/daemon/lease.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use smol::Timer;
+use smol::future;
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
@@ -71,7 +72,11 @@
             write_if_due(&daemon, holds_lease, paused_until).await;
         }
         record_term(&daemon);
-        Timer::after(STEP_INTERVAL).await;
+        let unlisted = daemon.placer.borrow().engine_unlisted();
+        let timer = async {
+            Timer::after(STEP_INTERVAL).await;
+        };
+        future::or(timer, unlisted).await;
     }
 }
 
--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -134,6 +134,8 @@
     updates: Updates,
     /// Notified when there are updates to send.
     updates_ready: Notifier,
+    /// Notified when an engine is known that the lease object does not list.
+    unlisted: Notifier,
     /// Demand of the callers of all daemons.
     pub demand: Demand,
     /// Adapters that were requested and are on no engine.
@@ -163,6 +165,7 @@
             trackers: BTreeMap::new(),
             updates: Updates::default(),
             updates_ready: Notifier::new(),
+            unlisted: Notifier::new(),
             demand: Demand::default(),
             missing_adapters: HashMap::new(),
             missing_models: HashMap::new(),
@@ -221,6 +224,11 @@
         handover.is_some_and(|handover| engines.iter().any(|key| !handover.lists(key)))
     }
 
+    /// Waits until an engine is known that the lease object does not list.
+    pub fn engine_unlisted(&self) -> impl Future<Output = ()> + use<> {
+        self.unlisted.listen()
+    }
+
     /// Returns whether the next holder of the lease takes an order into account, whether or not the
     /// last write of the lease took effect.
     pub fn is_covered(&self, key: &Key, expect: u64) -> bool {
@@ -440,6 +448,7 @@
         .collect();
     placer.trackers.retain(|key, _| fleet.get(key).is_some());
     let mut held = Vec::new();
+    let mut new = Vec::new();
     for row in engines {
         let instance = &row.instance;
         let age = wall_clock.saturating_sub(Duration::from_millis(instance.key.born));
@@ -447,6 +456,7 @@
         let held_until = held_until.filter(|_| fleet.had_predecessor(&instance.key));
         let tracker = placer.trackers.entry(instance.key.clone()).or_insert_with(|| {
             held.extend(held_until.map(|until| (instance.key.clone(), until - now)));
+            new.push(instance.key.clone());
             let tracker = Tracker::new(now, instance.resident.clone(), instance.copies.clone());
             Tracker { held_until: held_until.unwrap_or_default(), ..tracker }
         });
@@ -461,6 +471,9 @@
             tracker.next_poll = Some(now);
         }
     }
+    if placer.has_unlisted(&new) {
+        placer.unlisted.notify(1);
+    }
     drop((fleet, placer));
     for (key, remaining) in held {
         log_held(daemon, &key, None, remaining);
