Tell the promising statuses in one place

Which statuses promise a caller that its request has not run was listed for the daemon and again for the product's side; a status added to one would have been forwarded by the other. `edge::caller` lists them for both.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -52,13 +52,13 @@
 use crate::daemon::quota::Charge;
 use crate::daemon::reply::Responder;
 use crate::daemon::reply::error_response;
-use crate::daemon::reply::promises_not_run;
 use crate::daemon::retry;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Forwarder;
 use crate::decide::origin::Origin;
 use crate::decide::shutdown;
+use crate::edge::caller;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
 use crate::table::Fingerprint;
@@ -653,7 +653,7 @@
 /// Forwards an endpoint's complete answer. The endpoint ran the request; if that may not run again, a
 /// status that promises the opposite to the caller is not forwarded.
 fn forward(daemon: &Daemon, job: &Job, res: Response<Bytes>) -> Response<Payload> {
-    if !job.route.is_idempotent() && promises_not_run(res.status()) {
+    if !job.route.is_idempotent() && caller::promises_not_run(res.status().as_u16()) {
         return job.responder().failed(daemon, StatusCode::BAD_GATEWAY, "endpoint_failure");
     }
     let (parts, body) = res.into_parts();
--- a/src/daemon/reply.rs
+++ b/src/daemon/reply.rs
@@ -18,17 +18,6 @@
 use crate::table::team::Key;
 use crate::table::team::Team;
 
-/// Returns whether a status promises a caller that its request has not run and will not.
-pub fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// Returns an error response with a JSON body.
 pub fn error_response(status: StatusCode, reason: &str) -> Response<Payload> {
     let body = serde_json::json!({ "error": { "code": reason } }).to_string();
--- a/src/edge/caller.rs
+++ b/src/edge/caller.rs
@@ -24,6 +24,11 @@
 /// Header: idempotency key of a call that must not run twice.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// Returns whether a status promises a caller that its request has not run and will not.
+pub fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// The completion interface that a caller uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Style {
--- a/src/edge/endpoint/call.rs
+++ b/src/edge/endpoint/call.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use smol::future::FutureExt;
 
+use crate::edge::caller;
 use crate::edge::endpoint::ATTEMPT;
 use crate::edge::endpoint::DEADLINE;
 use crate::edge::endpoint::Error;
@@ -251,7 +252,7 @@
             let answer = self.send(address, req, &call.attempt, reuse, limit).await?;
             let endpoint_status = Status::read(&answer);
             let status = answer.head.status().into();
-            if states_not_run(&answer) || (!call.repeatable && promises_not_run(status)) {
+            if states_not_run(&answer) || (!call.repeatable && caller::promises_not_run(status)) {
                 return Err((response_error(&answer), endpoint_status));
             }
             let mime = answer.header("content-type").unwrap_or("application/octet-stream");
@@ -339,11 +340,6 @@
 /// Header of an endpoint's error response that states whether the call ran.
 const OUTCOME: &str = "x-outcome";
 
-/// Whether a caller reads this status of an answer as a promise that its request did not run.
-pub fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
 /// Whether the endpoint states that it did not run the call. A status alone does not show that: a
 /// call that failed halfway may also return a 503.
 fn states_not_run(answer: &Answer) -> bool {
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -274,7 +274,7 @@
                 Ok(())
             }
             Err(Admission::Repeat(Record::Complete(answer)))
-                if !call::promises_not_run(answer.status) =>
+                if !caller::promises_not_run(answer.status) =>
             {
                 Err(End::Unsent(Ok(recorded_reply(answer))))
             }
