--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -36,7 +36,6 @@
 use http::Method;
 use http::Request;
 use http::Response;
-use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -57,6 +56,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::clock;
+use crate::daemon::collect;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
 use crate::edge::response_filter;
@@ -118,10 +118,7 @@
     if res.body().size_hint().exact().is_some() {
         return Framing::Length;
     }
-    let codings = res.headers().get_all(header::TRANSFER_ENCODING).iter().next_back();
-    let is_chunked = codings.is_some_and(|codings| {
-        codings.as_bytes().trim_ascii_end().to_ascii_lowercase().ends_with(b"chunked")
-    });
+    let is_chunked = response_filter::is_chunked(res.headers()) == Some(true);
     if is_chunked { Framing::Chunked } else { Framing::Close }
 }
 
@@ -472,8 +469,8 @@
     ) -> Result<Response<Bytes>, Error> {
         let complete = async {
             let (head, body) = self.send(req, limit).await?.into_parts();
-            let body = Limited::new(body, max).collect().await.map_err(|_| Error::Broken)?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = collect::collect(body, max).await.map_err(|_| Error::Broken)?;
+            Ok(Response::from_parts(head, body))
         };
         let outcome = complete.or(fail_after(limit, Error::Timeout)).await;
         outcome.map_err(|err| if self.is_expired() { Error::Expired } else { err })
