--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -185,6 +185,10 @@
     pub head: Duration,
     /// Between two parts of its body.
     pub pause: Duration,
+    /// For each further `min_bytes` of its body.
+    pub span: Duration,
+    /// Least number of bytes in each `span`.
+    pub min_bytes: usize,
     /// For all of it.
     pub total: Duration,
 }
@@ -326,6 +330,11 @@
         filter.discarded().is_empty() && filter.error().is_none()
     }
 
+    /// Returns whether responses to other requests were received since the current request was sent.
+    pub fn has_discarded(&self) -> bool {
+        !self.progress.filter.borrow().discarded().is_empty()
+    }
+
     /// Returns whether bytes were received while no response was due.
     pub fn has_unsolicited(&self) -> bool {
         self.progress.filter.borrow().error() == Some(response_filter::Error::Unsolicited)
@@ -435,10 +444,18 @@
             let (head, body) = head.into_parts();
             let mut body = std::pin::pin!(self.count(Limited::new(body, max)));
             let mut bytes = BytesMut::new();
+            let (mut due, mut enough) = (clock::now() + limits.span, limits.min_bytes);
             loop {
                 let frame = async { Ok(body.frame().await) };
-                match frame.or(fail_after(limits.pause, Error::Timeout)).await? {
-                    Some(Ok(frame)) => bytes.extend(frame.into_data()),
+                let limit = limits.pause.min(due.saturating_sub(clock::now()));
+                match frame.or(fail_after(limit, Error::Timeout)).await? {
+                    Some(Ok(frame)) => {
+                        bytes.extend(frame.into_data());
+                        if bytes.len() >= enough {
+                            (due, enough) =
+                                (clock::now() + limits.span, bytes.len() + limits.min_bytes);
+                        }
+                    }
                     Some(Err(_)) => return Err(Error::Broken),
                     None => return Ok(Response::from_parts(head, bytes.freeze())),
                 }
--- a/tests/decide_late_orders.rs
+++ b/tests/decide_late_orders.rs
@@ -215,6 +215,17 @@
     assert_eq!(floor(&expired), Floor { born: 2, current: 1, earlier: None });
 }
 
+/// Guards against an engine without orders because its machine's clock was set back before it
+/// restarted.
+#[test]
+fn engine_is_listed_with_its_incarnation_whatever_its_clock_says() {
+    let mut late_orders = LateOrders::default();
+    late_orders.on_sent(NOW, &key(9), &load("c"), 3);
+    let told = late_orders.handover(NOW, [(key(2), Some(0))]);
+    assert!(told.covers(&key(2), 0));
+    assert!(blocked_until(&successor(&told), NOW, 2, &load("b"), 2, &[]).is_some());
+}
+
 /// Guards against late orders of the holder before the last one, as the lease changes hands twice
 /// within their time.
 #[test]
@@ -241,6 +252,17 @@
     assert!(Handover::unknown().including([key(2)]).is_partial);
 }
 
+/// Guards against an engine that restarts after a change of the lease, and then takes late orders of
+/// both holders one after another, which exceed its memory.
+#[test]
+fn late_orders_of_two_holders_that_an_empty_engine_could_take_fit_together() {
+    let mut earlier = LateOrders::default();
+    earlier.on_sent(NOW, &key(1), &load("b"), 0);
+    earlier.on_sent(NOW, &key(1), &load("a"), 1);
+    let late_orders = successor(&earlier.handover(NOW, [(key(1), Some(2))]));
+    assert!(blocked_until(&late_orders, NOW, 1, &load("c"), 2, &[]).is_some());
+}
+
 /// Guards against an order of which the lease object does not tell.
 #[test]
 fn order_is_covered_only_from_its_number_on() {
