Log which parts the requests had that a crash cut off at their start

A crash was logged with the number of requests that it cut, and a line `sent` has a hash of the whole request. Neither tells whether the requests of several crashes have a part of their prompts in common, or which of them had only just begun.

A line `crash` now has the number of requests that had begun to be answered less than half a second before, or not at all, and the parts of their prompts; a line `sent` has the parts of its request. Both leave out the last part, which belongs to the request itself.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -38,11 +38,13 @@
 use crate::daemon::liveness;
 use crate::daemon::liveness::Connection;
 use crate::daemon::quarantine;
+use crate::daemon::quarantine::Run;
 use crate::daemon::send;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
 use crate::decide::body::Framing;
 use crate::decide::contact::Path;
+use crate::decide::suspects::Content;
 use crate::edge::dialect::Answer;
 use crate::edge::dialect::Attempt;
 
@@ -114,7 +116,9 @@
         return Ok(undelivered("malformed"));
     };
     let deadline = clock::now() + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
-    let res = pass_on(daemon, &caller.id, target, deadline, head, body).await;
+    let parts = caller.parts.iter().map(|part| part.id);
+    let content = Content::new(target.fingerprint, parts);
+    let res = pass_on(daemon, &caller.id, target, &content, deadline, head, body).await;
     daemon.gauges.record_forwarding(match &res {
         Ok(res) if is_undelivered(res.headers()) => Forwarding::Undelivered,
         Ok(_) => Forwarding::Answered,
@@ -127,6 +131,7 @@
     daemon: &Rc<Daemon>,
     id: &str,
     target: Target,
+    content: &Content,
     deadline: Duration,
     mut head: Parts,
     body: Incoming,
@@ -175,7 +180,9 @@
                     daemon: daemon.clone(),
                     target,
                     link: Some(link),
+                    content: content.clone(),
                     sent_at,
+                    received_at: clock::now(),
                     liveness,
                     deadline,
                     _open: open,
@@ -195,7 +202,8 @@
             }
             Err(err) => {
                 if err == link::Error::Broken {
-                    quarantine::on_broken(daemon, &target.key, target.fingerprint, sent_at);
+                    let run = Run { content, sent_at, answered_at: None };
+                    quarantine::on_broken(daemon, &target.key, run);
                 }
                 return Err(Truncated);
             }
@@ -275,13 +283,23 @@
     target: Target,
     /// The connection; none once the response has ended.
     link: Option<Link>,
+    /// What the request holds.
+    content: Content,
     sent_at: Duration,
+    /// When the head of the response was received.
+    received_at: Duration,
     liveness: Option<Connection>,
     deadline: Duration,
     _open: OpenRequest,
 }
 
 impl Exchange {
+    /// Returns the run that the endpoint has begun to answer.
+    fn run(&self) -> Run<'_> {
+        let answered_at = Some(self.received_at);
+        Run { content: &self.content, sent_at: self.sent_at, answered_at }
+    }
+
     /// Returns the response for the daemon that sent the request.
     fn pass_back(mut self, res: Response<Incoming>) -> Response<Payload> {
         let framing = link::framing(&res);
@@ -344,8 +362,7 @@
             }
             Some(Err(err)) => {
                 if err == link::Error::Broken {
-                    let Target { key, fingerprint, .. } = &self.target;
-                    quarantine::on_broken(&self.daemon, key, *fingerprint, self.sent_at);
+                    quarantine::on_broken(&self.daemon, &self.target.key, self.run());
                 }
                 self.abort().await
             }
@@ -367,11 +384,11 @@
     /// Returns whether the endpoint has crashed that has just ended its response by closing the
     /// connection.
     async fn has_crashed(&mut self) -> bool {
-        let Target { key, fingerprint, .. } = &self.target;
-        let (run, liveness) = ((*fingerprint, self.sent_at), self.liveness.take());
+        let liveness = self.liveness.take();
+        let key = &self.target.key;
         let liveness = liveness.or_else(|| liveness::since(&self.daemon, key, self.sent_at));
         let remaining = self.deadline.saturating_sub(clock::now());
-        quarantine::has_crashed_after(&self.daemon, key, run, liveness, remaining).await
+        quarantine::has_crashed_after(&self.daemon, key, self.run(), liveness, remaining).await
     }
 
     /// Ends the response as incomplete.
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -58,6 +58,7 @@
 use crate::daemon::stream::Forwarder;
 use crate::decide::origin::Origin;
 use crate::decide::shutdown;
+use crate::decide::suspects::Content;
 use crate::edge::caller;
 use crate::edge::dialect::Caller;
 use crate::edge::dialect::Part;
@@ -158,8 +159,8 @@
     pub team: Option<Rc<Team>>,
     /// What it counts against the team's quota.
     pub charge: Option<Charge>,
-    /// Hash of team, method, host, URI and body: equal if the request is sent again.
-    pub fingerprint: Fingerprint,
+    /// What it holds that may crash endpoints.
+    pub content: Content,
     /// The stream that it begins or takes up, if it is for one.
     pub stream: StreamId,
     /// Version of the software that may answer it; set once its caller has events of a stream.
@@ -462,6 +463,7 @@
         priority: team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority),
         class,
     };
+    let fingerprint = fingerprint(team.as_deref(), &caller.host, head, &body);
     Job {
         number: daemon.next_request_number(),
         spec: Rc::new(spec),
@@ -469,7 +471,7 @@
         method: head.method.clone(),
         uri: head.uri.clone(),
         config_version: config.version,
-        fingerprint: fingerprint(team.as_deref(), &caller.host, head, &body),
+        content: Content::new(fingerprint, caller.parts.iter().map(|part| part.id)),
         stream: stream_id(team.as_deref(), &route, &caller),
         software,
         team,
@@ -488,7 +490,7 @@
     origin::stream_id(team.map(|team| team.name.as_str()), route, first_attempt)
 }
 
-/// Returns the hash of what stays equal when a caller sends a request again. Its id and its deadline
+/// Returns the hash of team, method, host, URI and body: of what stays equal when a caller sends a request again. Its id and its deadline
 /// do not.
 pub fn fingerprint(
     team: Option<&Team>,
@@ -609,7 +611,7 @@
             let refusal = Refusal::new(progress.last_error, REJECTED_RETRY_AFTER);
             return give_up(daemon, job, &mut tracker, progress, &refusal);
         }
-        quarantine::settle(daemon, job.fingerprint).await;
+        quarantine::settle(daemon, job.content.fingerprint).await;
     }
 }
 
@@ -624,7 +626,8 @@
     job: &Rc<Job>,
     tried: &[instance::Key],
 ) -> Result<admission::Permit, Refusal> {
-    let quarantined = async { Err(quarantine::wait_for_refusal(daemon, job.fingerprint).await) };
+    let quarantined =
+        async { Err(quarantine::wait_for_refusal(daemon, job.content.fingerprint).await) };
     quarantined.or(admission::find(daemon, job, tried)).await
 }
 
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -116,6 +116,8 @@
     Crash {
         endpoint: String,
         requests: usize,
+        starting: usize,
+        parts: Vec<String>,
     },
     Quarantined {
         content: String,
@@ -210,6 +212,7 @@
         before: u64,
         model: Option<String>,
         adapter: Option<String>,
+        parts: Vec<String>,
         prompt: u32,
         unread: u32,
         read: u64,
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -30,11 +30,13 @@
 use crate::daemon::liveness::Connection;
 use crate::daemon::peer;
 use crate::decide::suspects::Breakage;
+use crate::decide::suspects::Content;
 use crate::decide::suspects::MAX_CRASHES;
 use crate::decide::suspects::Message;
 use crate::decide::suspects::News;
 use crate::decide::suspects::Suspects;
 use crate::table::Fingerprint;
+use crate::table::PartId;
 use crate::table::instance::Key;
 use crate::table::instance::State;
 
@@ -45,6 +47,30 @@
 /// Daemons that are sent all refusals in each round.
 const REFUSAL_FANOUT: usize = 2;
 
+/// Time after the first byte of an answer from which the request did not cause a crash of its
+/// endpoint: it would have crashed sooner.
+const STARTING_PERIOD: Duration = Duration::from_millis(500);
+/// Parts of prompts in one line of the log.
+const MAX_LOGGED_PARTS: usize = 32;
+
+/// A request at an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Run<'a> {
+    /// What the request holds.
+    pub content: &'a Content,
+    /// When it was sent there.
+    pub sent_at: Duration,
+    /// When the head of the answer was received, if it was.
+    pub answered_at: Option<Duration>,
+}
+
+impl Run<'_> {
+    /// Returns whether the request may have crashed the endpoint now.
+    fn is_starting(&self, now: Duration) -> bool {
+        self.answered_at.is_none_or(|at| now < at + STARTING_PERIOD)
+    }
+}
+
 /// Requests that ran on crashed endpoints, and endpoints that may have crashed.
 #[derive(Default)]
 pub struct Observer {
@@ -59,6 +85,8 @@
 struct Check {
     /// What broke there.
     breakage: Breakage,
+    /// Number of requests there that had not been running for long.
+    starting: usize,
     /// Its result; none while it goes on.
     crashed: Rc<Cell<Option<bool>>>,
 }
@@ -69,6 +97,11 @@
         self.suspects.counts(now)
     }
 
+    /// Returns the largest number of crashes that a request was part of which is not refused.
+    pub fn max_crash_count(&self, now: Duration) -> usize {
+        self.suspects.max_crash_count(now)
+    }
+
     /// Returns whether checks that have not ended yet may lead to the refusal of a request.
     fn is_undecided(&self, fingerprint: Fingerprint) -> bool {
         let is_in =
@@ -117,9 +150,9 @@
 
 /// Records that a request's connection to an endpoint broke before the answer was complete, and
 /// checks whether the endpoint has crashed.
-pub fn on_broken(daemon: &Rc<Daemon>, key: &Key, fingerprint: Fingerprint, sent_at: Duration) {
+pub fn on_broken(daemon: &Rc<Daemon>, key: &Key, run: Run<'_>) {
     // The check goes on without its result being awaited.
-    let _ = check(daemon, key, (fingerprint, sent_at), None);
+    let _ = check(daemon, key, run, None);
 }
 
 /// Returns whether an endpoint has crashed that has just closed a request's connection, and if so
@@ -128,7 +161,7 @@
 pub async fn has_crashed_after(
     daemon: &Rc<Daemon>,
     key: &Key,
-    run: (Fingerprint, Duration),
+    run: Run<'_>,
     liveness: Option<Connection>,
     limit: Duration,
 ) -> bool {
@@ -168,7 +201,7 @@
 fn check(
     daemon: &Rc<Daemon>,
     key: &Key,
-    run: (Fingerprint, Duration),
+    run: Run<'_>,
     liveness: Option<Connection>,
 ) -> Option<Rc<Cell<Option<bool>>>> {
     let is_leaving = {
@@ -178,13 +211,19 @@
     if is_leaving {
         return None;
     }
+    let now = clock::now();
     let mut observer = daemon.quarantine.borrow_mut();
     let is_checked = observer.checks.contains_key(key);
     let check = observer.checks.entry(key.clone()).or_insert_with(|| Check {
-        breakage: Breakage { at: clock::now(), runs: Vec::new() },
+        breakage: Breakage { at: now, ..Breakage::default() },
+        starting: 0,
         crashed: Rc::default(),
     });
-    check.breakage.runs.push(run);
+    check.breakage.runs.push((run.content.fingerprint, run.sent_at));
+    if run.is_starting(now) {
+        check.starting += 1;
+        check.breakage.parts.extend(&run.content.parts);
+    }
     if !is_checked {
         let (shared, key) = (daemon.clone(), key.clone());
         daemon.ex.spawn(async move { run_check(&shared, &key, liveness).await }).detach();
@@ -198,9 +237,14 @@
     if let Some(check) = &check {
         check.crashed.set(Some(crashed));
     }
-    if let Some(Check { breakage, .. }) = check.filter(|_| crashed) {
+    if let Some(Check { breakage, starting, .. }) = check.filter(|_| crashed) {
         let now = clock::now();
-        daemon.note(&Event::Crash { endpoint: key.id.clone(), requests: breakage.runs.len() });
+        daemon.note(&Event::Crash {
+            endpoint: key.id.clone(),
+            requests: breakage.runs.len(),
+            starting,
+            parts: breakage.parts.iter().take(MAX_LOGGED_PARTS).map(part_name).collect(),
+        });
         let news = daemon.quarantine.borrow_mut().suspects.add_crash(now, key, &breakage);
         apply(daemon, &news, "connection");
         if news.has_new_runs {
@@ -262,6 +306,11 @@
     report.and_then(|report| report.started_at).is_some_and(|born| born != key.born)
 }
 
+/// Returns how a part of prompts is spelled in the log.
+pub fn part_name(part: &PartId) -> String {
+    format!("{part:x}")
+}
+
 /// Logs requests that are refused from now on, and wakes those that wait.
 fn apply(daemon: &Daemon, news: &News, source: &'static str) {
     for fingerprint in &news.refused {
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -33,6 +33,7 @@
 use crate::daemon::liveness::Connection;
 use crate::daemon::origin;
 use crate::daemon::quarantine;
+use crate::daemon::quarantine::Run;
 use crate::daemon::quota::Charge;
 use crate::daemon::retry;
 use crate::daemon::statement;
@@ -75,6 +76,8 @@
     pub link: Link,
     /// When the attempt began, on the boot clock.
     pub sent_at: Duration,
+    /// When this head was received, on the boot clock.
+    pub received_at: Duration,
     /// A connection that was open when the request was sent, or later.
     pub liveness: Option<Connection>,
 }
@@ -136,10 +139,12 @@
         // A crash has been recorded as it was found.
         Outcome::Truncated(_, BodyEnd::Timeout | BodyEnd::Crashed) => {}
         Outcome::Indeterminate("broken") | Outcome::Truncated(..) => {
-            quarantine::on_broken(daemon, &place.key, job.fingerprint, started_at);
+            let content = &job.content;
+            let run = Run { content, sent_at: started_at, answered_at: None };
+            quarantine::on_broken(daemon, &place.key, run);
         }
         Outcome::Complete(..) | Outcome::Failure(..) => {
-            quarantine::on_completed(daemon, job.fingerprint);
+            quarantine::on_completed(daemon, job.content.fingerprint);
         }
         Outcome::Stream(_)
         | Outcome::NotRun(_)
@@ -292,7 +297,7 @@
     if !runs_software(daemon, job, key) {
         return Err(unsent("other_software"));
     }
-    if let Some(refusal) = quarantine::refusal(daemon, job.fingerprint) {
+    if let Some(refusal) = quarantine::refusal(daemon, job.content.fingerprint) {
         return Err(Box::new(Outcome::Quarantined(refusal)));
     }
     let team = team(daemon, job).map_err(|_| Box::new(Outcome::Forbidden))?;
@@ -301,7 +306,7 @@
         return Err(unsent("unencodable"));
     };
     let confirm = job.software.get().is_some();
-    let target = Target { key: key.clone(), fingerprint: job.fingerprint, confirm };
+    let target = Target { key: key.clone(), fingerprint: job.content.fingerprint, confirm };
     if through.is_some() && target.insert(req.headers_mut()).is_err() {
         return Err(unsent("unencodable"));
     }
@@ -476,7 +481,7 @@
     daemon.note(&Event::Sent {
         request: job.caller.id.clone(),
         route: job.route.name.clone(),
-        content: format!("{:016x}", job.fingerprint),
+        content: format!("{:016x}", job.content.fingerprint),
         team: job.team.as_ref().map(|team| team.name.clone()),
         tokens: job.caller.total_tokens,
         endpoint: key.id.clone(),
@@ -488,6 +493,7 @@
         before: link.requests,
         model: job.caller.model.clone(),
         adapter: job.caller.adapter.clone(),
+        parts: job.content.parts.iter().map(quarantine::part_name).collect(),
         prompt: job.caller.prompt_tokens,
         unread: estimate.tokens,
         read: estimate.own_prefill.as_millis() as u64,
@@ -512,6 +518,7 @@
     limit: Duration,
 ) -> Outcome {
     let Exchange { link, sent_at, liveness, confirmed } = exchange;
+    let received_at = clock::now();
     let framing = link::framing(&res);
     let (parts, body) = res.into_parts();
     let answer = daemon.dialect.parse_response(&parts);
@@ -543,7 +550,7 @@
         if !origin::is_confirmed(daemon, job, &place.key, confirmed).await {
             return Outcome::Indeterminate("other_software");
         }
-        let head = Head { parts, answer, body, framing, link, sent_at, liveness };
+        let head = Head { parts, answer, body, framing, link, sent_at, received_at, liveness };
         return Outcome::Stream(Box::new(head));
     }
     let idle_timeout = answer.idle_timeout;
@@ -558,7 +565,10 @@
     };
     let end = match verdict {
         Verdict::Ended(end) => end,
-        Verdict::Unconfirmed => confirm_end(daemon, job, &place.key, sent_at, liveness).await,
+        Verdict::Unconfirmed => {
+            let run = Run { content: &job.content, sent_at, answered_at: Some(received_at) };
+            confirm_end(daemon, job.deadline, &place.key, run, liveness).await
+        }
     };
     daemon.gauges.record_body(framing, end);
     match read {
@@ -578,14 +588,13 @@
 /// Returns how a body has ended that ended with its connection and seems complete.
 pub async fn confirm_end(
     daemon: &Rc<Daemon>,
-    job: &Job,
+    deadline: Duration,
     key: &Key,
-    sent_at: Duration,
+    run: Run<'_>,
     liveness: Option<Connection>,
 ) -> BodyEnd {
-    let time_left = job.deadline.saturating_sub(clock::now());
-    let run = (job.fingerprint, sent_at);
-    let liveness = liveness.or_else(|| liveness::since(daemon, key, sent_at));
+    let time_left = deadline.saturating_sub(clock::now());
+    let liveness = liveness.or_else(|| liveness::since(daemon, key, run.sent_at));
     let crashed = quarantine::has_crashed_after(daemon, key, run, liveness, time_left).await;
     if crashed { BodyEnd::Crashed } else { BodyEnd::Complete }
 }
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -29,6 +29,7 @@
 use crate::daemon::liveness::Connection;
 use crate::daemon::origin;
 use crate::daemon::quarantine;
+use crate::daemon::quarantine::Run;
 use crate::daemon::retry;
 use crate::daemon::send;
 use crate::daemon::send::Head;
@@ -140,8 +141,8 @@
             // A crash has been recorded as it was found.
             let is_recorded = matches!(end, body::End::Timeout | body::End::Crashed);
             if let (false, Some(head)) = (is_recorded, &self.head) {
-                let (key, content) = (&self.place.key, self.job.fingerprint);
-                quarantine::on_broken(&self.daemon, key, content, head.sent_at);
+                let run = self.run(head.sent_at, head.received_at);
+                quarantine::on_broken(&self.daemon, &self.place.key, run);
             }
             if !self.resume(end).await {
                 self.head = None;
@@ -154,15 +155,20 @@
         None
     }
 
+    /// Returns the run whose response is being read.
+    fn run(&self, sent_at: Duration, received_at: Duration) -> Run<'_> {
+        Run { content: &self.job.content, sent_at, answered_at: Some(received_at) }
+    }
+
     /// Returns how the stream has ended, as its framing has.
-    async fn judge(&self, sent_at: Duration, liveness: Option<Connection>) -> body::End {
+    async fn judge(&self, run: Run<'_>, liveness: Option<Connection>) -> body::End {
         let scanner = &self.scanner;
         let (complete, between) = (scanner.events(), scanner.is_between_events());
         match body::judge(self.framing, Content::Events { complete, between }) {
             Verdict::Ended(end) => end,
             Verdict::Unconfirmed => {
                 let (daemon, key) = (&self.daemon, &self.place.key);
-                send::confirm_end(daemon, &self.job, key, sent_at, liveness).await
+                send::confirm_end(daemon, self.job.deadline, key, run, liveness).await
             }
         }
     }
@@ -187,8 +193,10 @@
         let data = match frame.or(deadline).await {
             Ok(Some(data)) => data,
             Ok(None) => {
-                let (sent_at, liveness) = (head.sent_at, head.liveness.take());
-                return Received::End(self.judge(sent_at, liveness).await);
+                let (sent_at, received_at) = (head.sent_at, head.received_at);
+                let liveness = head.liveness.take();
+                let run = self.run(sent_at, received_at);
+                return Received::End(self.judge(run, liveness).await);
             }
             Err(end) => return Received::End(end),
         };
@@ -257,7 +265,7 @@
         while self.attempts < route.max_attempts
             && self.tried.len() <= front::MAX_ENDPOINTS_TRIED as usize
         {
-            quarantine::settle(&self.daemon, self.job.fingerprint).await;
+            quarantine::settle(&self.daemon, self.job.content.fingerprint).await;
             if !retry::is_possible(&self.daemon, &self.job) {
                 return false;
             }
@@ -306,7 +314,7 @@
         let now = clock::now();
         self.open_request.answered = true;
         self.daemon.gauges.record_completion(now, self.job.spec.class);
-        quarantine::on_completed(&self.daemon, self.job.fingerprint);
+        quarantine::on_completed(&self.daemon, self.job.content.fingerprint);
         if let Some(model) = &self.job.caller.model {
             let duration = now.saturating_sub(self.started_at);
             self.daemon.demand.borrow_mut().record_slot_time(model, duration);
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -10,6 +10,7 @@
 //! of them, too.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use crate::decide::quarantine::Quarantine;
 use crate::decide::quarantine::Run;
 use crate::table::Fingerprint;
+use crate::table::PartId;
 use crate::table::instance::Key;
 
 /// Number of crashes after which a request is refused: suspects run beside each other.
@@ -57,13 +59,35 @@
     }
 }
 
+/// What may crash endpoints of what a request holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Content {
+    /// Hash of the whole request.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that other requests may have as well, in ascending order.
+    pub parts: Vec<PartId>,
+}
+
+impl Content {
+    /// Returns the content of a request whose prompt has these parts. The last one belongs to the
+    /// request itself or to its session.
+    pub fn new(fingerprint: Fingerprint, parts: impl DoubleEndedIterator<Item = PartId>) -> Self {
+        let mut shared: Vec<PartId> = parts.rev().skip(1).collect();
+        shared.sort_unstable();
+        shared.dedup();
+        Content { fingerprint, parts: shared }
+    }
+}
+
 /// Requests whose connections to an endpoint broke.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Breakage {
     /// When the first connection broke.
     pub at: Duration,
     /// The requests, each with the time when it was sent.
     pub runs: Vec<(Fingerprint, Duration)>,
+    /// Parts of the prompts of those that had not been running for long.
+    pub parts: BTreeSet<PartId>,
 }
 
 /// What was new in a message or an observation.
@@ -120,6 +144,13 @@
         (self.table.rows().count(), self.table.refused(now).count())
     }
 
+    /// Returns the largest number of crashes that a request was part of which is not refused.
+    pub fn max_crash_count(&self, now: Duration) -> usize {
+        let is_admitted = |row: &&Fingerprint| self.table.remaining(now, **row).is_none();
+        let admitted = self.table.rows().map(|(row, _)| row).filter(is_admitted);
+        admitted.map(|row| self.table.crash_count(*row)).max().unwrap_or(0)
+    }
+
     /// Adds requests to the crash of an endpoint.
     pub fn add_crash(&mut self, now: Duration, key: &Key, breakage: &Breakage) -> News {
         let crash = self.crashes.entry(key.clone()).or_insert_with(|| Crash {
@@ -156,7 +187,7 @@
                 let at = ago(age_ms);
                 let sent_at = |ran_ms: u32| at.saturating_sub(Duration::from_millis(ran_ms.into()));
                 let runs = runs.into_iter().map(|(row, ran_ms)| (row, sent_at(ran_ms))).collect();
-                self.add_crash(now, &key, &Breakage { at, runs })
+                self.add_crash(now, &key, &Breakage { at, runs, ..Breakage::default() })
             }
             Message::Refused(rows) => {
                 let mut news = News::default();
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -34,6 +34,8 @@
 pub type RequestId = u64;
 /// Hash of a request's content: equal if its caller sends it again.
 pub type Fingerprint = u64;
+/// Id of a part of prompts, as callers name it.
+pub type PartId = u64;
 /// Hash of the attempt that brought the first event of a stream, and of who made it where.
 pub type StreamId = u64;
 /// Id of an attempt to run a request at one endpoint; no entry ever uses one twice.
--- a/tests/decide_suspects.rs
+++ b/tests/decide_suspects.rs
@@ -127,7 +127,7 @@
             if other == 0 {
                 runs.push((POISON, sent_at));
             }
-            let breakage = Breakage { at: now, runs };
+            let breakage = Breakage { at: now, runs, ..Breakage::default() };
             self.daemons[daemon].add_crash(now, &key(engine), &breakage);
             for message in self.daemons[daemon].announcements(now, &key(engine)) {
                 self.send(now, daemon, &message);
