Refuse requests with a part of their prompts that crashes endpoints

Cause: suspects are counted by a hash of the whole request, so that requests that are never alike each begin at no crash.

A crash now counts for each part, but the last, of the runs that had just begun there. Runs that went on, and complete answers, count against it. What nearly all requests have is never refused. Daemons tell each other of runs that a crash cut off, of survivals and of refusals, and one that knows better than a refusal voids it. Retries, waiting and resumed requests, and those passed on by another daemon, are covered, as they ask at the same places as before.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -117,7 +117,7 @@
     };
     let deadline = clock::now() + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
     let parts = caller.parts.iter().map(|part| part.id);
-    let content = Content::new(target.fingerprint, parts);
+    let content = Content::new(target.fingerprint, &caller.id, parts);
     let res = pass_on(daemon, &caller.id, target, &content, deadline, head, body).await;
     daemon.gauges.record_forwarding(match &res {
         Ok(res) if is_undelivered(res.headers()) => Forwarding::Undelivered,
@@ -167,6 +167,9 @@
         {
             return Ok(undelivered("deadline"));
         }
+        if quarantine::refusal(daemon, content).is_some() {
+            return Ok(undelivered("quarantined"));
+        }
         let sent_at = clock::now();
         let liveness = observe_liveness(daemon, &target);
         let result = {
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -378,6 +378,7 @@
     let admitted = Admitted { caller, team, charge, resumed };
     let job =
         Rc::new(build_job(daemon, &config, route, admitted, head, body, arrived_at, deadline));
+    quarantine::on_arrival(daemon, &job.route.name, &job.content);
     daemon.allowance.borrow_mut().record_request(arrived_at, &job.spec.service);
     daemon
         .gauges
@@ -471,7 +472,7 @@
         method: head.method.clone(),
         uri: head.uri.clone(),
         config_version: config.version,
-        content: Content::new(fingerprint, caller.parts.iter().map(|part| part.id)),
+        content: Content::new(fingerprint, &caller.id, caller.parts.iter().map(|part| part.id)),
         stream: stream_id(team.as_deref(), &route, &caller),
         software,
         team,
@@ -611,7 +612,7 @@
             let refusal = Refusal::new(progress.last_error, REJECTED_RETRY_AFTER);
             return give_up(daemon, job, &mut tracker, progress, &refusal);
         }
-        quarantine::settle(daemon, job.content.fingerprint).await;
+        quarantine::settle(daemon, &job.content).await;
     }
 }
 
@@ -626,8 +627,7 @@
     job: &Rc<Job>,
     tried: &[instance::Key],
 ) -> Result<admission::Permit, Refusal> {
-    let quarantined =
-        async { Err(quarantine::wait_for_refusal(daemon, job.content.fingerprint).await) };
+    let quarantined = async { Err(quarantine::wait_for_refusal(daemon, &job.content).await) };
     quarantined.or(admission::find(daemon, job, tried)).await
 }
 
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -159,6 +159,7 @@
         let (grants, waiting) = daemon.broker.borrow().counts();
         let (suspects, refused) = daemon.quarantine.borrow().counts(now);
         let max_crashes = daemon.quarantine.borrow().max_crash_count(now);
+        let (suspect_parts, refused_parts) = daemon.quarantine.borrow().part_counts(now);
         let (unreached, known) = fleet.unreached_count();
         let values = [
             ("poplarmux_endpoints", known as u64),
@@ -178,6 +179,8 @@
             ("poplarmux_broker_waiting", waiting as u64),
             ("poplarmux_suspects", suspects as u64),
             ("poplarmux_quarantined", refused as u64),
+            ("poplarmux_suspect_parts", suspect_parts as u64),
+            ("poplarmux_refused_parts", refused_parts as u64),
             ("poplarmux_suspect_crashes_max", max_crashes as u64),
             ("poplarmux_leads", u64::from(daemon.placer.borrow().holds_lease(now))),
             ("poplarmux_late_orders", daemon.placer.borrow().late_orders.count(now) as u64),
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -123,6 +123,15 @@
         content: String,
         source: &'static str,
     },
+    PartRefused {
+        part: String,
+        crashes: Option<usize>,
+        survivals: Option<usize>,
+        source: &'static str,
+    },
+    PartReleased {
+        part: String,
+    },
     Gone {
         endpoint: String,
         revision: u64,
@@ -376,6 +385,8 @@
             Event::Backoff { .. } => "backoff",
             Event::Crash { .. } => "crash",
             Event::Quarantined { .. } => "quarantined",
+            Event::PartRefused { .. } => "part_refused",
+            Event::PartReleased { .. } => "part_released",
             Event::Gone { .. } => "gone",
             Event::Lease { .. } => "lease",
             Event::Renewal { .. } => "renewal",
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -1,5 +1,6 @@
 //! Finds out which requests ran on endpoints that crashed, and tells the other daemons;
-//! `decide::quarantine` and `decide::suspects` decide which of them are refused.
+//! `decide::quarantine` and `decide::part` decide what is refused: a request that is sent again and
+//! again, or all requests with a part that others have as well.
 //!
 //! A connection may break although its endpoint goes on, and may be closed as the end of an answer
 //! although its endpoint has crashed. Therefore the daemon opens another one: an endpoint has
@@ -31,11 +32,9 @@
 use crate::daemon::peer;
 use crate::decide::suspects::Breakage;
 use crate::decide::suspects::Content;
-use crate::decide::suspects::MAX_CRASHES;
 use crate::decide::suspects::Message;
 use crate::decide::suspects::News;
 use crate::decide::suspects::Suspects;
-use crate::table::Fingerprint;
 use crate::table::PartId;
 use crate::table::instance::Key;
 use crate::table::instance::State;
@@ -49,7 +48,7 @@
 
 /// Time after the first byte of an answer from which the request did not cause a crash of its
 /// endpoint: it would have crashed sooner.
-const STARTING_PERIOD: Duration = Duration::from_millis(500);
+pub const STARTING_PERIOD: Duration = Duration::from_millis(500);
 /// Parts of prompts in one line of the log.
 const MAX_LOGGED_PARTS: usize = 32;
 
@@ -85,8 +84,6 @@
 struct Check {
     /// What broke there.
     breakage: Breakage,
-    /// Number of requests there that had not been running for long.
-    starting: usize,
     /// Its result; none while it goes on.
     crashed: Rc<Cell<Option<bool>>>,
 }
@@ -102,27 +99,41 @@
         self.suspects.max_crash_count(now)
     }
 
+    /// Returns the number of parts of prompts that crashes count for, and how many are refused.
+    pub fn part_counts(&self, now: Duration) -> (usize, usize) {
+        self.suspects.part_counts(now)
+    }
+
     /// Returns whether checks that have not ended yet may lead to the refusal of a request.
-    fn is_undecided(&self, fingerprint: Fingerprint) -> bool {
-        let is_in =
-            |check: &&Check| check.breakage.runs.iter().any(|(other, _)| *other == fingerprint);
+    fn is_undecided(&self, now: Duration, content: &Content) -> bool {
+        let is_in = |check: &&Check| {
+            let runs = &check.breakage.runs;
+            runs.iter().any(|(other, _)| *other == content.fingerprint)
+        };
         let pending = self.checks.values().filter(is_in).count();
-        pending > 0 && self.suspects.crash_count(fingerprint) + pending >= MAX_CRASHES
+        pending > 0 && self.suspects.is_undecided(now, content, pending)
+    }
+
+    /// Returns the time for which a request is still refused; none if it is not.
+    fn remaining(&self, now: Duration, content: &Content) -> Option<Duration> {
+        let suspects = &self.suspects;
+        let of_request = suspects.remaining(now, content.fingerprint);
+        of_request.max(suspects.remaining_of_parts(now, &content.parts))
     }
 }
 
 /// Returns the refusal of a request that crashes endpoints.
-pub fn refusal(daemon: &Daemon, fingerprint: Fingerprint) -> Option<Refusal> {
-    let remaining = daemon.quarantine.borrow().suspects.remaining(clock::now(), fingerprint)?;
+pub fn refusal(daemon: &Daemon, content: &Content) -> Option<Refusal> {
+    let remaining = daemon.quarantine.borrow().remaining(clock::now(), content)?;
     Some(Refusal::new("quarantined", remaining))
 }
 
 /// Waits until a request is refused.
-pub async fn wait_for_refusal(daemon: &Daemon, fingerprint: Fingerprint) -> Refusal {
+pub async fn wait_for_refusal(daemon: &Daemon, content: &Content) -> Refusal {
     let changed = daemon.quarantine.borrow().changed.clone();
     loop {
         let next = changed.listen();
-        if let Some(refusal) = refusal(daemon, fingerprint) {
+        if let Some(refusal) = refusal(daemon, content) {
             return refusal;
         }
         next.await;
@@ -131,12 +142,12 @@
 
 /// Waits before a retry until it is known whether the request crashed its endpoint, if that decides
 /// on its refusal.
-pub async fn settle(daemon: &Daemon, fingerprint: Fingerprint) {
+pub async fn settle(daemon: &Daemon, content: &Content) {
     let changed = daemon.quarantine.borrow().changed.clone();
     let settled = async {
         loop {
             let next = changed.listen();
-            if !daemon.quarantine.borrow().is_undecided(fingerprint) {
+            if !daemon.quarantine.borrow().is_undecided(clock::now(), content) {
                 return;
             }
             next.await;
@@ -216,12 +227,13 @@
     let is_checked = observer.checks.contains_key(key);
     let check = observer.checks.entry(key.clone()).or_insert_with(|| Check {
         breakage: Breakage { at: now, ..Breakage::default() },
-        starting: 0,
         crashed: Rc::default(),
     });
     check.breakage.runs.push((run.content.fingerprint, run.sent_at));
     if run.is_starting(now) {
-        check.starting += 1;
+        if !run.content.parts.is_empty() {
+            check.breakage.starting.insert(run.content.run);
+        }
         check.breakage.parts.extend(&run.content.parts);
     }
     if !is_checked {
@@ -237,12 +249,12 @@
     if let Some(check) = &check {
         check.crashed.set(Some(crashed));
     }
-    if let Some(Check { breakage, starting, .. }) = check.filter(|_| crashed) {
+    if let Some(Check { breakage, .. }) = check.filter(|_| crashed) {
         let now = clock::now();
         daemon.note(&Event::Crash {
             endpoint: key.id.clone(),
             requests: breakage.runs.len(),
-            starting,
+            starting: breakage.starting.len(),
             parts: breakage.parts.iter().take(MAX_LOGGED_PARTS).map(part_name).collect(),
         });
         let news = daemon.quarantine.borrow_mut().suspects.add_crash(now, key, &breakage);
@@ -316,15 +328,37 @@
     for fingerprint in &news.refused {
         daemon.note(&Event::Quarantined { content: format!("{fingerprint:016x}"), source });
     }
-    if !news.refused.is_empty() {
+    for (part, evidence) in &news.refused_parts {
+        daemon.note(&Event::PartRefused {
+            part: part_name(part),
+            crashes: evidence.map(|evidence| evidence.crashes),
+            survivals: evidence.map(|evidence| evidence.survivals),
+            source,
+        });
+    }
+    for part in &news.released_parts {
+        daemon.note(&Event::PartReleased { part: part_name(part) });
+    }
+    if news.has_refusals() {
         daemon.quarantine.borrow().changed.notify(usize::MAX);
     }
 }
 
+/// Records a request of a route.
+pub fn on_arrival(daemon: &Daemon, route: &str, content: &Content) {
+    daemon.quarantine.borrow_mut().suspects.record_arrival(route, content);
+}
+
+/// Records that a run of a request has gone on for longer than one that crashes its endpoint.
+pub fn on_survived(daemon: &Daemon, content: &Content) {
+    let now = clock::now();
+    daemon.quarantine.borrow_mut().suspects.record_survival(now, content);
+}
+
 /// Records that an endpoint has answered a request in full.
-pub fn on_completed(daemon: &Daemon, fingerprint: Fingerprint) {
+pub fn on_completed(daemon: &Daemon, content: &Content) {
     let now = clock::now();
-    daemon.quarantine.borrow_mut().suspects.clear(now, fingerprint, now);
+    daemon.quarantine.borrow_mut().suspects.clear(now, content.fingerprint, now);
 }
 
 /// Handles a message of another daemon.
@@ -333,9 +367,12 @@
     apply(daemon, &news, "peer");
 }
 
-/// Sends what is due in a round to some of the other daemons.
+/// Decides on parts of prompts, and sends what is due in a round to some of the other daemons.
 pub fn announce(daemon: &Rc<Daemon>) {
-    let messages = daemon.quarantine.borrow_mut().suspects.round(clock::now());
+    let now = clock::now();
+    let news = daemon.quarantine.borrow_mut().suspects.decide(now);
+    apply(daemon, &news, "crashes");
+    let messages = daemon.quarantine.borrow_mut().suspects.round(now);
     messages.into_iter().for_each(|message| send(daemon, message));
 }
 
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -78,6 +78,8 @@
     pub sent_at: Duration,
     /// When this head was received, on the boot clock.
     pub received_at: Duration,
+    /// Whether it has been recorded that the run goes on.
+    pub has_survived: bool,
     /// A connection that was open when the request was sent, or later.
     pub liveness: Option<Connection>,
 }
@@ -143,9 +145,13 @@
             let run = Run { content, sent_at: started_at, answered_at: None };
             quarantine::on_broken(daemon, &place.key, run);
         }
-        Outcome::Complete(..) | Outcome::Failure(..) => {
-            quarantine::on_completed(daemon, job.content.fingerprint);
+        Outcome::Complete(res, _) => {
+            quarantine::on_completed(daemon, &job.content);
+            if res.status().is_success() {
+                quarantine::on_survived(daemon, &job.content);
+            }
         }
+        Outcome::Failure(..) => quarantine::on_completed(daemon, &job.content),
         Outcome::Stream(_)
         | Outcome::NotRun(_)
         | Outcome::Unsent(_)
@@ -297,7 +303,7 @@
     if !runs_software(daemon, job, key) {
         return Err(unsent("other_software"));
     }
-    if let Some(refusal) = quarantine::refusal(daemon, job.content.fingerprint) {
+    if let Some(refusal) = quarantine::refusal(daemon, &job.content) {
         return Err(Box::new(Outcome::Quarantined(refusal)));
     }
     let team = team(daemon, job).map_err(|_| Box::new(Outcome::Forbidden))?;
@@ -550,7 +556,17 @@
         if !origin::is_confirmed(daemon, job, &place.key, confirmed).await {
             return Outcome::Indeterminate("other_software");
         }
-        let head = Head { parts, answer, body, framing, link, sent_at, received_at, liveness };
+        let head = Head {
+            parts,
+            answer,
+            body,
+            framing,
+            link,
+            sent_at,
+            received_at,
+            has_survived: false,
+            liveness,
+        };
         return Outcome::Stream(Box::new(head));
     }
     let idle_timeout = answer.idle_timeout;
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -207,6 +207,10 @@
         }
         contact::on_received(&self.daemon, &self.place.key, head.link.addr);
         let now = clock::now();
+        let lasts = now >= head.received_at + quarantine::STARTING_PERIOD;
+        if lasts && !std::mem::replace(&mut head.has_survived, true) {
+            quarantine::on_survived(&self.daemon, &self.job.content);
+        }
         let pause = now.saturating_sub(self.last_frame_at);
         self.daemon.fleet.borrow_mut().record_event(now, &self.place.key, pause);
         self.longest_pause = self.longest_pause.max((pause, now));
@@ -265,7 +269,7 @@
         while self.attempts < route.max_attempts
             && self.tried.len() <= front::MAX_ENDPOINTS_TRIED as usize
         {
-            quarantine::settle(&self.daemon, self.job.content.fingerprint).await;
+            quarantine::settle(&self.daemon, &self.job.content).await;
             if !retry::is_possible(&self.daemon, &self.job) {
                 return false;
             }
@@ -314,7 +318,10 @@
         let now = clock::now();
         self.open_request.answered = true;
         self.daemon.gauges.record_completion(now, self.job.spec.class);
-        quarantine::on_completed(&self.daemon, self.job.content.fingerprint);
+        quarantine::on_completed(&self.daemon, &self.job.content);
+        if self.head.as_ref().is_some_and(|head| !head.has_survived) {
+            quarantine::on_survived(&self.daemon, &self.job.content);
+        }
         if let Some(model) = &self.job.caller.model {
             let duration = now.saturating_sub(self.started_at);
             self.daemon.demand.borrow_mut().record_slot_time(model, duration);
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -190,6 +190,21 @@
         refused
     }
 
+    /// Removes the crashes of endpoints that are known to have another cause. Returns the
+    /// fingerprints that crashed too few others to be refused for those.
+    pub fn forget_crashes(&mut self, endpoints: &[E]) -> Vec<Fingerprint> {
+        let mut released = Vec::new();
+        for (fingerprint, row) in &mut self.rows {
+            let known = row.runs.len();
+            row.runs.retain(|run| !endpoints.contains(&run.endpoint));
+            let is_changed = row.runs.len() < known;
+            if is_changed && row.refused_until.is_some() && row.crash_count() < self.max_crashes {
+                released.push(*fingerprint);
+            }
+        }
+        released
+    }
+
     /// Removes expired fingerprints.
     pub fn tick(&mut self, now: Duration) {
         self.rows.retain(|_, row| row.expires_at() > now);
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -36,6 +36,8 @@
 pub type Fingerprint = u64;
 /// Id of a part of prompts, as callers name it.
 pub type PartId = u64;
+/// Hash of an attempt's id; the same at all daemons that it passes.
+pub type RunId = u32;
 /// Hash of the attempt that brought the first event of a stream, and of who made it where.
 pub type StreamId = u64;
 /// Id of an attempt to run a request at one endpoint; no entry ever uses one twice.
