Keep the refusal of a part while crashes are not explained yet

In the new test of many daemons (tests/decide_suspects.rs, 195 daemons) a part crashed engines to the end of the run, 67 of them, although each daemon had refused it several times. A daemon dropped its own refusal if the evidence no longer sufficed within five seconds, and it did not whenever a crash was known before the run with the part that was at that engine: until then that crash counts as one that the part does not explain.

A refusal is now dropped only if more runs survive than crashes count, or if another part explains them.

decide_part crash_that_is_not_explained_yet_does_not_end_a_refusal failed before.

--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -23,6 +23,7 @@
 //! decides. One that knows better than a refusal tells the others, which drop it.
 
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -190,17 +191,17 @@
 /// Parts of prompts, and what speaks for and against them.
 #[derive(Debug, Default)]
 pub struct Table {
-    crashes: HashMap<Key, Crash>,
+    crashes: BTreeMap<Key, Crash>,
     /// Number of crashes of each part.
-    counts: HashMap<PartId, usize>,
+    counts: BTreeMap<PartId, usize>,
     /// Survivals of each part, the latest last.
-    survivals: HashMap<PartId, VecDeque<Survival>>,
+    survivals: BTreeMap<PartId, VecDeque<Survival>>,
     /// Hash of the route, and parts, of the latest requests.
     arrivals: VecDeque<(u64, Vec<PartId>)>,
     /// Outcomes of this daemon's runs, by the second.
     outcomes: VecDeque<Outcomes>,
-    refusals: HashMap<PartId, Refusal>,
-    clearances: HashMap<PartId, Clearance>,
+    refusals: BTreeMap<PartId, Refusal>,
+    clearances: BTreeMap<PartId, Clearance>,
     /// Time until which the evidence may change a decision.
     decides_until: Duration,
 }
@@ -377,10 +378,12 @@
                 changes.refused.push((row.part, row.evidence));
             }
         }
+        let is_culprit = |part: &PartId| {
+            let row = culprits.iter().find(|row| row.part == *part);
+            row.is_some_and(|row| row.evidence.survivals <= row.evidence.crashes)
+        };
         let is_dropped = |part: &PartId, row: &Refusal| {
-            row.is_own
-                && is_recent(now, row.issued_at())
-                && !culprits.iter().any(|other| other.part == *part && other.evidence.suffices())
+            row.is_own && is_recent(now, row.issued_at()) && !is_culprit(part)
         };
         let refusals = self.refusals.iter().filter(|(part, row)| is_dropped(part, row));
         changes.released = refusals.map(|(part, _)| *part).collect();
@@ -435,9 +438,7 @@
         let may_explain =
             |part: &PartId, count: usize| count >= MIN_CRASHES || self.is_refused(now, *part);
         let rows = self.counts.iter().filter(|(part, count)| may_explain(part, **count));
-        let mut parts: Vec<PartId> = rows.map(|(part, _)| *part).collect();
-        parts.sort_unstable();
-        parts
+        rows.map(|(part, _)| *part).collect()
     }
 
     /// Returns what speaks for a part as the cause of these crashes; none if it does not suffice.
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -21,7 +21,7 @@
 //! - The daemons run suspects beside each other. A third crash makes it unlikely that a request was
 //!   only near the one that caused them, and leaves most engines of a small deployment alive.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::table::EndpointId;
@@ -114,7 +114,7 @@
 /// Fingerprints of requests that ran during crashes.
 #[derive(Debug, Clone)]
 pub struct Quarantine<E = EndpointId> {
-    rows: HashMap<Fingerprint, Suspect<E>>,
+    rows: BTreeMap<Fingerprint, Suspect<E>>,
     /// Number of crashes after which a fingerprint is refused.
     max_crashes: usize,
 }
@@ -122,7 +122,7 @@
 impl<E: PartialEq> Quarantine<E> {
     /// Creates a quarantine that refuses fingerprints after `max_crashes` crashes.
     pub fn new(max_crashes: usize) -> Self {
-        Quarantine { rows: HashMap::new(), max_crashes }
+        Quarantine { rows: BTreeMap::new(), max_crashes }
     }
 
     /// Returns the time for which the fingerprint is still refused.
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -11,7 +11,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -162,9 +161,9 @@
 #[derive(Debug)]
 pub struct Suspects {
     table: Quarantine<Key>,
-    crashes: HashMap<Key, Crash>,
+    crashes: BTreeMap<Key, Crash>,
     /// When answers to suspects were complete, and when this daemon learned of it.
-    completed: HashMap<Fingerprint, (Duration, Duration)>,
+    completed: BTreeMap<Fingerprint, (Duration, Duration)>,
     parts: part::Table,
 }
 
@@ -172,8 +171,8 @@
     fn default() -> Self {
         Suspects {
             table: Quarantine::new(MAX_CRASHES),
-            crashes: HashMap::new(),
-            completed: HashMap::new(),
+            crashes: BTreeMap::new(),
+            completed: BTreeMap::new(),
             parts: part::Table::default(),
         }
     }
--- a/tests/decide_part.rs
+++ b/tests/decide_part.rs
@@ -206,6 +206,20 @@
     assert_eq!(table.remaining(ms(5_100), &[OTHER]), None);
 }
 
+/// Guards against a refusal that is dropped as another crash becomes known before the run with the
+/// part that was at its endpoint.
+#[test]
+fn crash_that_is_not_explained_yet_does_not_end_a_refusal() {
+    let mut table = table();
+    survive(&mut table, ms(0), 200, &[FIRST]);
+    crash(&mut table, ms(5_000), 4, &[FIRST, CULPRIT]);
+    for number in 0..4 {
+        let changes = crash(&mut table, ms(8_500 + 250 * number), 1, &[FIRST]);
+        assert!(changes[0].released.is_empty());
+    }
+    assert!(table.remaining(ms(10_000), &[CULPRIT]).is_some());
+}
+
 /// Guards against memory that grows with the number of parts and of crashes.
 #[test]
 fn table_is_bounded() {
--- a/tests/decide_suspects.rs
+++ b/tests/decide_suspects.rs
@@ -1,6 +1,8 @@
 //! Daemons that tell each other, in virtual time, which requests ran on crashed endpoints.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,10 +13,12 @@
 
 use poplarmux::daemon::peer::HEARTBEAT_FANOUT;
 use poplarmux::decide::suspects::Breakage;
+use poplarmux::decide::suspects::Content;
 use poplarmux::decide::suspects::MAX_CRASHES;
 use poplarmux::decide::suspects::Message;
 use poplarmux::decide::suspects::Suspects;
 use poplarmux::table::Fingerprint;
+use poplarmux::table::PartId;
 use poplarmux::table::instance::Key;
 
 /// Time after the third crash from which only three more may follow, in the smallest deployments.
@@ -25,7 +29,8 @@
 const ROUND: Duration = Duration::from_millis(250);
 /// Daemons that are sent messages that are repeated all the time.
 const REFUSAL_FANOUT: usize = 2;
-/// Environment variable with the number of seeds of each deployment, for long runs.
+/// Environment variable with the number of seeds of each deployment, for long runs. Without it the
+/// largest ones are left out of tests that take long.
 const SEEDS_VARIABLE: &str = "POPLARMUX_SUSPECTS_SEEDS";
 /// The request that crashes each engine.
 const POISON: Fingerprint = 1;
@@ -53,6 +58,8 @@
     loss: f64,
     rng: SmallRng,
     sent: u64,
+    /// Parts that a daemon has decided to refuse.
+    refused_parts: BTreeSet<PartId>,
 }
 
 impl Network {
@@ -68,6 +75,7 @@
             loss,
             rng,
             sent: 0,
+            refused_parts: BTreeSet::new(),
         }
     }
 
@@ -109,6 +117,8 @@
                     self.daemons[to].on_message(now, message);
                 }
             } else if let Some(Reverse((now, daemon))) = self.rounds.pop() {
+                let news = self.daemons[daemon].decide(now);
+                self.refused_parts.extend(news.refused_parts.iter().map(|row| row.0));
                 for message in self.daemons[daemon].round(now) {
                     self.send(now, daemon, &message);
                 }
@@ -200,3 +210,182 @@
     network.run_until(ms(30_000));
     assert_eq!(network.sent, sent);
 }
+
+/// The part that all requests have in common.
+const FIRST: PartId = 1;
+/// The part that crashes engines.
+const CULPRIT: PartId = 2;
+/// Step of the simulation of requests.
+const STEP: Duration = Duration::from_millis(20);
+/// Time between the start of a request and the crash of its engine.
+const TIME_TO_CRASH: Duration = Duration::from_millis(250);
+/// Time between the start of a sound request and that from which it survived.
+const TIME_TO_SURVIVE: Duration = Duration::from_millis(700);
+/// Time for which an engine is down after a crash.
+const DOWNTIME: Duration = Duration::from_secs(3);
+/// When requests with the part begin to come.
+const TROUBLE: Duration = Duration::from_secs(6);
+/// When daemons start again or are connected again.
+const RETURN: Duration = Duration::from_secs(17);
+
+/// A request at an engine.
+struct Run {
+    daemon: usize,
+    content: Content,
+    sent_at: Duration,
+}
+
+/// An engine.
+#[derive(Default)]
+struct Engine {
+    runs: Vec<Run>,
+    incarnation: usize,
+    back_at: Duration,
+}
+
+/// Daemons that send requests to engines.
+struct Deployment {
+    network: Network,
+    engines: Vec<Engine>,
+    /// Daemons that callers do not use.
+    unused: BTreeSet<usize>,
+    requests: u64,
+    crashes: Vec<Duration>,
+}
+
+impl Deployment {
+    fn new(daemons: usize, engines: usize, seed: u64) -> Self {
+        Deployment {
+            network: Network::new(daemons, 0.05, seed),
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            unused: BTreeSet::new(),
+            requests: 0,
+            crashes: Vec::new(),
+        }
+    }
+
+    /// Sends a request through a random daemon to a random engine.
+    fn send(&mut self, now: Duration, middle: PartId) {
+        let count = self.network.daemons.len();
+        let daemon = self.network.rng.random_range(0..count);
+        let engine = self.network.rng.random_range(0..self.engines.len());
+        if self.unused.contains(&daemon) {
+            return;
+        }
+        self.requests += 1;
+        let (number, id) = (self.requests, self.requests.to_string());
+        let parts = [FIRST, middle, 1_000_000 + number];
+        let content = Content::new(1_000 + number, &id, parts.into_iter());
+        let suspects = &mut self.network.daemons[daemon];
+        suspects.record_arrival("r", &content);
+        let is_refused = suspects.remaining_of_parts(now, &content.parts).is_some();
+        if !is_refused && now >= self.engines[engine].back_at {
+            self.engines[engine].runs.push(Run { daemon, content, sent_at: now });
+        }
+    }
+
+    /// Ends runs, and crashes the engines of those that have the part.
+    fn step(&mut self, now: Duration) {
+        for index in 0..self.engines.len() {
+            let engine = &mut self.engines[index];
+            let crashes = |run: &Run| {
+                run.content.parts.contains(&CULPRIT) && now >= run.sent_at + TIME_TO_CRASH
+            };
+            if engine.runs.iter().any(crashes) {
+                self.crash(now, index);
+                continue;
+            }
+            let ended = engine.runs.extract_if(.., |run| now >= run.sent_at + TIME_TO_SURVIVE);
+            for run in ended {
+                self.network.daemons[run.daemon].record_survival(now, &run.content);
+            }
+        }
+        self.network.run_until(now);
+    }
+
+    fn crash(&mut self, now: Duration, index: usize) {
+        let engine = &mut self.engines[index];
+        engine.back_at = now + DOWNTIME;
+        engine.incarnation += 1;
+        let key = key(engine.incarnation * 10_000 + index);
+        let mut breakages: BTreeMap<usize, Breakage> = BTreeMap::new();
+        for run in engine.runs.drain(..) {
+            let breakage = breakages.entry(run.daemon).or_default();
+            breakage.at = now;
+            breakage.runs.push((run.content.fingerprint, run.sent_at));
+            breakage.starting.insert(run.content.run);
+            breakage.parts.extend(run.content.parts);
+        }
+        self.crashes.push(now);
+        for (daemon, breakage) in breakages {
+            self.network.daemons[daemon].add_crash(now, &key, &breakage);
+            for message in self.network.daemons[daemon].announcements(now, &key) {
+                self.network.send(now, daemon, &message);
+            }
+        }
+    }
+
+    fn sound_part(&mut self) -> PartId {
+        match self.network.rng.random_range(0..3) {
+            0 => 100 + self.network.rng.random_range(0..5),
+            1 => 1_000 + self.network.rng.random_range(0..500),
+            _ => 10_000 + self.requests,
+        }
+    }
+
+    fn refusing(&self, now: Duration, part: PartId) -> usize {
+        let refuses = |daemon: &&Suspects| daemon.remaining_of_parts(now, &[part]).is_some();
+        self.network.daemons.iter().filter(refuses).count()
+    }
+}
+
+/// Guards against a part that goes on crashing engines in deployments of any size, with lost
+/// datagrams, daemons that are cut off and daemons that start again, and against sound parts that
+/// are refused with it.
+#[test]
+fn part_is_refused_everywhere_in_time_after_its_crashes() {
+    let asked = std::env::var(SEEDS_VARIABLE).ok().map(|text| text.parse().expect("a number"));
+    for (daemons, engines, gap_ms, seeds) in [
+        (2, 8, 160, 4),
+        (8, 9, 140, 4),
+        (8, 9, 1_600, 2),
+        (59, 60, 100, 2),
+        (59, 60, 1_400, 1),
+        (195, 300, 200, 1),
+        (420, 600, 100, 0),
+    ] {
+        for seed in 0..asked.unwrap_or(seeds) {
+            let mut deployment = Deployment::new(daemons, engines, seed);
+            let (cut_off, restarted) = (daemons - 1, daemons / 2 - 1);
+            if daemons > 2 {
+                deployment.network.cut_off_until.insert(cut_off, RETURN);
+                deployment.unused.insert(cut_off);
+            }
+            let mut now = Duration::ZERO;
+            let end = RETURN + ms(4_000);
+            while now < end {
+                for _ in 0..(daemons / 5).max(1) {
+                    let part = deployment.sound_part();
+                    deployment.send(now, part);
+                }
+                let since = now.saturating_sub(TROUBLE).as_millis();
+                if now > TROUBLE && since.is_multiple_of(gap_ms) {
+                    deployment.send(now, CULPRIT);
+                }
+                if now == RETURN && daemons > 2 {
+                    deployment.network.daemons[restarted] = Suspects::default();
+                }
+                deployment.step(now);
+                now += STEP;
+            }
+            let name = format!("{daemons} daemons, seed {seed}");
+            let crashes = &deployment.crashes;
+            let known_at = crashes.get(4).or(crashes.last()).copied().expect("a crash");
+            let late = crashes.iter().filter(|at| **at > known_at + MAX_DELAY).count();
+            assert!(late <= MAX_LATE_CRASHES, "{name}: {crashes:?}");
+            assert_eq!(deployment.network.refused_parts, [CULPRIT].into(), "{name}");
+            assert_eq!(deployment.refusing(now, CULPRIT), daemons, "{name}");
+            assert_eq!(deployment.refusing(now, FIRST), 0, "{name}");
+        }
+    }
+}
