Tell a clearance that is passed on from a new one

Times in messages are relative, so that a clearance seemed as much later at each daemon as the message had been on its way. Each daemon took it for a new one and passed it on again: it never ended, and went on to void refusals that were decided long after it. In tests/decide_suspects.rs, 8 daemons, a clearance of a part at 15.6 s was told anew until the end at 21 s, and 18 engines crashed later than 4 s after the fifth.

One that is less than a second later than the known one is the same.

--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -64,6 +64,9 @@
 const MAX_PARTS_PER_CRASH: usize = 512;
 /// Time for which more crashes or survivals may change a decision.
 const DECISION_PERIOD: Duration = Duration::from_secs(2);
+/// Longest time that a message is on its way. Times that it states seem as much later, and it has to
+/// be told from a new one.
+const MAX_TRANSIT_TIME: Duration = Duration::from_secs(1);
 /// Time for which a refusal is dropped if its evidence no longer suffices, and for which a daemon
 /// does not refuse a part again of which another one knew better.
 const REVISION_PERIOD: Duration = Duration::from_secs(5);
@@ -353,7 +356,7 @@
 
     /// Records that it was known at `at` that a part crashes nothing.
     pub fn clear(&mut self, now: Duration, part: PartId, at: Duration) {
-        if self.clearances.get(&part).is_some_and(|row| at <= row.at) {
+        if self.clearances.get(&part).is_some_and(|row| at <= row.at + MAX_TRANSIT_TIME) {
             return;
         }
         self.clearances.insert(part, Clearance { at, learned_at: now });
--- a/tests/decide_part.rs
+++ b/tests/decide_part.rs
@@ -220,6 +220,27 @@
     assert!(table.remaining(ms(10_000), &[CULPRIT]).is_some());
 }
 
+/// Guards against a clearance that voids later refusals, as it seems newer each time that a daemon
+/// passes it on.
+#[test]
+fn clearance_that_is_passed_on_does_not_become_newer() {
+    let mut tables: Vec<Table> = (0..2).map(|_| table()).collect();
+    tables[0].clear(ms(1_000), CULPRIT, ms(1_000));
+    for hop in 1..200 {
+        let sent_at = ms(1_000 + 50 * hop);
+        let since = sent_at.saturating_sub(ms(1_500));
+        let sender = &tables[(hop as usize + 1) % 2];
+        let Some((part, at)) = sender.cleared_since(since).next() else {
+            break;
+        };
+        // What is told is the time that has passed since.
+        let received_at = sent_at + ms(40);
+        tables[hop as usize % 2].clear(received_at, part, received_at - (sent_at - at));
+    }
+    // A refusal that began at the fifth second.
+    assert!(tables[0].add_refusal(ms(12_000), CULPRIT, ms(593_000)));
+}
+
 /// Guards against memory that grows with the number of parts and of crashes.
 #[test]
 fn table_is_bounded() {
