Keep refusals in the store while all daemons start again

All daemons may be killed at the same moment, and none of them then knew of a part, or a request, that had been refused: endpoints crashed until it was found once more.

The holder of the placement lease now writes what is refused into one object of the store when there is more than before, and each daemon reads it when it starts: one read a start, one write or two a refusal. The object holds for how much longer each refusal lasts and when that was written.

It covers requests that are refused as a whole, which were forgotten the same way, by the same object; no test shows that for them.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -32,6 +32,7 @@
 use crate::daemon::peer;
 use crate::daemon::placer;
 use crate::daemon::quota;
+use crate::daemon::refusals;
 use crate::daemon::relay;
 use crate::daemon::settings::Settings;
 use crate::daemon::store;
@@ -119,6 +120,7 @@
     ex.spawn(broker::send_lists(daemon.clone())).detach();
     ex.spawn(broker::send_loads(daemon.clone())).detach();
     ex.spawn(lease::follow(daemon.clone())).detach();
+    ex.spawn(refusals::follow(daemon.clone())).detach();
     ex.spawn(placer::run(daemon.clone())).detach();
     ex.spawn(updates::announce(daemon.clone())).detach();
     ex.spawn(journal::flush_loop(daemon.clone())).detach();
--- a/src/daemon/clock.rs
+++ b/src/daemon/clock.rs
@@ -5,6 +5,7 @@
 //! does neither.
 
 use std::time::Duration;
+use std::time::SystemTime;
 
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
@@ -20,6 +21,11 @@
     now().saturating_sub(running)
 }
 
+/// Returns the time of day in milliseconds since the Unix epoch. It may jump.
+pub fn unix_millis() -> u64 {
+    SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64)
+}
+
 fn read(clock: ClockId) -> Duration {
     let time = clock_gettime(clock);
     Duration::new(time.tv_sec.max(0) as u64, time.tv_nsec.clamp(0, 999_999_999) as u32)
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -11,7 +11,6 @@
 use std::io::ErrorKind;
 use std::io::Write;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use serde::Serialize;
 use smol::Timer;
@@ -466,7 +465,7 @@
     }
 
     fn write(&mut self, now: Duration, event: &Event) {
-        let at = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
+        let at = clock::unix_millis();
         let line = Line { at, boot: now.as_millis() as u64, event };
         // Writing to memory fails only for values that JSON cannot represent; events have none.
         if serde_json::to_writer(&mut self.pending, &line).is_ok() {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 pub mod placer;
 pub mod quarantine;
 pub mod quota;
+pub mod refusals;
 pub mod relay;
 pub mod reply;
 pub mod retry;
@@ -46,7 +47,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::SystemTime;
 
 use event_listener::Event as Notifier;
 use rand::SeedableRng;
@@ -161,7 +161,7 @@
         ex: Executor,
         peers: peer::Sender,
     ) -> Rc<Self> {
-        let started_at = SystemTime::UNIX_EPOCH.elapsed().map_or(0, |time| time.as_millis() as u64);
+        let started_at = clock::unix_millis();
         let seed = started_at ^ xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
         let mut rng = SmallRng::seed_from_u64(seed);
         let allowance = Allowance::new(settings.retries, SmallRng::from_rng(&mut rng));
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -361,6 +361,19 @@
     daemon.quarantine.borrow_mut().suspects.clear(now, content.fingerprint, now);
 }
 
+/// Returns what is refused now.
+pub fn refusals(daemon: &Daemon) -> Vec<Message> {
+    daemon.quarantine.borrow().suspects.refusals(clock::now())
+}
+
+/// Refuses what was refused before this daemon started.
+pub fn on_stored(daemon: &Daemon, messages: [Message; 2]) {
+    for message in messages {
+        let news = daemon.quarantine.borrow_mut().suspects.on_message(clock::now(), message);
+        apply(daemon, &news, "store");
+    }
+}
+
 /// Handles a message of another daemon.
 pub fn on_message(daemon: &Daemon, message: Message) {
     let news = daemon.quarantine.borrow_mut().suspects.on_message(clock::now(), message);
--- a/src/daemon/relay/mod.rs
+++ b/src/daemon/relay/mod.rs
@@ -93,7 +93,7 @@
             Kind::Config => Some(&self.config),
             Kind::Instances => Some(&self.instances),
             Kind::Nodes => Some(&self.nodes),
-            Kind::Leases => None,
+            Kind::Leases | Kind::Refusals => None,
         }
     }
 
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -210,7 +210,7 @@
         let last_answer = match kind {
             Kind::Nodes => Some(&self.nodes_answered_at),
             Kind::Instances => Some(&self.instances_answered_at),
-            Kind::Config | Kind::Leases => None,
+            Kind::Config | Kind::Leases | Kind::Refusals => None,
         };
         if let Some(last_answer) = last_answer {
             last_answer.set(last_answer.get().max(answered_at));
@@ -522,7 +522,7 @@
     match kind {
         Kind::Instances => Timer::after(INSTANCE_WATCH_DELAY).await,
         Kind::Nodes => Timer::after(NODE_WATCH_DELAY).await,
-        Kind::Config | Kind::Leases => return,
+        Kind::Config | Kind::Leases | Kind::Refusals => return,
     };
 }
 
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -373,10 +373,7 @@
             completed.map(|(row, (at, _))| (*row, millis(now.saturating_sub(*at)))).collect();
         let chunks = completed.chunks(MAX_FINGERPRINTS);
         messages.extend(chunks.map(|rows| Message::Completed(rows.to_vec())));
-        let refused: Vec<(Fingerprint, u32)> =
-            self.table.refused(now).map(|(row, remaining)| (row, millis(remaining))).collect();
-        let chunks = refused.chunks(MAX_FINGERPRINTS);
-        messages.extend(chunks.map(|rows| Message::Refused(rows.to_vec())));
+        messages.extend(self.refusals(now));
         messages.extend(self.part_messages(now));
         messages
     }
@@ -397,13 +394,22 @@
         let cleared: Vec<(PartId, u32)> = cleared.map(|(part, at)| (part, age_ms(at))).collect();
         let chunks = cleared.chunks(MAX_FINGERPRINTS);
         messages.extend(chunks.map(|rows| Message::ClearedParts(rows.to_vec())));
-        let refused = self.parts.refused(now);
-        let refused: Vec<(PartId, u32)> =
-            refused.map(|(part, remaining)| (part, millis(remaining))).collect();
-        let chunks = refused.chunks(MAX_FINGERPRINTS);
-        messages.extend(chunks.map(|rows| Message::RefusedParts(rows.to_vec())));
         messages
     }
+
+    /// Returns the messages about what is refused.
+    pub fn refusals(&self, now: Duration) -> Vec<Message> {
+        let requests = self.table.refused(now);
+        let requests: Vec<(Fingerprint, u32)> =
+            requests.map(|(row, remaining)| (row, millis(remaining))).collect();
+        let parts = self.parts.refused(now);
+        let parts: Vec<(PartId, u32)> =
+            parts.map(|(part, remaining)| (part, millis(remaining))).collect();
+        let requests = requests.chunks(MAX_FINGERPRINTS);
+        let parts = parts.chunks(MAX_FINGERPRINTS);
+        let requests = requests.map(|rows| Message::Refused(rows.to_vec()));
+        requests.chain(parts.map(|rows| Message::RefusedParts(rows.to_vec()))).collect()
+    }
 }
 
 /// Returns the messages about the runs that had just begun on a crashed endpoint.
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -205,6 +205,8 @@
     Nodes,
     /// Leases.
     Leases,
+    /// What is refused as it crashes endpoints.
+    Refusals,
 }
 
 /// A revision of the store.
