--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -40,9 +40,9 @@
 pub const MIN_CRASHES: usize = 4;
 /// Crashes closer to each other than this count once. It covers the delays with which daemons see
 /// endpoints crash at the same moment.
-const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(200);
+const MIN_CRASH_INTERVAL: Duration = Duration::from_millis(150);
 /// Probability up to which it is no chance that the runs of a part ended with crashes.
-const MAX_CHANCE: f64 = 0.001;
+const MAX_CHANCE: f64 = 0.00003;
 /// Distinct crashes that are considered, the latest.
 const MAX_CONSIDERED: usize = 32;
 /// Number of crashes that a part does not explain for which it takes one more that it does: of many
