Refuse a request whose part only the daemon that passes it on refuses

A daemon that passes requests on does not send those that it refuses, and said that it could not deliver them. The daemon that had sent it took the endpoint for lost to all, and refused sound requests for it as well: in the test the next one got 503.

It now says so, and the request is refused as if this daemon knew it itself.

contact request_with_a_refused_part_is_not_passed_on failed before at its last check, and passes now.

--- a/src/daemon/forward/mod.rs
+++ b/src/daemon/forward/mod.rs
@@ -40,6 +40,8 @@
 const TARGET: HeaderName = HeaderName::from_static("forward-to");
 /// Header of a response that says why no part of the request has reached the endpoint.
 const UNDELIVERED: HeaderName = HeaderName::from_static("forward-undelivered");
+/// Reason of a daemon that refuses the request, as it crashes endpoints.
+const QUARANTINED: &str = "quarantined";
 /// Header of a request that goes on with a stream, and of a response that comes from the process that
 /// the endpoint's record describes.
 const CONFIRMED: HeaderName = HeaderName::from_static("forward-confirmed");
@@ -92,6 +94,11 @@
     }
 }
 
+/// Returns whether a response says that the other daemon refuses the request, as it crashes endpoints.
+pub fn is_quarantined(headers: &HeaderMap) -> bool {
+    headers.get(UNDELIVERED).is_some_and(|reason| reason == QUARANTINED)
+}
+
 /// Returns whether a response says that no part of the request has reached the endpoint.
 pub fn is_undelivered(headers: &HeaderMap) -> bool {
     headers.contains_key(UNDELIVERED)
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -19,6 +19,7 @@
 use super::CONFIRMED;
 use super::CONTACT_PATH;
 use super::Contact;
+use super::QUARANTINED;
 use super::TARGET;
 use super::Target;
 use super::UNDELIVERED;
@@ -168,7 +169,7 @@
             return Ok(undelivered("deadline"));
         }
         if quarantine::refusal(daemon, content).is_some() {
-            return Ok(undelivered("quarantined"));
+            return Ok(undelivered(QUARANTINED));
         }
         let sent_at = clock::now();
         let liveness = observe_liveness(daemon, &target);
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -44,6 +44,7 @@
 use crate::decide::body::Framing;
 use crate::decide::body::Verdict;
 use crate::decide::endpoint::End;
+use crate::decide::quarantine::REFUSAL_PERIOD;
 use crate::edge::dialect::Answer;
 use crate::edge::dialect::Attempt;
 use crate::table::instance::Key;
@@ -225,6 +226,10 @@
             Ok(res) if through.is_some() && is_undelivered(daemon, job, &res) => {
                 job.charge.iter().for_each(Charge::record_not_run);
                 daemon.pool.borrow_mut().put(link, None);
+                if forward::is_quarantined(res.headers()) {
+                    let refusal = Refusal::new("quarantined", REFUSAL_PERIOD);
+                    return Outcome::Quarantined(refusal);
+                }
                 tried_daemons.extend(through);
                 force_new = false;
             }
