--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -11,9 +11,9 @@
 //! be hit as often by chance: either if its runs were cut off like all runs of this daemon, or if it
 //! was among the runs at crashed endpoints as it is among all requests. The first shows a part while
 //! most runs survive, the second if it crashes all endpoints. It takes more crashes while others
-//! happen that the part does not explain. The part with the fewest survivals is refused first, and the crashes that
-//! it explains count for no other part: those were only near. Crashes at the same moment count
-//! once, as racks and whole services lose power.
+//! happen that the part does not explain. The part with the fewest survivals is refused first, and
+//! the crashes that it explains count for no other part: those were only near. Crashes at the same
+//! moment count once, as racks and whole services lose power.
 //!
 //! A part that nearly all requests of a route have is not refused, nor is one that always crashed
 //! together with it: every crash counts for it, whatever the cause, and while all endpoints crash
