--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -361,6 +361,11 @@
     daemon.quarantine.borrow_mut().suspects.clear(now, content.fingerprint, now);
 }
 
+/// Returns whether this daemon has itself decided to refuse a part of prompts.
+pub fn has_decided(daemon: &Daemon) -> bool {
+    daemon.quarantine.borrow().suspects.has_decided(clock::now())
+}
+
 /// Returns what is refused now.
 pub fn refusals(daemon: &Daemon) -> Vec<Message> {
     daemon.quarantine.borrow().suspects.refusals(clock::now())
--- a/src/daemon/refusals.rs
+++ b/src/daemon/refusals.rs
@@ -5,7 +5,8 @@
 //! module endpoints crash again until the cause is known once more.
 //!
 //! Each daemon reads the object when it starts. The one that places models replaces it when more is
-//! refused; all daemons learn of that from each other.
+//! refused, and so does each that has decided on a part itself; all daemons learn of that from each
+//! other.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -93,7 +94,9 @@
     let mut era = daemon.store.era();
     loop {
         Timer::after(CHECK_INTERVAL).await;
-        if !daemon.placer.borrow().holds_lease(clock::now()) {
+        // The lease may be held by no daemon, as while all of them stop.
+        let holds_lease = daemon.placer.borrow().holds_lease(clock::now());
+        if !holds_lease && !quarantine::has_decided(&daemon) {
             continue;
         }
         if daemon.store.era() != era {
--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -131,7 +131,7 @@
 pub struct Crash {
     /// When its first connection broke.
     pub at: Duration,
-    /// When a part was last added.
+    /// When a run or a part was last added.
     changed_at: Duration,
     /// Runs that had just begun there.
     pub runs: BTreeSet<RunId>,
@@ -219,6 +219,11 @@
         until.max()?.checked_sub(now).filter(|left| !left.is_zero())
     }
 
+    /// Returns whether this daemon has itself decided to refuse a part.
+    pub fn has_decided(&self, now: Duration) -> bool {
+        self.refusals.values().any(|row| row.is_own && now < row.until)
+    }
+
     /// Returns the number of parts that crashes count for, and how many parts are refused.
     pub fn counts(&self, now: Duration) -> (usize, usize) {
         (self.counts.len(), self.refused(now).count())
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -212,6 +212,11 @@
         admitted.map(|row| self.table.crash_count(*row)).max().unwrap_or(0)
     }
 
+    /// Returns whether this daemon has itself decided to refuse a part.
+    pub fn has_decided(&self, now: Duration) -> bool {
+        self.parts.has_decided(now)
+    }
+
     /// Returns the number of parts that crashes count for, and how many parts are refused.
     pub fn part_counts(&self, now: Duration) -> (usize, usize) {
         self.parts.counts(now)
