--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -491,8 +491,8 @@
     origin::stream_id(team.map(|team| team.name.as_str()), route, first_attempt)
 }
 
-/// Returns the hash of team, method, host, URI and body: of what stays equal when a caller sends a request again. Its id and its deadline
-/// do not.
+/// Returns the hash of team, method, host, URI and body, which stay equal when a caller sends a
+/// request again. Its id and its deadline do not.
 pub fn fingerprint(
     team: Option<&Team>,
     host: &str,
