Count explained crashes for no request when they are told again

Once a refused part explains a crash, the requests that ran beside it are no longer suspects for it. Announcements of the same crash go on for 1.5 s, and each added them again, so that a request which was near the culprit three times could still be refused.

decide_suspects explained_crashes_do_not_count_for_requests_when_they_are_told_again failed before (one crash counted) and passes now, with the other tests of its file.

--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -537,6 +537,11 @@
         self.crashes.iter().filter(move |(_, crash)| crash.changed_at > since)
     }
 
+    /// Returns whether a refused part explains the crash of an endpoint.
+    pub fn is_explained(&self, key: &Key) -> bool {
+        self.crashes.get(key).is_some_and(|crash| crash.is_explained)
+    }
+
     /// Returns a crash.
     pub fn crash(&self, key: &Key) -> Option<&Crash> {
         self.crashes.get(key)
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -258,11 +258,12 @@
             changed_at: now,
             runs: BTreeMap::new(),
         });
+        let is_explained = self.parts.is_explained(key);
         let mut news = News::default();
         for (fingerprint, sent_at) in &breakage.runs {
             news.has_new_runs |= crash.runs.insert(*fingerprint, *sent_at).is_none();
             let run = Run { endpoint: key.clone(), sent_at: *sent_at, crashed_at: crash.at };
-            if self.table.on_crash(*fingerprint, run) {
+            if !is_explained && self.table.on_crash(*fingerprint, run) {
                 news.refused.push(*fingerprint);
             }
         }
--- a/tests/decide_suspects.rs
+++ b/tests/decide_suspects.rs
@@ -389,3 +389,35 @@
         }
     }
 }
+
+/// Guards against refusing a request that was near a culprit, as its crashes are told again after
+/// they have been explained.
+#[test]
+fn explained_crashes_do_not_count_for_requests_when_they_are_told_again() {
+    let mut suspects = Suspects::default();
+    for number in 0..200 {
+        let content = Content::new(number, &number.to_string(), [FIRST, 9].into_iter());
+        suspects.record_arrival("r", &content);
+        suspects.record_survival(ms(number), &content);
+    }
+    let near = 77;
+    let mut told = Vec::new();
+    for engine in 0..5 {
+        let at = ms(2_000 + 1_000 * engine as u64);
+        let breakage = Breakage {
+            at,
+            runs: vec![(near, at - ms(300))],
+            starting: [engine as u32 + 1].into(),
+            parts: [FIRST, CULPRIT].into(),
+        };
+        suspects.add_crash(at, &key(engine), &breakage);
+        told.extend(suspects.announcements(at, &key(engine)));
+        suspects.decide(at + ms(300));
+    }
+    assert!(suspects.remaining_of_parts(ms(6_400), &[CULPRIT]).is_some());
+    for message in told {
+        suspects.on_message(ms(6_500), message);
+    }
+    assert_eq!(suspects.remaining(ms(6_500), near), None);
+    assert_eq!(suspects.crash_count(near), 0);
+}
