--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -19,6 +19,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::broker;
 use crate::daemon::broker::Failure;
+use crate::daemon::broker::Terms;
 use crate::daemon::clock;
 use crate::daemon::front::Job;
 use crate::daemon::gate;
@@ -85,6 +86,8 @@
     pub target_latency: Duration,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
+    /// What else decides on its place among those that wait, and on the memory that it needs.
+    pub terms: Terms,
     /// Hash of service, model and adapter: equal for requests with equal requirements.
     pub class: Class,
 }
--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -9,11 +9,13 @@
 use crate::decide::endpoint::End;
 use crate::decide::wait_policy::Shortage;
 use crate::decide::wait_queue::Class;
+use crate::edge::dialect::Load;
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::RegionId;
 use crate::table::ServiceId;
 use crate::table::SoftwareVersion;
+use crate::table::TeamId;
 use crate::table::instance::Key;
 
 /// A message between a daemon and a broker.
@@ -98,6 +100,37 @@
         /// The version.
         software: SoftwareVersion,
     },
+    /// Asks for a grant, with the terms by which the request waits.
+    Ask {
+        /// The request.
+        request: Box<Request>,
+        /// As in `RequestedExcept`.
+        excluded: Vec<(Key, Option<u32>)>,
+        /// As in `RequestedAt`, if the request is bound to a version.
+        software: Option<SoftwareVersion>,
+        /// The terms.
+        terms: Terms,
+    },
+    /// The first byte of the engine's response was received, with all that the engine reported.
+    Responded {
+        /// The grant's ticket.
+        ticket: Ticket,
+        /// As in `FirstByte`.
+        elapsed_us: u32,
+        /// The engine's load.
+        load: Option<Load>,
+    },
+}
+
+/// What decides on a request's place among those that wait, and on the memory that it needs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// The team that sent it; none if its route requires no key.
+    pub team: Option<TeamId>,
+    /// Priority of its route; 0 is the most urgent. Orders requests of equal priority.
+    pub route_priority: u8,
+    /// Maximum number of tokens of its answer.
+    pub output_tokens: u32,
 }
 
 /// A request's requirements, as sent to a broker.
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -21,6 +21,7 @@
 pub use message::Message;
 pub use message::Reason;
 pub use message::Request;
+pub use message::Terms;
 pub use server::grant;
 pub use server::redirect;
 pub use server::send_loads;
@@ -176,7 +177,7 @@
         daemon.nodes.borrow().region_of(to).is_some_and(|region| *region != daemon.settings.region);
     let limit = if is_remote { REMOTE_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
     while unanswered < MAX_UNANSWERED {
-        send(daemon, to, request_message(daemon, ticket, arrival));
+        send(daemon, to, request_message(daemon, ticket, arrival, unanswered > 0));
         match receive(&replies, limit).await {
             Some(Reply::Queued) => {
                 // The next message is the final answer, but that may be lost: so the request is
@@ -236,8 +237,9 @@
 }
 
 /// Returns the message that asks for a grant. The broker is told the endpoints that this daemon
-/// does not call, as it may not know what they have stated.
-fn request_message(daemon: &Daemon, ticket: Ticket, arrival: &Arrival) -> Message {
+/// does not call, as it may not know what they have stated. A broker that did not answer may be of an
+/// earlier release, which knows no terms.
+fn request_message(daemon: &Daemon, ticket: Ticket, arrival: &Arrival, is_repeat: bool) -> Message {
     let request = Box::new(request(ticket, arrival));
     let now = clock::now();
     let excluded = daemon.fleet.borrow().exclusions(now, &request.service, &request.model);
@@ -245,6 +247,9 @@
     let excluded: Vec<_> =
         excluded.into_iter().map(|row| (row.key, row.until.map(remaining))).collect();
     match arrival.software.clone() {
+        software if !is_repeat => {
+            Message::Ask { request, excluded, software, terms: arrival.spec.terms.clone() }
+        }
         Some(software) => Message::RequestedAt { request, excluded, software },
         None if excluded.is_empty() => Message::Requested(request),
         None => Message::RequestedExcept { request, excluded },
@@ -280,8 +285,7 @@
     elapsed: Duration,
     load: Option<Load>,
 ) {
-    let load = load.map(|load| (load.running, load.waiting));
-    send(daemon, broker, Message::FirstByte { ticket, elapsed_us: micros(elapsed), load });
+    send(daemon, broker, Message::Responded { ticket, elapsed_us: micros(elapsed), load });
 }
 
 /// Reports to a broker that a request at an engine has ended.
@@ -322,12 +326,20 @@
 /// Processes a message from another daemon.
 pub fn on_message(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     match message {
-        Message::Requested(request) => server::on_request(daemon, from, *request, Vec::new(), None),
+        // Daemons of earlier releases send these three, without the terms.
+        Message::Requested(request) => {
+            server::on_request(daemon, from, *request, Vec::new(), None, Terms::default());
+        }
         Message::RequestedExcept { request, excluded } => {
-            server::on_request(daemon, from, *request, exclusions(excluded), None);
+            let excluded = exclusions(excluded);
+            server::on_request(daemon, from, *request, excluded, None, Terms::default());
         }
         Message::RequestedAt { request, excluded, software } => {
-            server::on_request(daemon, from, *request, exclusions(excluded), Some(software));
+            let excluded = exclusions(excluded);
+            server::on_request(daemon, from, *request, excluded, Some(software), Terms::default());
+        }
+        Message::Ask { request, excluded, software, terms } => {
+            server::on_request(daemon, from, *request, exclusions(excluded), software, terms);
         }
         Message::Queued(ticket) => on_reply(daemon, from, ticket, Reply::Queued),
         Message::Granted { ticket, key, tokens, own_prefill_us, queued_prefill_us } => {
@@ -354,13 +366,13 @@
             on_reply(daemon, from, ticket, Reply::Refused(refusal));
         }
         Message::FirstByte { ticket, elapsed_us, load } => {
-            server::on_first_byte(
-                daemon,
-                from,
-                ticket,
-                Duration::from_micros(elapsed_us.into()),
-                load,
-            );
+            let load = load.map(|(running, waiting)| Load { running, waiting });
+            let elapsed = Duration::from_micros(elapsed_us.into());
+            server::on_first_byte(daemon, from, ticket, elapsed, load);
+        }
+        Message::Responded { ticket, elapsed_us, load } => {
+            let elapsed = Duration::from_micros(elapsed_us.into());
+            server::on_first_byte(daemon, from, ticket, elapsed, load);
         }
         Message::Ended { ticket, end, event_interval_us } => {
             server::on_end(
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -10,6 +10,7 @@
 use super::Message;
 use super::Reason;
 use super::Request;
+use super::Terms;
 use super::address;
 use super::is_needed;
 use super::message::micros;
@@ -123,6 +124,7 @@
     request: Request,
     excluded: Vec<Exclusion>,
     software: Option<SoftwareVersion>,
+    terms: Terms,
 ) {
     let now = clock::now();
     let ticket = request.ticket;
@@ -142,7 +144,7 @@
             return send(daemon, from, message);
         }
     }
-    let arrival = Rc::new(arrival(daemon, now, request, excluded, software));
+    let arrival = Rc::new(arrival(daemon, now, request, excluded, software, terms));
     match admission::decide(daemon, now, &arrival) {
         Decision::Send(key) => grant(daemon, now, from, ticket, &arrival, key),
         Decision::OtherRegion(region) => redirect(daemon, from, ticket, region),
@@ -159,6 +161,7 @@
     request: Request,
     excluded: Vec<Exclusion>,
     software: Option<SoftwareVersion>,
+    terms: Terms,
 ) -> Arrival {
     let duration = |millis: u32| Duration::from_millis(millis.into());
     let model = Some(request.model);
@@ -177,6 +180,7 @@
         max_pause: request.max_pause_ms.map(duration),
         target_latency: duration(request.target_latency_ms),
         priority: request.priority,
+        terms,
         class,
     };
     Arrival {
@@ -270,15 +274,15 @@
     from: SocketAddr,
     ticket: Ticket,
     elapsed: Duration,
-    load: Option<(u32, u32)>,
+    load: Option<Load>,
 ) {
     let state = daemon.broker.borrow();
     let Some(grant) = state.grants.get(from, ticket) else {
         return;
     };
     let (now, mut fleet) = (clock::now(), daemon.fleet.borrow_mut());
-    if let Some((running, waiting)) = load {
-        fleet.on_load_report(now, &grant.key, Load { running, waiting });
+    if let Some(load) = load {
+        fleet.on_load_report(now, &grant.key, load);
     }
     if let Some(Details { need, estimate }) = &grant.payload {
         fleet.record_first_byte(now, &grant.key, elapsed, need.model.as_deref(), estimate);
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -41,6 +41,7 @@
 use crate::daemon::admission;
 use crate::daemon::admission::Refusal;
 use crate::daemon::admission::Spec;
+use crate::daemon::broker::Terms;
 use crate::daemon::clock;
 use crate::daemon::collect;
 use crate::daemon::gauge::Admission;
@@ -462,6 +463,11 @@
         max_pause: route.max_pause,
         target_latency: route.target_latency,
         priority: team.as_ref().and_then(|team| team.priority).unwrap_or(route.priority),
+        terms: Terms {
+            team: team.as_ref().map(|team| team.name.clone()),
+            route_priority: route.priority,
+            output_tokens: caller.max_tokens,
+        },
         class,
     };
     let fingerprint = fingerprint(team.as_deref(), &caller.host, head, &body);
--- a/src/edge/dialect.rs
+++ b/src/edge/dialect.rs
@@ -140,7 +140,7 @@
 }
 
 /// Load reported by an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Number of running requests.
     pub running: u32,
