Let requests wait as long as they can be served by their deadlines

Requests waited for 0.7 of their target latency at most.

A request now waits if its expected wait takes at most 0.6 of the time until it has to be sent, which is the deadline less 1.2 times the expected slot time for its tokens. Order: priority, priority of the route, on time before late, arrival. The completion rate is at least what the slots that serve the class yield, so that classes without completions and new copies of a model count at once; plain services, whose completions were compared with a rate of 0.5 per second, wait by the same rule. A request that waits for a load is held for 1.4 times the expected time at most.

The effect on a fleet is not measured yet.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -5,7 +5,7 @@
 //! while there are so few daemons that every send can be announced to each of them.
 
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +39,7 @@
 use crate::decide::wait_policy::Shortage;
 use crate::decide::wait_policy::Verdict;
 use crate::decide::wait_queue::Class;
+use crate::decide::wait_queue::Place;
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::AdapterId;
@@ -161,6 +162,27 @@
         hasher.digest()
     }
 
+    /// Returns what decides on how long it waits.
+    fn request(&self, daemon: &Daemon) -> Request {
+        let completions = daemon.completions.borrow();
+        Request {
+            arrived_at: self.arrived_at,
+            target_latency: self.spec.target_latency,
+            deadline: self.deadline,
+            slot_time: completions.slot_time(&self.spec.service, self.spec.terms.output_tokens),
+        }
+    }
+
+    /// Returns its place in the queue.
+    fn place(&self, request: &Request) -> Place {
+        Place {
+            priority: self.spec.priority,
+            route_priority: self.spec.terms.route_priority,
+            late_from: request.late_from(),
+            arrived_at: self.arrived_at,
+        }
+    }
+
     /// Returns the requirements of an endpoint, excluding those in `tried`.
     fn requirements<'a>(&'a self, tried: &'a [Key]) -> Requirements<'a> {
         Requirements {
@@ -187,6 +209,8 @@
     Endpoint(Key, Estimate),
     /// A region whose broker has capacity.
     OtherRegion(RegionId),
+    /// None, as the request can't be served by its deadline any more.
+    Refused(Refusal),
 }
 
 /// A request in the queue.
@@ -194,6 +218,8 @@
 pub struct Waiter {
     arrival: Rc<Arrival>,
     recipient: Recipient,
+    request: Request,
+    shortage: Shortage,
 }
 
 /// Decision on an arrival.
@@ -235,6 +261,8 @@
     pub estimate: Estimate,
     /// Address of the broker that granted the permit, and the ticket; none without a broker.
     broker: Option<(SocketAddr, Ticket)>,
+    spec: Rc<Spec>,
+    issued_at: Duration,
     load: Cell<Option<Load>>,
     end: Cell<End>,
 }
@@ -265,6 +293,9 @@
         if let Some((broker, ticket)) = self.broker {
             broker::report_end(&self.daemon, broker, ticket, &self.key, self.end.get());
         }
+        if self.end.get() == End::Completed {
+            record_slot_time(&self.daemon, clock::now(), &self.spec, self.issued_at);
+        }
         if !self.daemon.queue.borrow().is_empty() {
             dispatch(&self.daemon);
         }
@@ -283,13 +314,22 @@
     fn drop(&mut self) {
         dequeue(&self.daemon, &self.arrival);
         if let Ok(Assignment::Endpoint(key, estimate)) = self.assignments.try_recv() {
-            drop(permit(&self.daemon, key, estimate, None));
+            let permit = permit(&self.daemon, &self.arrival.spec, key, estimate, None);
+            permit.set_end(End::Unused);
         }
     }
 }
 
+/// Records for how long a completed request that was sent at `sent_at` has occupied a slot.
+pub fn record_slot_time(daemon: &Daemon, now: Duration, spec: &Spec, sent_at: Duration) {
+    let slot_time = now.saturating_sub(sent_at);
+    let mut completions = daemon.completions.borrow_mut();
+    completions.record_slot_time(&spec.service, spec.terms.output_tokens, slot_time);
+}
+
 fn permit(
     daemon: &Rc<Daemon>,
+    spec: &Rc<Spec>,
     key: Key,
     estimate: Estimate,
     broker: Option<(SocketAddr, Ticket)>,
@@ -299,6 +339,8 @@
         key,
         estimate,
         broker,
+        spec: spec.clone(),
+        issued_at: clock::now(),
         load: Cell::default(),
         end: Cell::default(),
     }
@@ -365,8 +407,8 @@
 
 /// Decides on an arrival, and requests the adapter load or the dispatch that it has to wait for.
 pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
-    let spec = &arrival.spec;
-    let ahead = daemon.queue.borrow().ahead(spec.priority, arrival.arrived_at, arrival.class());
+    let request = arrival.request(daemon);
+    let ahead = daemon.queue.borrow().ahead(now, arrival.class(), &arrival.place(&request));
     let choice = match choose(daemon, now, arrival) {
         Choice::Send(key) if ahead == 0 => {
             let Some(region) = broker_region(daemon, arrival, &key) else {
@@ -378,12 +420,7 @@
         choice => choice,
     };
     let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
-    let held = Request {
-        arrived_at: arrival.arrived_at,
-        target_latency: spec.target_latency,
-        deadline: arrival.deadline,
-    };
-    let verdict = wait_policy::decide(now, &held, cause, &mut daemon.rng.borrow_mut());
+    let verdict = wait_policy::decide(now, &request, cause, &mut daemon.rng.borrow_mut());
     if let Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) = choice {
         dispatch_after(daemon, now, span);
     }
@@ -394,7 +431,7 @@
         }
         Verdict::Wait(until) => {
             if let Choice::LoadAdapter(key) = &choice {
-                peer::send_adapter_request(daemon, key, spec);
+                peer::send_adapter_request(daemon, key, &arrival.spec);
             }
             Decision::Wait(until.min(arrival.deadline), cause, ahead)
         }
@@ -402,17 +439,59 @@
 }
 
 /// Adds an arrival to the queue.
-pub fn enqueue(daemon: &Daemon, arrival: &Rc<Arrival>, recipient: Recipient) {
-    let spec = &arrival.spec;
-    let waiter = Waiter { arrival: arrival.clone(), recipient };
+pub fn enqueue(daemon: &Daemon, arrival: &Rc<Arrival>, recipient: Recipient, shortage: Shortage) {
+    let request = arrival.request(daemon);
+    let place = arrival.place(&request);
+    let waiter = Waiter { arrival: arrival.clone(), recipient, request, shortage };
     let mut queue = daemon.queue.borrow_mut();
-    queue.push(arrival.number, spec.priority, arrival.arrived_at, arrival.class(), waiter);
+    queue.push(clock::now(), arrival.number, arrival.class(), place, waiter);
 }
 
 /// Removes an arrival from the queue, and returns whether it was still queued.
 pub fn dequeue(daemon: &Daemon, arrival: &Arrival) -> bool {
-    let mut queue = daemon.queue.borrow_mut();
-    queue.remove(arrival.number, arrival.spec.priority, arrival.arrived_at).is_some()
+    daemon.queue.borrow_mut().remove(arrival.number).is_some()
+}
+
+/// Refuses the waiting requests that can't be served by their deadlines any more, as more urgent ones
+/// have arrived or fewer requests complete than expected.
+pub fn refuse_hopeless(daemon: &Rc<Daemon>, now: Duration) {
+    daemon.queue.borrow_mut().advance(now);
+    let mut hopeless = Vec::new();
+    {
+        let queue = daemon.queue.borrow();
+        for class in queue.classes() {
+            let Some((_, first)) = queue.first(class) else {
+                continue;
+            };
+            let slots = expected_slots(daemon, now, &first.arrival.spec);
+            // Requests that wait for a load or an adapter have their own time limit.
+            if slots <= 0.0 {
+                continue;
+            }
+            let rate = completion_rate(daemon, now, &first.arrival.spec, slots);
+            let mut ahead = 0;
+            for (_, waiter) in queue.rows(class) {
+                let wait = wait_policy::expected_wait(ahead, rate);
+                if waiter.shortage == Shortage::Slot && !waiter.request.has_time(now, wait) {
+                    hopeless.push((waiter.clone(), wait));
+                } else {
+                    ahead += 1;
+                }
+            }
+        }
+    }
+    for (waiter, wait) in hopeless {
+        dequeue(daemon, &waiter.arrival);
+        let left = waiter.request.deadline.saturating_sub(now);
+        let retry_after = wait_policy::retry_after(left, wait, &mut daemon.rng.borrow_mut());
+        let shortage = Some(waiter.shortage);
+        let refusal = Refusal { reason: "waited", retry_after, shortage };
+        match waiter.recipient {
+            Recipient::Remote(from, ticket) => broker::refuse(daemon, from, ticket, &refusal),
+            // A request that has left the queue meanwhile needs no refusal.
+            Recipient::Local(sender) => drop(sender.try_send(Assignment::Refused(refusal))),
+        }
+    }
 }
 
 /// Returns the refusal of an arrival that has waited without success.
@@ -501,14 +580,14 @@
 /// Records the start of a request that a broker has granted, and returns its permit.
 fn accept_grant(
     daemon: &Rc<Daemon>,
-    spec: &Spec,
+    spec: &Rc<Spec>,
     addr: SocketAddr,
     ticket: Ticket,
     key: Key,
     estimate: Estimate,
 ) -> Permit {
     daemon.fleet.borrow_mut().start_request(clock::now(), &key, &spec.parts, estimate.own_prefill);
-    permit(daemon, key, estimate, Some((addr, ticket)))
+    permit(daemon, spec, key, estimate, Some((addr, ticket)))
 }
 
 /// Finds an endpoint by this daemon's own state.
@@ -519,7 +598,7 @@
     match decide(daemon, now, &arrival) {
         Decision::Send(key) => {
             let estimate = start_locally(daemon, now, &arrival.spec, &key);
-            Ok(permit(daemon, key, estimate, None))
+            Ok(permit(daemon, &arrival.spec, key, estimate, None))
         }
         Decision::Refuse(refusal) => Err(refusal),
         Decision::OtherRegion(region) => find_in_region(daemon, &arrival, region).await,
@@ -564,7 +643,7 @@
 ) -> Result<Permit, Refusal> {
     let span = until.saturating_sub(clock::now());
     let (sender, receiver) = smol::channel::bounded(1);
-    enqueue(daemon, arrival, Recipient::Local(sender));
+    enqueue(daemon, arrival, Recipient::Local(sender), shortage);
     let guard = Guard { daemon: daemon.clone(), arrival: arrival.clone(), assignments: receiver };
     let assigned = async { guard.assignments.recv().await.ok() };
     let timeout = async {
@@ -575,7 +654,10 @@
     // it would soon be answered itself, but its prefill would pause every stream at the engine;
     // with one such request after another, the pauses would last as long as the burst.
     match assigned.or(timeout).await {
-        Some(Assignment::Endpoint(key, estimate)) => Ok(permit(daemon, key, estimate, None)),
+        Some(Assignment::Endpoint(key, estimate)) => {
+            Ok(permit(daemon, &arrival.spec, key, estimate, None))
+        }
+        Some(Assignment::Refused(refusal)) => Err(refusal),
         Some(Assignment::OtherRegion(region)) => find_in_region(daemon, arrival, region).await,
         None => Err(timeout_refusal(daemon, arrival, Some(shortage))),
     }
@@ -620,7 +702,8 @@
     let spec = &arrival.spec;
     match choice {
         Choice::Send(_) | Choice::Full => {
-            Cause::Full { ahead, rate: daemon.gauges.completion_rate(now, spec.class) }
+            let slots = expected_slots(daemon, now, spec);
+            Cause::Full { ahead, rate: completion_rate(daemon, now, spec, slots) }
         }
         Choice::Delay(wait) => Cause::Paced(*wait),
         Choice::Limited(wait) => Cause::Limited { ahead, wait: *wait },
@@ -648,31 +731,46 @@
     rows.map(|row| model.load_time(&row.instance.copies)).min()
 }
 
+/// Returns the slots that requests like this one can expect of the endpoints that serve them. Without
+/// a broker, they are divided between all daemons.
+fn expected_slots(daemon: &Daemon, now: Duration, spec: &Spec) -> f64 {
+    let fleet = daemon.fleet.borrow();
+    let slots = fleet.expected_slots(now, &spec.service, spec.model.as_deref());
+    let has_broker = spec.needs_broker() && fleet.sharing.has_brokers;
+    if has_broker { slots } else { slots / fleet.sharing.daemons.max(1) as f64 }
+}
+
+fn completion_rate(daemon: &Daemon, now: Duration, spec: &Spec, slots: f64) -> f64 {
+    daemon.completions.borrow().rate(now, spec.class, &spec.service, slots)
+}
+
 /// Assigns endpoints to the waiting requests, in their order.
 pub fn dispatch(daemon: &Rc<Daemon>) {
     let now = clock::now();
-    let rows: Vec<(Class, Waiter)> = {
+    // The first request of each class; one that gets no endpoint holds up its class only.
+    let mut candidates: BTreeSet<_> = {
         let queue = daemon.queue.borrow();
-        queue.rows().map(|(_, class, waiter)| (class, waiter.clone())).collect()
+        let first = |class| queue.first(class).map(|(rank, _)| (rank, class));
+        queue.classes().filter_map(first).collect()
     };
-    let mut blocked = HashSet::new();
-    for (class, waiter) in rows {
-        if blocked.contains(&class) {
+    while let Some((_, class)) = candidates.pop_first() {
+        let Some(waiter) = daemon.queue.borrow().first(class).map(|(_, waiter)| waiter.clone())
+        else {
             continue;
-        }
+        };
         match choose(daemon, now, &waiter.arrival) {
-            Choice::Send(key) => assign(daemon, now, &waiter, key),
+            Choice::Send(key) => {
+                assign(daemon, now, &waiter, key);
+                candidates
+                    .extend(daemon.queue.borrow().first(class).map(|(rank, _)| (rank, class)));
+            }
             Choice::LoadAdapter(key) => {
                 peer::send_adapter_request(daemon, &key, &waiter.arrival.spec);
-                blocked.insert(class);
             }
             Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) => {
                 dispatch_after(daemon, now, span);
-                blocked.insert(class);
-            }
-            Choice::Full | Choice::NoModel | Choice::NoEndpoint => {
-                blocked.insert(class);
             }
+            Choice::Full | Choice::NoModel | Choice::NoEndpoint => {}
         }
     }
 }
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -24,6 +24,7 @@
 pub use message::Terms;
 pub use server::grant;
 pub use server::redirect;
+pub use server::refuse;
 pub use server::send_loads;
 
 use self::message::micros;
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -204,7 +204,7 @@
     limit: Duration,
     shortage: Shortage,
 ) {
-    admission::enqueue(daemon, &arrival, Recipient::Remote(from, ticket));
+    admission::enqueue(daemon, &arrival, Recipient::Remote(from, ticket), shortage);
     let waiter = Waiter { arrival: arrival.clone(), last_request_at: clock::now() };
     daemon.broker.borrow_mut().queued.insert((from, ticket), waiter);
     send(daemon, from, Message::Queued(ticket));
@@ -212,7 +212,6 @@
     let expire = async move {
         Timer::after(limit).await;
         if admission::dequeue(&shared, &arrival) {
-            shared.broker.borrow_mut().queued.remove(&(from, ticket));
             refuse(
                 &shared,
                 from,
@@ -224,7 +223,9 @@
     daemon.ex.spawn(expire).detach();
 }
 
-fn refuse(daemon: &Rc<Daemon>, to: SocketAddr, ticket: Ticket, refusal: &Refusal) {
+/// Refuses a request of another daemon.
+pub fn refuse(daemon: &Rc<Daemon>, to: SocketAddr, ticket: Ticket, refusal: &Refusal) {
+    daemon.broker.borrow_mut().queued.remove(&(to, ticket));
     // Every refusal reason of `admission` has a variant of `Reason`.
     let reason = refusal.reason.parse().unwrap_or(Reason::Full);
     let (retry_after_ms, shortage) = (millis(refusal.retry_after), refusal.shortage);
@@ -314,7 +315,10 @@
         }
     }
     if end == End::Completed {
-        daemon.gauges.record_completion(now, grant.class);
+        daemon.completions.borrow_mut().record(now, grant.class);
+        if let Some(Details { need, .. }) = &grant.payload {
+            admission::record_slot_time(daemon, now, need, grant.granted_at);
+        }
     }
     if !daemon.queue.borrow().is_empty() {
         admission::dispatch(daemon);
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -11,16 +11,12 @@
 use crate::daemon::contact;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
-use crate::decide::trend::Rate;
-use crate::decide::wait_queue::Class;
 use crate::edge::dialect::Kind;
 use crate::table::TeamId;
 use crate::table::routing;
 
 /// Upper bounds of the latency buckets, in milliseconds.
 const BUCKETS: [u64; 12] = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800];
-/// Time over which the completion rate of requests is smoothed.
-const COMPLETION_RATE_WINDOW: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Default, Clone)]
 struct Histogram {
@@ -60,7 +56,6 @@
 #[derive(Debug, Default)]
 pub struct Gauges {
     first_bytes: RefCell<HashMap<routing::Kind, Histogram>>,
-    completion_rates: RefCell<HashMap<Class, Rate>>,
     /// Requests by team; the empty name holds those of teams without a row of their own.
     requests: RefCell<HashMap<(TeamId, Admission), u64>>,
     /// Bodies of endpoints' answers by how they were delimited and how they ended.
@@ -125,21 +120,6 @@
         self.max_lateness.set(self.max_lateness.get().max(late));
     }
 
-    /// Records that a request of a class has completed.
-    pub fn record_completion(&self, now: Duration, class: Class) {
-        let mut completion_rates = self.completion_rates.borrow_mut();
-        completion_rates
-            .entry(class)
-            .or_insert(Rate::new(now, COMPLETION_RATE_WINDOW))
-            .add(now, 1.0);
-    }
-
-    /// Returns the completion rate of a class, in requests per second.
-    pub fn completion_rate(&self, now: Duration, class: Class) -> f64 {
-        let completion_rates = self.completion_rates.borrow();
-        completion_rates.get(&class).map_or(0.0, |row| row.per_second(now))
-    }
-
     /// Returns all metrics as text.
     pub fn text(&self, daemon: &Daemon) -> String {
         let mut out = String::new();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -63,6 +63,7 @@
 use crate::daemon::settings::Settings;
 use crate::decide::allowance::Allowance;
 use crate::decide::brittle::Sharing;
+use crate::decide::completions::Completions;
 use crate::decide::fleet::Fleet;
 use crate::decide::lag;
 use crate::decide::lag::Monitor;
@@ -92,6 +93,8 @@
     pub fleet: RefCell<Fleet>,
     /// Requests that wait for an endpoint.
     pub queue: RefCell<Queue<admission::Waiter>>,
+    /// Completed requests, which tell how long others wait.
+    pub completions: RefCell<Completions>,
     /// Requests to brokers, and the grants that this daemon has given to others.
     pub broker: RefCell<broker::Broker>,
     /// Quotas of teams.
@@ -176,6 +179,7 @@
             published: RefCell::default(),
             fleet: RefCell::new(fleet),
             queue: RefCell::default(),
+            completions: RefCell::default(),
             broker: RefCell::default(),
             quotas: RefCell::new(quota::Quotas::new(clock::now())),
             limits: RefCell::default(),
@@ -272,10 +276,11 @@
                 suspended: suspended.as_millis() as u64,
             });
         }
-        let removed = daemon.fleet.borrow_mut().tick(now);
+        daemon.fleet.borrow_mut().tick(now);
         daemon.fleet.borrow_mut().sharing = sharing(&daemon);
         contact::tick(&daemon, now);
-        if removed || !daemon.queue.borrow().is_empty() {
+        if !daemon.queue.borrow().is_empty() {
+            admission::refuse_hopeless(&daemon, now);
             admission::dispatch(&daemon);
         }
         if now >= last_sweep + IDLE_SWEEP_INTERVAL {
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -728,7 +728,7 @@
             fleet.record_first_byte(now, key, endpoint_time, model, &estimate);
             place.record_first_byte(endpoint_time);
             daemon.gauges.record_first_byte(job.route.kind, elapsed);
-            daemon.gauges.record_completion(now, job.spec.class);
+            daemon.completions.borrow_mut().record(now, job.spec.class);
             daemon.note(&Event::Answered {
                 request: job.caller.id.clone(),
                 endpoint: key.id.clone(),
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -317,7 +317,7 @@
     fn finish(&mut self, end: body::End) {
         let now = clock::now();
         self.open_request.answered = true;
-        self.daemon.gauges.record_completion(now, self.job.spec.class);
+        self.daemon.completions.borrow_mut().record(now, self.job.spec.class);
         quarantine::on_completed(&self.daemon, &self.job.content);
         if self.head.as_ref().is_some_and(|head| !head.has_survived) {
             quarantine::on_survived(&self.daemon, &self.job.content);
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -378,6 +378,16 @@
         }
     }
 
+    /// Returns the slots that requests for a model, or for a service without models, can expect: each
+    /// usable endpoint's, divided between the models that are resident there.
+    pub fn expected_slots(&self, now: Duration, service: &str, model: Option<&str>) -> f64 {
+        let rows = self.rows.values().filter(|row| row.instance.service == service);
+        let rows = rows.filter(|row| row.is_usable(now));
+        let rows = rows.filter(|row| model.is_none_or(|model| row.is_resident(now, model, None)));
+        let share = |models: usize| if model.is_some() { models.max(1) as f64 } else { 1.0 };
+        rows.map(|row| f64::from(row.instance.slots) / share(row.instance.resident.len())).sum()
+    }
+
     /// Estimates the prefill of a request's prompt at an endpoint.
     pub fn estimate(&self, now: Duration, key: &Key, requirements: &Requirements<'_>) -> Estimate {
         let row = self.rows.get(key);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod broker;
 pub mod call_latency;
 pub mod claim;
+pub mod completions;
 pub mod contact;
 pub mod demand;
 pub mod drain;
--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -4,9 +4,14 @@
 //! that no engine has resident. Without a bound the requests queue here until their deadlines pass:
 //! callers wait in vain, and the oldest requests delay those that could still be served on time.
 //!
-//! A request waits only while it can still be on time. If something must be loaded first, it waits
-//! only if the load takes a small part of its remaining time. Otherwise it is refused at once with
-//! a retry-after time.
+//! A request waits as long as it can be served by its deadline: an answer that is late is worth less
+//! than one on time, and a refusal nothing. If the expected wait is a large part of the time that is
+//! left, the request is refused at once with a retry-after time, as its caller can only come back
+//! while there is time. What waits is checked again (`has_time`), as more urgent requests arrive.
+//!
+//! Before, a request waited for 0.7 of its target latency at most. In a fleet with targets of 0.5 s
+//! and 8 s the urgent requests were then refused after 0.35 s, with 9.6 s left until their deadline,
+//! while the others waited for 5.6 s and took the slots.
 
 use std::time::Duration;
 
@@ -15,10 +20,24 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Part of the target latency that may pass before the request is sent.
-const MAX_WAIT_RATIO: f64 = 0.7;
-/// Part of the remaining time that may be spent on loading a model or an adapter.
-const MAX_LOAD_RATIO: f64 = 0.33;
+/// Part of the target latency that may pass before a request is sent that is to be on time.
+const ON_TIME_RATIO: f64 = 0.7;
+/// Part of the time until a request has to be sent that its expected wait may take. The expectation
+/// is uncertain, and a request that is held for longer and then refused is lost.
+const MAX_WAIT_RATIO: f64 = 0.6;
+/// Time that is kept for an answer, as a multiple of the expected slot time.
+const ANSWER_MARGIN: f64 = 1.2;
+/// Upper bound of that time, as a part of the time from arrival to deadline: the slot time is an
+/// average over requests of all kinds.
+const MAX_ANSWER_RATIO: f64 = 0.5;
+/// Time for which a request waits for a load, as a multiple of the expected time, and in addition.
+/// A load that takes longer may never have been ordered.
+const LOAD_MARGIN: f64 = 1.4;
+const LOAD_GRACE: Duration = Duration::from_millis(200);
+/// Lower bound of the rate at which requests complete, per second.
+const MIN_RATE: f64 = 0.5;
+/// Upper bound of an expected wait.
+const MAX_EXPECTED_WAIT: Duration = Duration::from_secs(60);
 /// Upper bound of retry-after as a part of the caller's remaining time, since callers don't wait
 /// longer than that.
 const MAX_RETRY_AFTER_RATIO: f64 = 0.33;
@@ -104,48 +123,58 @@
     pub target_latency: Duration,
     /// Time by which it must be answered.
     pub deadline: Duration,
+    /// Time for which it is expected to occupy a slot.
+    pub slot_time: Duration,
+}
+
+impl Request {
+    /// Returns from when on its answer can't be on time if it has not been sent.
+    pub fn late_from(&self) -> Duration {
+        self.arrived_at + self.target_latency.mul_f64(ON_TIME_RATIO)
+    }
+
+    /// Returns when it has to be sent for its answer to be complete by the deadline.
+    pub fn latest_start(&self) -> Duration {
+        let span = self.deadline.saturating_sub(self.arrived_at);
+        let answer = self.slot_time.mul_f64(ANSWER_MARGIN).min(span.mul_f64(MAX_ANSWER_RATIO));
+        self.deadline.saturating_sub(answer)
+    }
+
+    /// Returns whether a request that already waits can still be sent in time after `wait`.
+    pub fn has_time(&self, now: Duration, wait: Duration) -> bool {
+        now + wait <= self.latest_start()
+    }
+}
+
+/// Returns the expected wait of a request behind `ahead` others, of which `rate` complete per second.
+pub fn expected_wait(ahead: usize, rate: f64) -> Duration {
+    let seconds = (ahead as f64 + 1.0) / rate.max(MIN_RATE);
+    Duration::from_secs_f64(seconds.min(MAX_EXPECTED_WAIT.as_secs_f64()))
 }
 
 /// Decides at `now` whether a request waits.
 pub fn decide(now: Duration, request: &Request, cause: Cause, rng: &mut SmallRng) -> Verdict {
-    let remaining = request.deadline.saturating_sub(now);
-    match cause {
-        Cause::Full { ahead, rate } => {
-            let wait = Duration::from_secs_f64(((ahead as f64 + 1.0) / rate.max(0.5)).min(60.0));
-            wait_within_target(now, request, wait, rng)
-        }
+    let wait = match cause {
+        Cause::Full { ahead, rate } => expected_wait(ahead, rate),
         Cause::Limited { ahead, wait } => {
             let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-            wait_within_target(now, request, wait.saturating_mul(ahead.saturating_add(1)), rng)
+            wait.saturating_mul(ahead.saturating_add(1)).min(MAX_EXPECTED_WAIT)
         }
         // Unlike with a limit, all that wait can be sent when the time is over.
-        Cause::Paced(wait) | Cause::Backoff(wait) => wait_within_target(now, request, wait, rng),
-        Cause::Loading(load_time) => {
-            let max_wait = remaining.mul_f64(MAX_LOAD_RATIO);
-            if load_time <= max_wait {
-                Verdict::Wait(now + max_wait)
-            } else {
-                Verdict::Refuse(retry_after(remaining, load_time, rng))
-            }
-        }
-        Cause::Nothing => Verdict::Refuse(retry_after(remaining, Duration::from_secs(1), rng)),
-    }
-}
-
-/// Lets a request that can be sent after `wait` wait if it can still be on time then.
-fn wait_within_target(
-    now: Duration,
-    request: &Request,
-    wait: Duration,
-    rng: &mut SmallRng,
-) -> Verdict {
-    let remaining = request.deadline.saturating_sub(now);
-    let until = request.arrived_at + request.target_latency.min(remaining).mul_f64(MAX_WAIT_RATIO);
-    if now + wait <= until {
-        Verdict::Wait(until)
-    } else {
-        Verdict::Refuse(retry_after(remaining, wait, rng))
+        Cause::Paced(wait) | Cause::Backoff(wait) | Cause::Loading(wait) => wait,
+        Cause::Nothing => Duration::from_secs(1),
+    };
+    let latest_start = request.latest_start();
+    let max_wait = latest_start.saturating_sub(now).mul_f64(MAX_WAIT_RATIO);
+    if matches!(cause, Cause::Nothing) || wait > max_wait {
+        let remaining = request.deadline.saturating_sub(now);
+        return Verdict::Refuse(retry_after(remaining, wait, rng));
     }
+    let until = match cause {
+        Cause::Loading(wait) => now + wait.mul_f64(LOAD_MARGIN) + LOAD_GRACE,
+        _ => latest_start,
+    };
+    Verdict::Wait(until.min(latest_start))
 }
 
 /// Returns the retry-after of a refused caller that could be served after `delay` and has
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -1,11 +1,17 @@
-//! Wait queue of a daemon: requests that wait for an endpoint, ordered by urgency, then by arrival.
+//! Wait queue of a daemon: requests that wait for an endpoint.
 //!
-//! Load pattern: a burst of less urgent work arrives before urgent work. Ordered by arrival alone,
-//! urgent requests would be late behind work that can wait. All requests of one class (same
-//! requirements for an endpoint) share one order, so that a new request never overtakes an equally
-//! urgent one that waits for the same endpoints.
+//! Load pattern: a burst of less urgent work arrives before urgent work, or more requests arrive
+//! than can be answered on time. Ordered by arrival alone, urgent requests would be late behind work
+//! that can wait, and every request would be late as soon as the first one is.
+//!
+//! Requests are ordered by priority, by the priority of their route, by whether they can still be
+//! answered on time, and by arrival. Requests that are late are served by the capacity that those on
+//! time leave free, so that they make no others late. All requests of one class (same requirements
+//! for an endpoint) share one order, so that a new request never overtakes an equally urgent one that
+//! waits for the same endpoints unless that one is late.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::table::RequestId;
@@ -13,49 +19,127 @@
 /// Request class: hash of service, model and adapter.
 pub type Class = u64;
 
-/// Sort key: priority, arrival time, request.
-type Key = (u8, Duration, RequestId);
+/// What decides on a request's place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Priority of its route, which orders requests of equal priority.
+    pub route_priority: u8,
+    /// From when on its answer can't be on time.
+    pub late_from: Duration,
+    /// When it arrived.
+    pub arrived_at: Duration,
+}
+
+/// Sort key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    priority: u8,
+    route_priority: u8,
+    is_late: bool,
+    arrived_at: Duration,
+    id: RequestId,
+}
+
+impl Rank {
+    fn new(now: Duration, place: &Place, id: RequestId) -> Self {
+        Rank {
+            priority: place.priority,
+            route_priority: place.route_priority,
+            is_late: now >= place.late_from,
+            arrived_at: place.arrived_at,
+            id,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Row<T> {
+    class: Class,
+    place: Place,
+    rank: Rank,
+    value: T,
+}
 
 /// Requests in order, each with a value of the caller's choice.
 #[derive(Debug)]
 pub struct Queue<T> {
-    rows: BTreeMap<Key, (Class, T)>,
+    rows: HashMap<RequestId, Row<T>>,
+    classes: HashMap<Class, BTreeSet<Rank>>,
+    /// Requests that are not late, by when they will be.
+    on_time: BTreeSet<(Duration, RequestId)>,
 }
 
 impl<T> Default for Queue<T> {
     fn default() -> Self {
-        Queue { rows: BTreeMap::new() }
+        Queue { rows: HashMap::new(), classes: HashMap::new(), on_time: BTreeSet::new() }
     }
 }
 
 impl<T> Queue<T> {
     /// Adds a request.
-    pub fn push(
-        &mut self,
-        id: RequestId,
-        priority: u8,
-        arrived_at: Duration,
-        class: Class,
-        value: T,
-    ) {
-        self.rows.insert((priority, arrived_at, id), (class, value));
+    pub fn push(&mut self, now: Duration, id: RequestId, class: Class, place: Place, value: T) {
+        let rank = Rank::new(now, &place, id);
+        if !rank.is_late {
+            self.on_time.insert((place.late_from, id));
+        }
+        self.classes.entry(class).or_default().insert(rank);
+        self.rows.insert(id, Row { class, place, rank, value });
     }
 
     /// Removes a request and returns its value.
-    pub fn remove(&mut self, id: RequestId, priority: u8, arrived_at: Duration) -> Option<T> {
-        self.rows.remove(&(priority, arrived_at, id)).map(|(_, value)| value)
+    pub fn remove(&mut self, id: RequestId) -> Option<T> {
+        let row = self.rows.remove(&id)?;
+        self.on_time.remove(&(row.place.late_from, id));
+        if let Some(ranks) = self.classes.get_mut(&row.class) {
+            ranks.remove(&row.rank);
+            if ranks.is_empty() {
+                self.classes.remove(&row.class);
+            }
+        }
+        Some(row.value)
+    }
+
+    /// Moves the requests that have become late behind those that can still be on time.
+    pub fn advance(&mut self, now: Duration) {
+        while let Some((late_from, id)) = self.on_time.first().copied()
+            && late_from <= now
+        {
+            self.on_time.pop_first();
+            let Some(row) = self.rows.get_mut(&id) else {
+                continue;
+            };
+            let rank = Rank::new(now, &row.place, id);
+            let previous = std::mem::replace(&mut row.rank, rank);
+            if let Some(ranks) = self.classes.get_mut(&row.class) {
+                ranks.remove(&previous);
+                ranks.insert(rank);
+            }
+        }
+    }
+
+    /// Returns the number of waiting requests of a class that precede a new one with this place.
+    pub fn ahead(&self, now: Duration, class: Class, place: &Place) -> usize {
+        let rank = Rank::new(now, place, RequestId::MIN);
+        self.classes.get(&class).map_or(0, |ranks| ranks.range(..rank).count())
+    }
+
+    /// Returns the first request of a class.
+    pub fn first(&self, class: Class) -> Option<(Rank, &T)> {
+        let rank = self.classes.get(&class)?.first()?;
+        Some((*rank, &self.rows.get(&rank.id)?.value))
     }
 
-    /// Returns the number of requests of a class that precede one of this priority and arrival
-    /// time.
-    pub fn ahead(&self, priority: u8, arrived_at: Duration, class: Class) -> usize {
-        let preceding = self.rows.range(..(priority, arrived_at, 0));
-        preceding.filter(|(_, (other, _))| *other == class).count()
+    /// Returns the classes of the waiting requests.
+    pub fn classes(&self) -> impl Iterator<Item = Class> {
+        self.classes.keys().copied()
     }
 
-    /// Returns all requests in order.
-    pub fn rows(&self) -> impl Iterator<Item = (RequestId, Class, &T)> {
-        self.rows.iter().map(|((_, _, id), (class, value))| (*id, *class, value))
+    /// Returns the requests of a class in order.
+    pub fn rows(&self, class: Class) -> impl Iterator<Item = (RequestId, &T)> {
+        let ranks = self.classes.get(&class).into_iter().flatten();
+        ranks.filter_map(|rank| Some((rank.id, &self.rows.get(&rank.id)?.value)))
     }
 
     /// Returns the number of waiting requests.
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -15,11 +15,6 @@
 use poplarmux::decide::fleet::Choice;
 use poplarmux::decide::fleet::Fleet;
 use poplarmux::decide::shutdown;
-use poplarmux::decide::wait_policy;
-use poplarmux::decide::wait_policy::Cause;
-use poplarmux::decide::wait_policy::Request;
-use poplarmux::decide::wait_policy::Verdict;
-use poplarmux::decide::wait_queue::Queue;
 use poplarmux::edge::dialect::Load;
 use poplarmux::table::instance::Copies;
 use poplarmux::table::instance::Instance;
@@ -308,73 +303,6 @@
     }
 }
 
-fn pending_request() -> Request {
-    Request { arrived_at: ms(0), target_latency: ms(400), deadline: ms(12_000) }
-}
-
-/// A burst fills all engines. Requests that can still be on time wait; the others are refused at
-/// once with a retry-after, instead of being held until their deadline.
-#[test]
-fn request_that_cannot_be_on_time_is_refused() {
-    let rng = &mut SmallRng::seed_from_u64(1);
-    let short =
-        wait_policy::decide(ms(0), &pending_request(), Cause::Full { ahead: 2, rate: 40.0 }, rng);
-    assert!(matches!(short, Verdict::Wait(until) if until <= ms(400)));
-    let long =
-        wait_policy::decide(ms(0), &pending_request(), Cause::Full { ahead: 60, rate: 40.0 }, rng);
-    assert!(matches!(
-        long,
-        Verdict::Refuse(retry_after) if retry_after > ms(1_000) && retry_after < ms(2_000)
-    ));
-}
-
-/// A model's load ends within a second or within ten: waiting here pays only for the first.
-#[test]
-fn request_waits_only_for_a_short_load() {
-    let rng = &mut SmallRng::seed_from_u64(1);
-    let quick = wait_policy::decide(ms(0), &pending_request(), Cause::Loading(ms(1_200)), rng);
-    assert!(matches!(quick, Verdict::Wait(_)));
-    let slow = wait_policy::decide(ms(0), &pending_request(), Cause::Loading(ms(6_000)), rng);
-    assert!(matches!(slow, Verdict::Refuse(retry_after) if retry_after <= ms(12_000) / 3));
-}
-
-proptest! {
-    /// No request is held beyond its deadline, and no retry-after is longer than callers comply
-    /// with.
-    #[test]
-    fn no_request_waits_beyond_its_deadline(
-        now in 0_u64..12_000, ahead in 0_usize..500, rate in 0.0_f64..200.0, eta in 0_u64..20_000,
-        seed in any::<u64>(),
-    ) {
-        let rng = &mut SmallRng::seed_from_u64(seed);
-        for cause in [Cause::Full { ahead, rate }, Cause::Loading(ms(eta)), Cause::Nothing] {
-            match wait_policy::decide(ms(now), &pending_request(), cause, rng) {
-                Verdict::Wait(until) => prop_assert!(until <= pending_request().deadline),
-                Verdict::Refuse(retry_after) => {
-                    let time_left = pending_request().deadline - ms(now);
-                    prop_assert!(retry_after <= (time_left.mul_f64(0.33)).max(ms(200)));
-                }
-            }
-        }
-    }
-}
-
-/// Less urgent requests that arrived first do not delay urgent ones; requests of the same priority
-/// keep their order of arrival.
-#[test]
-fn queue_is_ordered_by_priority_and_arrival() {
-    let mut queue = Queue::default();
-    queue.push(1, 2, ms(10), 9, "routine");
-    queue.push(2, 0, ms(30), 9, "late urgent");
-    queue.push(3, 0, ms(20), 9, "urgent");
-    queue.push(4, 0, ms(5), 8, "other");
-    let order: Vec<&str> = queue.rows().map(|(_, _, row)| *row).collect();
-    assert_eq!(order, ["other", "urgent", "late urgent", "routine"]);
-    assert_eq!(queue.ahead(1, ms(40), 9), 2);
-    assert_eq!(queue.remove(3, 0, ms(20)), Some("urgent"));
-    assert_eq!(queue.ahead(1, ms(40), 9), 1);
-}
-
 const RETRIES: Retries = Retries { ratio: 0.2, window: ms(10_000), slack: 50.0 };
 
 /// All engines of a service fail, and every daemon retries its failed requests. The retries of all
--- /dev/null
+++ b/tests/decide_waiting.rs
@@ -0,0 +1,134 @@
+//! Waiting for an endpoint: who waits, in which order, and who is refused.
+
+use std::time::Duration;
+
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use poplarmux::decide::completions::Completions;
+use poplarmux::decide::wait_policy;
+use poplarmux::decide::wait_policy::Cause;
+use poplarmux::decide::wait_policy::Request;
+use poplarmux::decide::wait_policy::Verdict;
+use poplarmux::decide::wait_queue::Place;
+use poplarmux::decide::wait_queue::Queue;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn pending_request() -> Request {
+    Request {
+        arrived_at: ms(0),
+        target_latency: ms(400),
+        deadline: ms(12_000),
+        slot_time: ms(1_000),
+    }
+}
+
+/// A burst fills all engines. Guards against refusing a request that is served seconds before its
+/// deadline, and against holding one in vain that is not.
+#[test]
+fn request_that_cannot_be_served_by_its_deadline_is_refused() {
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let mut decide = |now, ahead| {
+        let cause = Cause::Full { ahead, rate: 40.0 };
+        wait_policy::decide(ms(now), &pending_request(), cause, rng)
+    };
+    assert_eq!(decide(0, 60), Verdict::Wait(ms(10_800)));
+    assert!(matches!(decide(0, 400), Verdict::Refuse(retry_after) if retry_after <= ms(4_000)));
+    assert!(matches!(decide(10_000, 60), Verdict::Refuse(_)), "the answer would be cut");
+    let (request, now) = (pending_request(), ms(8_000));
+    assert!(request.has_time(now, ms(2_800)) && !request.has_time(now, ms(2_801)));
+}
+
+/// A model's load ends within a second or within ten: waiting here pays only for the first, and not
+/// much longer than the load is expected to take.
+#[test]
+fn request_waits_only_for_a_load_that_leaves_time_for_the_answer() {
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let quick = wait_policy::decide(ms(0), &pending_request(), Cause::Loading(ms(1_200)), rng);
+    assert!(matches!(quick, Verdict::Wait(until) if until > ms(1_200) && until < ms(2_000)));
+    let slow = wait_policy::decide(ms(0), &pending_request(), Cause::Loading(ms(7_000)), rng);
+    assert!(matches!(slow, Verdict::Refuse(retry_after) if retry_after <= ms(12_000) / 3));
+}
+
+proptest! {
+    /// No request is held beyond its deadline, and no retry-after is longer than callers comply
+    /// with.
+    #[test]
+    fn no_request_waits_beyond_its_deadline(
+        now in 0_u64..12_000, ahead in 0_usize..500, rate in 0.0_f64..200.0, eta in 0_u64..20_000,
+        slot_time in 0_u64..30_000, seed in any::<u64>(),
+    ) {
+        let rng = &mut SmallRng::seed_from_u64(seed);
+        let request = Request { slot_time: ms(slot_time), ..pending_request() };
+        for cause in [Cause::Full { ahead, rate }, Cause::Loading(ms(eta)), Cause::Nothing] {
+            match wait_policy::decide(ms(now), &request, cause, rng) {
+                Verdict::Wait(until) => {
+                    prop_assert!(until <= request.latest_start());
+                    prop_assert!(request.latest_start() <= request.deadline);
+                }
+                Verdict::Refuse(retry_after) => {
+                    let time_left = request.deadline - ms(now);
+                    prop_assert!(retry_after <= (time_left.mul_f64(0.33)).max(ms(200)));
+                }
+            }
+        }
+    }
+}
+
+fn place(priority: u8, route_priority: u8, late_from: u64, arrived_at: u64) -> Place {
+    let (late_from, arrived_at) = (ms(late_from), ms(arrived_at));
+    Place { priority, route_priority, late_from, arrived_at }
+}
+
+fn order(queue: &Queue<&'static str>, class: u64) -> Vec<&'static str> {
+    queue.rows(class).map(|(_, row)| *row).collect()
+}
+
+/// Guards against less urgent requests that delay urgent ones, and against late ones that make those
+/// on time late.
+#[test]
+fn queue_is_ordered_by_urgency_lateness_and_arrival() {
+    let mut queue = Queue::default();
+    queue.push(ms(40), 1, 9, place(2, 0, 900, 10), "routine");
+    queue.push(ms(40), 2, 9, place(0, 0, 100, 30), "second");
+    queue.push(ms(40), 3, 9, place(0, 0, 90, 20), "first");
+    queue.push(ms(40), 4, 9, place(0, 1, 900, 5), "less urgent route");
+    queue.push(ms(40), 5, 9, place(0, 0, 35, 5), "late");
+    queue.push(ms(40), 6, 8, place(0, 0, 900, 5), "other class");
+    let urgent = ["first", "second", "late", "less urgent route", "routine"];
+    assert_eq!(order(&queue, 9), urgent);
+    assert_eq!(queue.ahead(ms(40), 9, &place(0, 0, 900, 40)), 2);
+    assert_eq!(queue.ahead(ms(40), 9, &place(1, 0, 900, 0)), 4);
+    queue.advance(ms(95));
+    assert_eq!(order(&queue, 9)[..3], ["second", "late", "first"]);
+    assert_eq!(queue.remove(2), Some("second"));
+    assert_eq!((queue.remove(2), queue.ahead(ms(95), 9, &place(0, 0, 900, 95))), (None, 0));
+    queue.advance(ms(1_000));
+    for id in [1, 3, 4, 5, 6] {
+        assert!(queue.remove(id).is_some());
+    }
+    assert_eq!((queue.len(), queue.classes().count()), (0, 0));
+}
+
+/// Guards against refusals by a rate that is not known yet, or that was counted before copies of the
+/// model were added.
+#[test]
+fn completion_rate_covers_new_classes_and_new_copies() {
+    let mut completions = Completions::default();
+    assert_eq!(completions.rate(ms(0), 9, "llm", 6.0), 10.0);
+    for index in 0..400 {
+        completions.record(ms(index * 50), 9);
+        completions.record_slot_time("llm", 100, ms(2_000));
+    }
+    let rate = |slots| completions.rate(ms(20_000), 9, "llm", slots);
+    assert!((rate(12.0) - 20.0).abs() < 1.0, "{}", rate(12.0));
+    assert!((rate(60.0) - 30.0).abs() < 1.0, "{}", rate(60.0));
+    let slot_time = |tokens| completions.slot_time("llm", tokens).as_millis();
+    assert_eq!([slot_time(50), slot_time(0), slot_time(300)], [1_000, 2_000, 6_000]);
+}
