Look only at the waiting requests that a free slot concerns

Each end of a request cloned the whole queue, and searched an endpoint for the first request of every class; the position of a new request was found by walking all that wait. Requests now wait for seconds, so that there are thousands of them, and brokers have half of a core.

The queue is indexed by class and by pool (service and model). An end of a request, a released grant and a change of residents concern the classes of the endpoint's models only. Positions come from indexset, a B-tree with ranks. Requests that wait for prefill or a limit schedule their class instead of a dispatch of all. The pass over all of them, every 50 ms, takes at most a twentieth of the time. Time-outs of queued requests of other daemons are found by it instead of by a task each.

A waiting request repeats its message to the broker after 250 ms, then after 1.5 times as long each time, up to 1 s; the broker forgets it after 1.6 s instead of 0.8 s.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -40,6 +40,7 @@
 use crate::decide::wait_policy::Verdict;
 use crate::decide::wait_queue::Class;
 use crate::decide::wait_queue::Place;
+use crate::decide::wait_queue::Pool;
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::AdapterId;
@@ -61,6 +62,9 @@
 /// Endpoints chosen for one request that turn out to take no call now.
 const MAX_CLOSED_TRIES: u32 = 4;
 
+/// Interval between two dispatches of classes that are due at about the same time.
+const MIN_DISPATCH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Retry-after of a request that has waited without success: a round of orders is complete by then.
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -220,6 +224,8 @@
     recipient: Recipient,
     request: Request,
     shortage: Shortage,
+    /// Until when it waits at most.
+    until: Duration,
 }
 
 /// Decision on an arrival.
@@ -296,9 +302,7 @@
         if self.end.get() == End::Completed {
             record_slot_time(&self.daemon, clock::now(), &self.spec, self.issued_at);
         }
-        if !self.daemon.queue.borrow().is_empty() {
-            dispatch(&self.daemon);
-        }
+        dispatch_at(&self.daemon, &self.key);
     }
 }
 
@@ -422,7 +426,7 @@
     let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
     let verdict = wait_policy::decide(now, &request, cause, &mut daemon.rng.borrow_mut());
     if let Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) = choice {
-        dispatch_after(daemon, now, span);
+        dispatch_class_at(daemon, arrival.class(), now + span);
     }
     match verdict {
         Verdict::Refuse(retry_after) => {
@@ -438,13 +442,19 @@
     }
 }
 
-/// Adds an arrival to the queue.
-pub fn enqueue(daemon: &Daemon, arrival: &Rc<Arrival>, recipient: Recipient, shortage: Shortage) {
+/// Adds an arrival to the queue, where it waits until then at most.
+pub fn enqueue(
+    daemon: &Daemon,
+    arrival: &Rc<Arrival>,
+    recipient: Recipient,
+    shortage: Shortage,
+    until: Duration,
+) {
     let request = arrival.request(daemon);
     let place = arrival.place(&request);
-    let waiter = Waiter { arrival: arrival.clone(), recipient, request, shortage };
-    let mut queue = daemon.queue.borrow_mut();
-    queue.push(clock::now(), arrival.number, arrival.class(), place, waiter);
+    let waiter = Waiter { arrival: arrival.clone(), recipient, request, shortage, until };
+    let class = (pool(&arrival.spec.service, arrival.spec.model.as_deref()), arrival.class());
+    daemon.queue.borrow_mut().push(clock::now(), arrival.number, class, place, waiter);
 }
 
 /// Removes an arrival from the queue, and returns whether it was still queued.
@@ -453,7 +463,7 @@
 }
 
 /// Refuses the waiting requests that can't be served by their deadlines any more, as more urgent ones
-/// have arrived or fewer requests complete than expected.
+/// have arrived or fewer requests complete than expected, and those that have waited long enough.
 pub fn refuse_hopeless(daemon: &Rc<Daemon>, now: Duration) {
     daemon.queue.borrow_mut().advance(now);
     let mut hopeless = Vec::new();
@@ -465,17 +475,18 @@
             };
             let slots = expected_slots(daemon, now, &first.arrival.spec);
             // Requests that wait for a load or an adapter have their own time limit.
-            if slots <= 0.0 {
-                continue;
-            }
             let rate = completion_rate(daemon, now, &first.arrival.spec, slots);
             let mut ahead = 0;
             for (_, waiter) in queue.rows(class) {
                 let wait = wait_policy::expected_wait(ahead, rate);
-                if waiter.shortage == Shortage::Slot && !waiter.request.has_time(now, wait) {
-                    hopeless.push((waiter.clone(), wait));
-                } else {
+                let has_time = slots <= 0.0
+                    || waiter.shortage != Shortage::Slot
+                    || waiter.request.has_time(now, wait);
+                if has_time && now < waiter.until {
                     ahead += 1;
+                } else {
+                    let wait = if has_time { WAIT_TIMEOUT_RETRY_AFTER } else { wait };
+                    hopeless.push((waiter.clone(), wait));
                 }
             }
         }
@@ -643,7 +654,7 @@
 ) -> Result<Permit, Refusal> {
     let span = until.saturating_sub(clock::now());
     let (sender, receiver) = smol::channel::bounded(1);
-    enqueue(daemon, arrival, Recipient::Local(sender), shortage);
+    enqueue(daemon, arrival, Recipient::Local(sender), shortage, until);
     let guard = Guard { daemon: daemon.clone(), arrival: arrival.clone(), assignments: receiver };
     let assigned = async { guard.assignments.recv().await.ok() };
     let timeout = async {
@@ -663,20 +674,33 @@
     }
 }
 
-/// Schedules a dispatch of the waiting requests after `span`, when prompts have been prefilled.
-fn dispatch_after(daemon: &Rc<Daemon>, now: Duration, span: Duration) {
-    let due = now + span;
+/// Schedules a dispatch of the waiting requests of a class at `due`, when prompts have been
+/// prefilled.
+fn dispatch_class_at(daemon: &Rc<Daemon>, class: Class, due: Duration) {
+    daemon.queue.borrow_mut().schedule(class, due);
+    start_timer(daemon);
+}
+
+/// Starts a timer for the class that is due first, unless one runs that ends earlier.
+fn start_timer(daemon: &Rc<Daemon>) {
+    let Some(due) = daemon.queue.borrow().next_due() else {
+        return;
+    };
+    let now = clock::now();
     if daemon.next_dispatch.get().is_some_and(|scheduled| now < scheduled && scheduled <= due) {
         return;
     }
+    let due = due.max(now + MIN_DISPATCH_INTERVAL);
     daemon.next_dispatch.set(Some(due));
     let shared = daemon.clone();
     let task = async move {
-        Timer::after(span).await;
+        Timer::after(due.saturating_sub(now)).await;
         if shared.next_dispatch.get() == Some(due) {
             shared.next_dispatch.set(None);
         }
-        dispatch(&shared);
+        let classes = shared.queue.borrow_mut().take_due(clock::now());
+        dispatch_classes(&shared, classes);
+        start_timer(&shared);
     };
     daemon.ex.spawn(task).detach();
 }
@@ -746,12 +770,39 @@
 
 /// Assigns endpoints to the waiting requests, in their order.
 pub fn dispatch(daemon: &Rc<Daemon>) {
+    let classes: Vec<Class> = daemon.queue.borrow().classes().collect();
+    dispatch_classes(daemon, classes);
+}
+
+/// Assigns endpoints to the waiting requests that an endpoint can serve, at which a slot has become
+/// free or whose residents have changed.
+pub fn dispatch_at(daemon: &Rc<Daemon>, key: &Key) {
+    let classes: Vec<Class> = {
+        let (fleet, queue) = (daemon.fleet.borrow(), daemon.queue.borrow());
+        let Some(row) = fleet.get(key).filter(|_| !queue.is_empty()) else {
+            return;
+        };
+        let service = &row.instance.service;
+        let models = row.instance.resident.iter().map(|resident| Some(resident.model.as_str()));
+        let pools = models.chain([None]).map(|model| pool(service, model));
+        pools.flat_map(|pool| queue.classes_of(pool)).collect()
+    };
+    dispatch_classes(daemon, classes);
+}
+
+/// Returns the pool of the requests for a model, or for a service without models.
+fn pool(service: &str, model: Option<&str>) -> Pool {
+    class_hasher(service, model, None).digest()
+}
+
+fn dispatch_classes(daemon: &Rc<Daemon>, classes: Vec<Class>) {
     let now = clock::now();
+    daemon.queue.borrow_mut().advance(now);
     // The first request of each class; one that gets no endpoint holds up its class only.
     let mut candidates: BTreeSet<_> = {
         let queue = daemon.queue.borrow();
         let first = |class| queue.first(class).map(|(rank, _)| (rank, class));
-        queue.classes().filter_map(first).collect()
+        classes.into_iter().filter_map(first).collect()
     };
     while let Some((_, class)) = candidates.pop_first() {
         let Some(waiter) = daemon.queue.borrow().first(class).map(|(_, waiter)| waiter.clone())
@@ -768,7 +819,7 @@
                 peer::send_adapter_request(daemon, &key, &waiter.arrival.spec);
             }
             Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) => {
-                dispatch_after(daemon, now, span);
+                dispatch_class_at(daemon, class, now + span);
             }
             Choice::Full | Choice::NoModel | Choice::NoEndpoint => {}
         }
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -58,8 +58,11 @@
 /// the round trip between regions.
 const REMOTE_REPLY_TIMEOUT: Duration = Duration::from_millis(160);
 /// Interval at which a request in the broker's wait queue is resent, so that both sides detect
-/// when the other is gone.
-const QUEUED_RESEND_INTERVAL: Duration = Duration::from_millis(250);
+/// when the other is gone. It grows with the wait: hundreds of requests may wait for a daemon's
+/// broker, and each of these messages costs both as much as a new request.
+const MIN_RESEND_INTERVAL: Duration = Duration::from_millis(250);
+const MAX_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
+const RESEND_GROWTH: f64 = 1.5;
 /// Number of unanswered requests in a row after which the broker counts as unresponsive.
 const MAX_UNANSWERED: u32 = 2;
 /// Interval between lists of the held grants.
@@ -173,7 +176,7 @@
     let (sender, replies) = smol::channel::bounded(4);
     daemon.broker.borrow_mut().pending.insert(ticket, sender);
     let mut pending = Pending { daemon, to, ticket, granted: false };
-    let mut unanswered = 0;
+    let (mut unanswered, mut resend_interval) = (0, MIN_RESEND_INTERVAL);
     let is_remote =
         daemon.nodes.borrow().region_of(to).is_some_and(|region| *region != daemon.settings.region);
     let limit = if is_remote { REMOTE_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
@@ -183,11 +186,12 @@
             Some(Reply::Queued) => {
                 // The next message is the final answer, but that may be lost: so the request is
                 // resent after an interval.
-                match receive(&replies, QUEUED_RESEND_INTERVAL).await {
+                match receive(&replies, resend_interval).await {
                     Some(Reply::Queued) | None => {}
                     Some(reply) => return resolve(daemon, &mut pending, arrival, reply),
                 }
                 unanswered = 0;
+                resend_interval = resend_interval.mul_f64(RESEND_GROWTH).min(MAX_RESEND_INTERVAL);
             }
             Some(reply) => return resolve(daemon, &mut pending, arrival, reply),
             None => unanswered += 1,
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -43,8 +43,9 @@
 const SKIPPED_SERVICE_DELAY: Duration = Duration::from_millis(400);
 /// Largest number of engines per load message, so that it fits in one datagram.
 const MAX_LOADS_PER_MESSAGE: usize = 40;
-/// Time after which a queued request that its daemon has not resent is removed.
-const RESEND_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a queued request that its daemon has not resent is removed: the longest interval
+/// between two messages, and twice the time-out of a request to another region.
+const RESEND_TIMEOUT: Duration = Duration::from_millis(1_600);
 
 /// The data that a broker keeps for a grant.
 pub(super) struct Details {
@@ -150,7 +151,7 @@
         Decision::OtherRegion(region) => redirect(daemon, from, ticket, region),
         Decision::Refuse(refusal) => refuse(daemon, from, ticket, &refusal),
         Decision::Wait(until, cause, _) => {
-            enqueue(daemon, from, ticket, arrival, until.saturating_sub(now), cause.shortage());
+            enqueue(daemon, from, ticket, &arrival, until, cause.shortage());
         }
     }
 }
@@ -195,32 +196,19 @@
     }
 }
 
-/// Adds a request of another daemon to the wait queue, and refuses it after `limit`.
+/// Adds a request of another daemon to the wait queue, where it waits until then at most.
 fn enqueue(
     daemon: &Rc<Daemon>,
     from: SocketAddr,
     ticket: Ticket,
-    arrival: Rc<Arrival>,
-    limit: Duration,
+    arrival: &Rc<Arrival>,
+    until: Duration,
     shortage: Shortage,
 ) {
-    admission::enqueue(daemon, &arrival, Recipient::Remote(from, ticket), shortage);
     let waiter = Waiter { arrival: arrival.clone(), last_request_at: clock::now() };
     daemon.broker.borrow_mut().queued.insert((from, ticket), waiter);
+    admission::enqueue(daemon, arrival, Recipient::Remote(from, ticket), shortage, until);
     send(daemon, from, Message::Queued(ticket));
-    let shared = daemon.clone();
-    let expire = async move {
-        Timer::after(limit).await;
-        if admission::dequeue(&shared, &arrival) {
-            refuse(
-                &shared,
-                from,
-                ticket,
-                &admission::timeout_refusal(&shared, &arrival, Some(shortage)),
-            );
-        }
-    };
-    daemon.ex.spawn(expire).detach();
 }
 
 /// Refuses a request of another daemon.
@@ -320,9 +308,7 @@
             admission::record_slot_time(daemon, now, need, grant.granted_at);
         }
     }
-    if !daemon.queue.borrow().is_empty() {
-        admission::dispatch(daemon);
-    }
+    admission::dispatch_at(daemon, &grant.key);
 }
 
 /// Reconciles the grants with a list of those that a daemon holds.
@@ -340,7 +326,8 @@
     change.adopted.iter().for_each(|key| fleet.adopt_grant(key));
     change.released.iter().for_each(|key| fleet.release_grant(key));
     drop(fleet);
-    if !change.released.is_empty() {
-        admission::dispatch(daemon);
+    let released: BTreeSet<&Key> = change.released.iter().collect();
+    for key in released {
+        admission::dispatch_at(daemon, key);
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -75,6 +75,12 @@
 /// Interval between two sweeps of idle connections.
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between two passes over the queue, as a multiple of what one takes: most requests are
+/// sent when another ends, and a broker with half a core has other work.
+const QUEUE_PASS_FACTOR: u32 = 20;
+/// Upper bound of that interval.
+const MAX_QUEUE_PASS_INTERVAL: Duration = Duration::from_millis(400);
+
 /// State of one daemon.
 pub struct Daemon {
     /// The platform's dialect.
@@ -261,6 +267,7 @@
 /// waiting requests and the sweep of idle connections.
 pub async fn run_timers(daemon: Rc<Daemon>) {
     let mut last_sweep = clock::now();
+    let mut next_pass = Duration::ZERO;
     let mut total_suspended = clock::suspended();
     daemon.tick(last_sweep);
     loop {
@@ -279,9 +286,11 @@
         daemon.fleet.borrow_mut().tick(now);
         daemon.fleet.borrow_mut().sharing = sharing(&daemon);
         contact::tick(&daemon, now);
-        if !daemon.queue.borrow().is_empty() {
+        if !daemon.queue.borrow().is_empty() && now >= next_pass {
             admission::refuse_hopeless(&daemon, now);
             admission::dispatch(&daemon);
+            let took = clock::now().saturating_sub(now);
+            next_pass = now + (took * QUEUE_PASS_FACTOR).min(MAX_QUEUE_PASS_INTERVAL);
         }
         if now >= last_sweep + IDLE_SWEEP_INTERVAL {
             last_sweep = now;
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -459,8 +459,8 @@
         Message::Resident(rows) => {
             for (key, resident) in rows {
                 daemon.fleet.borrow_mut().set_resident(now, &key, resident);
+                admission::dispatch_at(daemon, &key);
             }
-            admission::dispatch(daemon);
         }
     }
 }
--- a/src/daemon/updates.rs
+++ b/src/daemon/updates.rs
@@ -40,8 +40,8 @@
     for (key, resident) in &rows {
         daemon.fleet.borrow_mut().set_resident(now, key, resident.clone());
     }
-    if !rows.is_empty() {
-        admission::dispatch(daemon);
+    for (key, _) in &rows {
+        admission::dispatch_at(daemon, key);
     }
     for (from, rows) in answers {
         peer::send_resident(daemon, &[from], rows).await;
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -9,16 +9,29 @@
 //! time leave free, so that they make no others late. All requests of one class (same requirements
 //! for an endpoint) share one order, so that a new request never overtakes an equally urgent one that
 //! waits for the same endpoints unless that one is late.
+//!
+//! Classes whose requests wait for the same model are one pool: an endpoint at which a slot becomes
+//! free concerns only the pools of its models. The ranks of a class are kept in a tree that tells
+//! positions, as brokers with half a core may have thousands of waiting requests.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
+use indexset::BTreeSet as RankedSet;
+
 use crate::table::RequestId;
 
 /// Request class: hash of service, model and adapter.
 pub type Class = u64;
 
+/// Hash of service and model.
+pub type Pool = u64;
+
+/// Ranks in one node of a class's tree. Most classes have few requests.
+const NODE_SIZE: usize = 64;
+
 /// What decides on a request's place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Place {
@@ -62,29 +75,57 @@
     value: T,
 }
 
+#[derive(Debug)]
+struct ClassRow {
+    pool: Pool,
+    ranks: RankedSet<Rank>,
+}
+
 /// Requests in order, each with a value of the caller's choice.
 #[derive(Debug)]
 pub struct Queue<T> {
     rows: HashMap<RequestId, Row<T>>,
-    classes: HashMap<Class, BTreeSet<Rank>>,
+    classes: HashMap<Class, ClassRow>,
+    pools: HashMap<Pool, HashSet<Class>>,
     /// Requests that are not late, by when they will be.
     on_time: BTreeSet<(Duration, RequestId)>,
+    /// Classes whose first request may be sent at a known time, by that time.
+    scheduled: BTreeSet<(Duration, Class)>,
+    scheduled_at: HashMap<Class, Duration>,
 }
 
 impl<T> Default for Queue<T> {
     fn default() -> Self {
-        Queue { rows: HashMap::new(), classes: HashMap::new(), on_time: BTreeSet::new() }
+        Queue {
+            rows: HashMap::new(),
+            classes: HashMap::new(),
+            pools: HashMap::new(),
+            on_time: BTreeSet::new(),
+            scheduled: BTreeSet::new(),
+            scheduled_at: HashMap::new(),
+        }
     }
 }
 
 impl<T> Queue<T> {
-    /// Adds a request.
-    pub fn push(&mut self, now: Duration, id: RequestId, class: Class, place: Place, value: T) {
+    /// Adds a request of a class, which belongs to `pool`.
+    pub fn push(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        (pool, class): (Pool, Class),
+        place: Place,
+        value: T,
+    ) {
         let rank = Rank::new(now, &place, id);
         if !rank.is_late {
             self.on_time.insert((place.late_from, id));
         }
-        self.classes.entry(class).or_default().insert(rank);
+        let row = self.classes.entry(class).or_insert_with(|| {
+            self.pools.entry(pool).or_default().insert(class);
+            ClassRow { pool, ranks: RankedSet::with_maximum_node_size(NODE_SIZE) }
+        });
+        row.ranks.insert(rank);
         self.rows.insert(id, Row { class, place, rank, value });
     }
 
@@ -92,15 +133,26 @@
     pub fn remove(&mut self, id: RequestId) -> Option<T> {
         let row = self.rows.remove(&id)?;
         self.on_time.remove(&(row.place.late_from, id));
-        if let Some(ranks) = self.classes.get_mut(&row.class) {
-            ranks.remove(&row.rank);
-            if ranks.is_empty() {
+        if let Some(class_row) = self.classes.get_mut(&row.class) {
+            class_row.ranks.remove(&row.rank);
+            if class_row.ranks.is_empty() {
+                let pool = class_row.pool;
                 self.classes.remove(&row.class);
+                self.remove_from_pool(pool, row.class);
             }
         }
         Some(row.value)
     }
 
+    fn remove_from_pool(&mut self, pool: Pool, class: Class) {
+        if let Some(classes) = self.pools.get_mut(&pool) {
+            classes.remove(&class);
+            if classes.is_empty() {
+                self.pools.remove(&pool);
+            }
+        }
+    }
+
     /// Moves the requests that have become late behind those that can still be on time.
     pub fn advance(&mut self, now: Duration) {
         while let Some((late_from, id)) = self.on_time.first().copied()
@@ -112,9 +164,9 @@
             };
             let rank = Rank::new(now, &row.place, id);
             let previous = std::mem::replace(&mut row.rank, rank);
-            if let Some(ranks) = self.classes.get_mut(&row.class) {
-                ranks.remove(&previous);
-                ranks.insert(rank);
+            if let Some(class_row) = self.classes.get_mut(&row.class) {
+                class_row.ranks.remove(&previous);
+                class_row.ranks.insert(rank);
             }
         }
     }
@@ -122,12 +174,18 @@
     /// Returns the number of waiting requests of a class that precede a new one with this place.
     pub fn ahead(&self, now: Duration, class: Class, place: &Place) -> usize {
         let rank = Rank::new(now, place, RequestId::MIN);
-        self.classes.get(&class).map_or(0, |ranks| ranks.range(..rank).count())
+        self.classes.get(&class).map_or(0, |row| row.ranks.rank(&rank))
+    }
+
+    /// Returns the number of requests of its class that precede a waiting request.
+    pub fn position(&self, id: RequestId) -> Option<usize> {
+        let row = self.rows.get(&id)?;
+        Some(self.classes.get(&row.class)?.ranks.rank(&row.rank))
     }
 
     /// Returns the first request of a class.
     pub fn first(&self, class: Class) -> Option<(Rank, &T)> {
-        let rank = self.classes.get(&class)?.first()?;
+        let rank = self.classes.get(&class)?.ranks.first()?;
         Some((*rank, &self.rows.get(&rank.id)?.value))
     }
 
@@ -136,12 +194,48 @@
         self.classes.keys().copied()
     }
 
+    /// Returns the classes of the waiting requests of a pool.
+    pub fn classes_of(&self, pool: Pool) -> impl Iterator<Item = Class> {
+        self.pools.get(&pool).into_iter().flatten().copied()
+    }
+
     /// Returns the requests of a class in order.
     pub fn rows(&self, class: Class) -> impl Iterator<Item = (RequestId, &T)> {
-        let ranks = self.classes.get(&class).into_iter().flatten();
+        let ranks = self.classes.get(&class).into_iter().flat_map(|row| row.ranks.iter());
         ranks.filter_map(|rank| Some((rank.id, &self.rows.get(&rank.id)?.value)))
     }
 
+    /// Records that the first request of a class may be sent at `due`, unless an earlier time is
+    /// recorded.
+    pub fn schedule(&mut self, class: Class, due: Duration) {
+        if let Some(earlier) = self.scheduled_at.get(&class) {
+            if *earlier <= due {
+                return;
+            }
+            self.scheduled.remove(&(*earlier, class));
+        }
+        self.scheduled_at.insert(class, due);
+        self.scheduled.insert((due, class));
+    }
+
+    /// Returns when the first of the scheduled classes is due.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.scheduled.first().map(|(due, _)| *due)
+    }
+
+    /// Returns the scheduled classes that are due, and forgets their times.
+    pub fn take_due(&mut self, now: Duration) -> Vec<Class> {
+        let mut classes = Vec::new();
+        while let Some((due, class)) = self.scheduled.first().copied()
+            && due <= now
+        {
+            self.scheduled.pop_first();
+            self.scheduled_at.remove(&class);
+            classes.push(class);
+        }
+        classes
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::any;
 use proptest::prop_assert;
+use proptest::prop_assert_eq;
 use proptest::proptest;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -95,12 +96,12 @@
 #[test]
 fn queue_is_ordered_by_urgency_lateness_and_arrival() {
     let mut queue = Queue::default();
-    queue.push(ms(40), 1, 9, place(2, 0, 900, 10), "routine");
-    queue.push(ms(40), 2, 9, place(0, 0, 100, 30), "second");
-    queue.push(ms(40), 3, 9, place(0, 0, 90, 20), "first");
-    queue.push(ms(40), 4, 9, place(0, 1, 900, 5), "less urgent route");
-    queue.push(ms(40), 5, 9, place(0, 0, 35, 5), "late");
-    queue.push(ms(40), 6, 8, place(0, 0, 900, 5), "other class");
+    queue.push(ms(40), 1, (1, 9), place(2, 0, 900, 10), "routine");
+    queue.push(ms(40), 2, (1, 9), place(0, 0, 100, 30), "second");
+    queue.push(ms(40), 3, (1, 9), place(0, 0, 90, 20), "first");
+    queue.push(ms(40), 4, (1, 9), place(0, 1, 900, 5), "less urgent route");
+    queue.push(ms(40), 5, (1, 9), place(0, 0, 35, 5), "late");
+    queue.push(ms(40), 6, (1, 8), place(0, 0, 900, 5), "other class");
     let urgent = ["first", "second", "late", "less urgent route", "routine"];
     assert_eq!(order(&queue, 9), urgent);
     assert_eq!(queue.ahead(ms(40), 9, &place(0, 0, 900, 40)), 2);
@@ -113,7 +114,56 @@
     for id in [1, 3, 4, 5, 6] {
         assert!(queue.remove(id).is_some());
     }
-    assert_eq!((queue.len(), queue.classes().count()), (0, 0));
+    assert_eq!((queue.len(), queue.classes().count(), queue.classes_of(1).count()), (0, 0, 0));
+}
+
+proptest! {
+    /// Guards against positions and orders that are wrong after requests were added, have become late
+    /// and were removed in any order.
+    #[test]
+    fn positions_agree_with_the_order(
+        steps in proptest::collection::vec((0_u8..10, 0_u64..3, 0_u64..4, 0_u64..400), 1..600),
+    ) {
+        let mut queue = Queue::default();
+        let mut now = 0;
+        for (id, (kind, class, priority, span)) in steps.into_iter().enumerate() {
+            now += span / 40;
+            queue.advance(ms(now));
+            let first = queue.first(class).map(|(_, id)| *id);
+            match (kind, first) {
+                (8.., Some(first)) => prop_assert_eq!(queue.remove(first), Some(first)),
+                (7, Some(_)) => {
+                    let middle = queue.rows(class).nth(queue.rows(class).count() / 2);
+                    let middle = *middle.expect("a row").1;
+                    prop_assert_eq!(queue.remove(middle), Some(middle));
+                }
+                _ => {
+                    let (id, place) = (id as u64, place(priority as u8, 0, now + span, now));
+                    let ahead = queue.ahead(ms(now), class, &place);
+                    queue.push(ms(now), id, (class / 2, class), place, id);
+                    prop_assert!(queue.position(id) >= Some(ahead));
+                }
+            }
+            for class in (0..3).filter(|_| id % 16 == 0) {
+                let positions = queue.rows(class).map(|(id, _)| queue.position(id));
+                prop_assert!(positions.eq((0..queue.rows(class).count()).map(Some)));
+            }
+            prop_assert_eq!((0..2).map(|pool| queue.classes_of(pool).count()).sum::<usize>(),
+                queue.classes().count());
+        }
+    }
+}
+
+/// Guards against a class that is dispatched before its prompt can be sent, late, or never.
+#[test]
+fn class_is_due_at_the_earliest_time_that_was_stated() {
+    let mut queue: Queue<()> = Queue::default();
+    queue.schedule(1, ms(30));
+    queue.schedule(1, ms(20));
+    queue.schedule(1, ms(40));
+    queue.schedule(2, ms(25));
+    assert_eq!((queue.next_due(), queue.take_due(ms(19))), (Some(ms(20)), Vec::new()));
+    assert_eq!((queue.take_due(ms(25)), queue.next_due()), (vec![1, 2], None));
 }
 
 /// Guards against refusals by a rate that is not known yet, or that was counted before copies of the
