--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -5,7 +5,7 @@
 //! while there are so few daemons that every send can be announced to each of them.
 
 use std::cell::Cell;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +39,8 @@
 use crate::decide::wait_policy::Shortage;
 use crate::decide::wait_policy::Verdict;
 use crate::decide::wait_queue::Class;
+use crate::decide::wait_queue::Place;
+use crate::decide::wait_queue::Pool;
 use crate::edge::dialect::Load;
 use crate::edge::dialect::Part;
 use crate::table::AdapterId;
@@ -60,6 +62,9 @@
 /// Endpoints chosen for one request that turn out to take no call now.
 const MAX_CLOSED_TRIES: u32 = 4;
 
+/// Interval between two dispatches of classes that are due at about the same time.
+const MIN_DISPATCH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Retry-after of a request that has waited without success: a round of orders is complete by then.
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -161,6 +166,27 @@
         hasher.digest()
     }
 
+    /// Returns what decides on how long it waits.
+    fn request(&self, daemon: &Daemon) -> Request {
+        let completions = daemon.completions.borrow();
+        Request {
+            arrived_at: self.arrived_at,
+            target_latency: self.spec.target_latency,
+            deadline: self.deadline,
+            slot_time: completions.slot_time(&self.spec.service, self.spec.terms.output_tokens),
+        }
+    }
+
+    /// Returns its place in the queue.
+    fn place(&self, request: &Request) -> Place {
+        Place {
+            priority: self.spec.priority,
+            route_priority: self.spec.terms.route_priority,
+            late_from: request.late_from(),
+            arrived_at: self.arrived_at,
+        }
+    }
+
     /// Returns the requirements of an endpoint, excluding those in `tried`.
     fn requirements<'a>(&'a self, tried: &'a [Key]) -> Requirements<'a> {
         Requirements {
@@ -187,6 +213,8 @@
     Endpoint(Key, Estimate),
     /// A region whose broker has capacity.
     OtherRegion(RegionId),
+    /// None, as the request can't be served by its deadline any more.
+    Refused(Refusal),
 }
 
 /// A request in the queue.
@@ -194,6 +222,10 @@
 pub struct Waiter {
     arrival: Rc<Arrival>,
     recipient: Recipient,
+    request: Request,
+    shortage: Shortage,
+    /// Until when it waits at most.
+    until: Duration,
 }
 
 /// Decision on an arrival.
@@ -235,6 +267,8 @@
     pub estimate: Estimate,
     /// Address of the broker that granted the permit, and the ticket; none without a broker.
     broker: Option<(SocketAddr, Ticket)>,
+    spec: Rc<Spec>,
+    issued_at: Duration,
     load: Cell<Option<Load>>,
     end: Cell<End>,
 }
@@ -265,9 +299,10 @@
         if let Some((broker, ticket)) = self.broker {
             broker::report_end(&self.daemon, broker, ticket, &self.key, self.end.get());
         }
-        if !self.daemon.queue.borrow().is_empty() {
-            dispatch(&self.daemon);
+        if self.end.get() == End::Completed {
+            record_slot_time(&self.daemon, clock::now(), &self.spec, self.issued_at);
         }
+        dispatch_at(&self.daemon, &self.key);
     }
 }
 
@@ -283,13 +318,22 @@
     fn drop(&mut self) {
         dequeue(&self.daemon, &self.arrival);
         if let Ok(Assignment::Endpoint(key, estimate)) = self.assignments.try_recv() {
-            drop(permit(&self.daemon, key, estimate, None));
+            let permit = permit(&self.daemon, &self.arrival.spec, key, estimate, None);
+            permit.set_end(End::Unused);
         }
     }
 }
 
+/// Records for how long a completed request that was sent at `sent_at` has occupied a slot.
+pub fn record_slot_time(daemon: &Daemon, now: Duration, spec: &Spec, sent_at: Duration) {
+    let slot_time = now.saturating_sub(sent_at);
+    let mut completions = daemon.completions.borrow_mut();
+    completions.record_slot_time(&spec.service, spec.terms.output_tokens, slot_time);
+}
+
 fn permit(
     daemon: &Rc<Daemon>,
+    spec: &Rc<Spec>,
     key: Key,
     estimate: Estimate,
     broker: Option<(SocketAddr, Ticket)>,
@@ -299,6 +343,8 @@
         key,
         estimate,
         broker,
+        spec: spec.clone(),
+        issued_at: clock::now(),
         load: Cell::default(),
         end: Cell::default(),
     }
@@ -365,8 +411,8 @@
 
 /// Decides on an arrival, and requests the adapter load or the dispatch that it has to wait for.
 pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
-    let spec = &arrival.spec;
-    let ahead = daemon.queue.borrow().ahead(spec.priority, arrival.arrived_at, arrival.class());
+    let request = arrival.request(daemon);
+    let ahead = daemon.queue.borrow().ahead(now, arrival.class(), &arrival.place(&request));
     let choice = match choose(daemon, now, arrival) {
         Choice::Send(key) if ahead == 0 => {
             let Some(region) = broker_region(daemon, arrival, &key) else {
@@ -378,14 +424,9 @@
         choice => choice,
     };
     let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
-    let held = Request {
-        arrived_at: arrival.arrived_at,
-        target_latency: spec.target_latency,
-        deadline: arrival.deadline,
-    };
-    let verdict = wait_policy::decide(now, &held, cause, &mut daemon.rng.borrow_mut());
+    let verdict = wait_policy::decide(now, &request, cause, &mut daemon.rng.borrow_mut());
     if let Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) = choice {
-        dispatch_after(daemon, now, span);
+        dispatch_class_at(daemon, arrival.class(), now + span);
     }
     match verdict {
         Verdict::Refuse(retry_after) => {
@@ -394,25 +435,74 @@
         }
         Verdict::Wait(until) => {
             if let Choice::LoadAdapter(key) = &choice {
-                peer::send_adapter_request(daemon, key, spec);
+                peer::send_adapter_request(daemon, key, &arrival.spec);
             }
             Decision::Wait(until.min(arrival.deadline), cause, ahead)
         }
     }
 }
 
-/// Adds an arrival to the queue.
-pub fn enqueue(daemon: &Daemon, arrival: &Rc<Arrival>, recipient: Recipient) {
-    let spec = &arrival.spec;
-    let waiter = Waiter { arrival: arrival.clone(), recipient };
-    let mut queue = daemon.queue.borrow_mut();
-    queue.push(arrival.number, spec.priority, arrival.arrived_at, arrival.class(), waiter);
+/// Adds an arrival to the queue, where it waits until then at most.
+pub fn enqueue(
+    daemon: &Daemon,
+    arrival: &Rc<Arrival>,
+    recipient: Recipient,
+    shortage: Shortage,
+    until: Duration,
+) {
+    let request = arrival.request(daemon);
+    let place = arrival.place(&request);
+    let waiter = Waiter { arrival: arrival.clone(), recipient, request, shortage, until };
+    let class = (pool(&arrival.spec.service, arrival.spec.model.as_deref()), arrival.class());
+    daemon.queue.borrow_mut().push(clock::now(), arrival.number, class, place, waiter);
 }
 
 /// Removes an arrival from the queue, and returns whether it was still queued.
 pub fn dequeue(daemon: &Daemon, arrival: &Arrival) -> bool {
-    let mut queue = daemon.queue.borrow_mut();
-    queue.remove(arrival.number, arrival.spec.priority, arrival.arrived_at).is_some()
+    daemon.queue.borrow_mut().remove(arrival.number).is_some()
+}
+
+/// Refuses the waiting requests that can't be served by their deadlines any more, as more urgent ones
+/// have arrived or fewer requests complete than expected, and those that have waited long enough.
+pub fn refuse_hopeless(daemon: &Rc<Daemon>, now: Duration) {
+    daemon.queue.borrow_mut().advance(now);
+    let mut hopeless = Vec::new();
+    {
+        let queue = daemon.queue.borrow();
+        for class in queue.classes() {
+            let Some((_, first)) = queue.first(class) else {
+                continue;
+            };
+            let slots = expected_slots(daemon, now, &first.arrival.spec);
+            // Requests that wait for a load or an adapter have their own time limit.
+            let rate = completion_rate(daemon, now, &first.arrival.spec, slots);
+            let mut ahead = 0;
+            for (_, waiter) in queue.rows(class) {
+                let wait = wait_policy::expected_wait(ahead, rate);
+                let has_time = slots <= 0.0
+                    || waiter.shortage != Shortage::Slot
+                    || waiter.request.has_time(now, wait);
+                if has_time && now < waiter.until {
+                    ahead += 1;
+                } else {
+                    let wait = if has_time { WAIT_TIMEOUT_RETRY_AFTER } else { wait };
+                    hopeless.push((waiter.clone(), wait));
+                }
+            }
+        }
+    }
+    for (waiter, wait) in hopeless {
+        dequeue(daemon, &waiter.arrival);
+        let left = waiter.request.deadline.saturating_sub(now);
+        let retry_after = wait_policy::retry_after(left, wait, &mut daemon.rng.borrow_mut());
+        let shortage = Some(waiter.shortage);
+        let refusal = Refusal { reason: "waited", retry_after, shortage };
+        match waiter.recipient {
+            Recipient::Remote(from, ticket) => broker::refuse(daemon, from, ticket, &refusal),
+            // A request that has left the queue meanwhile needs no refusal.
+            Recipient::Local(sender) => drop(sender.try_send(Assignment::Refused(refusal))),
+        }
+    }
 }
 
 /// Returns the refusal of an arrival that has waited without success.
@@ -501,14 +591,14 @@
 /// Records the start of a request that a broker has granted, and returns its permit.
 fn accept_grant(
     daemon: &Rc<Daemon>,
-    spec: &Spec,
+    spec: &Rc<Spec>,
     addr: SocketAddr,
     ticket: Ticket,
     key: Key,
     estimate: Estimate,
 ) -> Permit {
     daemon.fleet.borrow_mut().start_request(clock::now(), &key, &spec.parts, estimate.own_prefill);
-    permit(daemon, key, estimate, Some((addr, ticket)))
+    permit(daemon, spec, key, estimate, Some((addr, ticket)))
 }
 
 /// Finds an endpoint by this daemon's own state.
@@ -519,7 +609,7 @@
     match decide(daemon, now, &arrival) {
         Decision::Send(key) => {
             let estimate = start_locally(daemon, now, &arrival.spec, &key);
-            Ok(permit(daemon, key, estimate, None))
+            Ok(permit(daemon, &arrival.spec, key, estimate, None))
         }
         Decision::Refuse(refusal) => Err(refusal),
         Decision::OtherRegion(region) => find_in_region(daemon, &arrival, region).await,
@@ -564,7 +654,7 @@
 ) -> Result<Permit, Refusal> {
     let span = until.saturating_sub(clock::now());
     let (sender, receiver) = smol::channel::bounded(1);
-    enqueue(daemon, arrival, Recipient::Local(sender));
+    enqueue(daemon, arrival, Recipient::Local(sender), shortage, until);
     let guard = Guard { daemon: daemon.clone(), arrival: arrival.clone(), assignments: receiver };
     let assigned = async { guard.assignments.recv().await.ok() };
     let timeout = async {
@@ -575,26 +665,42 @@
     // it would soon be answered itself, but its prefill would pause every stream at the engine;
     // with one such request after another, the pauses would last as long as the burst.
     match assigned.or(timeout).await {
-        Some(Assignment::Endpoint(key, estimate)) => Ok(permit(daemon, key, estimate, None)),
+        Some(Assignment::Endpoint(key, estimate)) => {
+            Ok(permit(daemon, &arrival.spec, key, estimate, None))
+        }
+        Some(Assignment::Refused(refusal)) => Err(refusal),
         Some(Assignment::OtherRegion(region)) => find_in_region(daemon, arrival, region).await,
         None => Err(timeout_refusal(daemon, arrival, Some(shortage))),
     }
 }
 
-/// Schedules a dispatch of the waiting requests after `span`, when prompts have been prefilled.
-fn dispatch_after(daemon: &Rc<Daemon>, now: Duration, span: Duration) {
-    let due = now + span;
+/// Schedules a dispatch of the waiting requests of a class at `due`, when prompts have been
+/// prefilled.
+fn dispatch_class_at(daemon: &Rc<Daemon>, class: Class, due: Duration) {
+    daemon.queue.borrow_mut().schedule(class, due);
+    start_timer(daemon);
+}
+
+/// Starts a timer for the class that is due first, unless one runs that ends earlier.
+fn start_timer(daemon: &Rc<Daemon>) {
+    let Some(due) = daemon.queue.borrow().next_due() else {
+        return;
+    };
+    let now = clock::now();
     if daemon.next_dispatch.get().is_some_and(|scheduled| now < scheduled && scheduled <= due) {
         return;
     }
+    let due = due.max(now + MIN_DISPATCH_INTERVAL);
     daemon.next_dispatch.set(Some(due));
     let shared = daemon.clone();
     let task = async move {
-        Timer::after(span).await;
+        Timer::after(due.saturating_sub(now)).await;
         if shared.next_dispatch.get() == Some(due) {
             shared.next_dispatch.set(None);
         }
-        dispatch(&shared);
+        let classes = shared.queue.borrow_mut().take_due(clock::now());
+        dispatch_classes(&shared, classes);
+        start_timer(&shared);
     };
     daemon.ex.spawn(task).detach();
 }
@@ -620,7 +726,8 @@
     let spec = &arrival.spec;
     match choice {
         Choice::Send(_) | Choice::Full => {
-            Cause::Full { ahead, rate: daemon.gauges.completion_rate(now, spec.class) }
+            let slots = expected_slots(daemon, now, spec);
+            Cause::Full { ahead, rate: completion_rate(daemon, now, spec, slots) }
         }
         Choice::Delay(wait) => Cause::Paced(*wait),
         Choice::Limited(wait) => Cause::Limited { ahead, wait: *wait },
@@ -648,31 +755,73 @@
     rows.map(|row| model.load_time(&row.instance.copies)).min()
 }
 
+/// Returns the slots that requests like this one can expect of the endpoints that serve them. Without
+/// a broker, they are divided between all daemons.
+fn expected_slots(daemon: &Daemon, now: Duration, spec: &Spec) -> f64 {
+    let fleet = daemon.fleet.borrow();
+    let slots = fleet.expected_slots(now, &spec.service, spec.model.as_deref());
+    let has_broker = spec.needs_broker() && fleet.sharing.has_brokers;
+    if has_broker { slots } else { slots / fleet.sharing.daemons.max(1) as f64 }
+}
+
+fn completion_rate(daemon: &Daemon, now: Duration, spec: &Spec, slots: f64) -> f64 {
+    daemon.completions.borrow().rate(now, spec.class, &spec.service, slots)
+}
+
 /// Assigns endpoints to the waiting requests, in their order.
 pub fn dispatch(daemon: &Rc<Daemon>) {
+    let classes: Vec<Class> = daemon.queue.borrow().classes().collect();
+    dispatch_classes(daemon, classes);
+}
+
+/// Assigns endpoints to the waiting requests that an endpoint can serve, at which a slot has become
+/// free or whose residents have changed.
+pub fn dispatch_at(daemon: &Rc<Daemon>, key: &Key) {
+    let classes: Vec<Class> = {
+        let (fleet, queue) = (daemon.fleet.borrow(), daemon.queue.borrow());
+        let Some(row) = fleet.get(key).filter(|_| !queue.is_empty()) else {
+            return;
+        };
+        let service = &row.instance.service;
+        let models = row.instance.resident.iter().map(|resident| Some(resident.model.as_str()));
+        let pools = models.chain([None]).map(|model| pool(service, model));
+        pools.flat_map(|pool| queue.classes_of(pool)).collect()
+    };
+    dispatch_classes(daemon, classes);
+}
+
+/// Returns the pool of the requests for a model, or for a service without models.
+fn pool(service: &str, model: Option<&str>) -> Pool {
+    class_hasher(service, model, None).digest()
+}
+
+fn dispatch_classes(daemon: &Rc<Daemon>, classes: Vec<Class>) {
     let now = clock::now();
-    let rows: Vec<(Class, Waiter)> = {
+    daemon.queue.borrow_mut().advance(now);
+    // The first request of each class; one that gets no endpoint holds up its class only.
+    let mut candidates: BTreeSet<_> = {
         let queue = daemon.queue.borrow();
-        queue.rows().map(|(_, class, waiter)| (class, waiter.clone())).collect()
+        let first = |class| queue.first(class).map(|(rank, _)| (rank, class));
+        classes.into_iter().filter_map(first).collect()
     };
-    let mut blocked = HashSet::new();
-    for (class, waiter) in rows {
-        if blocked.contains(&class) {
+    while let Some((_, class)) = candidates.pop_first() {
+        let Some(waiter) = daemon.queue.borrow().first(class).map(|(_, waiter)| waiter.clone())
+        else {
             continue;
-        }
+        };
         match choose(daemon, now, &waiter.arrival) {
-            Choice::Send(key) => assign(daemon, now, &waiter, key),
+            Choice::Send(key) => {
+                assign(daemon, now, &waiter, key);
+                candidates
+                    .extend(daemon.queue.borrow().first(class).map(|(rank, _)| (rank, class)));
+            }
             Choice::LoadAdapter(key) => {
                 peer::send_adapter_request(daemon, &key, &waiter.arrival.spec);
-                blocked.insert(class);
             }
             Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) => {
-                dispatch_after(daemon, now, span);
-                blocked.insert(class);
-            }
-            Choice::Full | Choice::NoModel | Choice::NoEndpoint => {
-                blocked.insert(class);
+                dispatch_class_at(daemon, class, now + span);
             }
+            Choice::Full | Choice::NoModel | Choice::NoEndpoint => {}
         }
     }
 }
