Refuse a waiting request before its caller leaves

Callers of streams leave after some time without an event, also without a first one: the longest of 2 s, four target latencies and eight of the longest allowed pauses.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -174,9 +174,18 @@
             target_latency: self.spec.target_latency,
             deadline: self.deadline,
             slot_time: completions.slot_time(&self.spec.service, self.spec.terms.output_tokens),
+            first_event_by: self.first_event_by(),
         }
     }
 
+    /// Returns when its caller leaves without a first event. A caller that has waited for longer has
+    /// events of the stream already, and waits as long for the next one.
+    fn first_event_by(&self) -> Option<Duration> {
+        let (now, patience) = (clock::now(), self.spec.terms.patience?);
+        let by = self.arrived_at + patience;
+        Some(if now < by { by } else { now + patience })
+    }
+
     /// Returns its place in the queue.
     fn place(&self, request: &Request) -> Place {
         Place {
--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -131,6 +131,9 @@
     pub route_priority: u8,
     /// Maximum number of tokens of its answer.
     pub output_tokens: u32,
+    /// Time from its arrival after which its caller leaves without a first event; none if the caller
+    /// waits until the deadline.
+    pub patience: Option<Duration>,
 }
 
 /// A request's requirements, as sent to a broker.
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -467,6 +467,7 @@
             team: team.as_ref().map(|team| team.name.clone()),
             route_priority: route.priority,
             output_tokens: caller.max_tokens,
+            patience: route.patience,
         },
         class,
     };
--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -125,6 +125,8 @@
     pub deadline: Duration,
     /// Time for which it is expected to occupy a slot.
     pub slot_time: Duration,
+    /// Time by which its caller leaves without a first event, if it leaves before the deadline.
+    pub first_event_by: Option<Duration>,
 }
 
 impl Request {
@@ -133,11 +135,15 @@
         self.arrived_at + self.target_latency.mul_f64(ON_TIME_RATIO)
     }
 
-    /// Returns when it has to be sent for its answer to be complete by the deadline.
+    /// Returns when it has to be sent for its first event to find the caller, and for its answer to
+    /// be complete by the deadline.
     pub fn latest_start(&self) -> Duration {
         let span = self.deadline.saturating_sub(self.arrived_at);
         let answer = self.slot_time.mul_f64(ANSWER_MARGIN).min(span.mul_f64(MAX_ANSWER_RATIO));
-        self.deadline.saturating_sub(answer)
+        let complete = self.deadline.saturating_sub(answer);
+        let first_event = self.target_latency.mul_f64(1.0 - ON_TIME_RATIO);
+        let begun = self.first_event_by.map(|by| by.saturating_sub(first_event));
+        begun.map_or(complete, |begun| begun.min(complete))
     }
 
     /// Returns whether a request that already waits can still be sent in time after `wait`.
--- a/src/table/routing.rs
+++ b/src/table/routing.rs
@@ -42,6 +42,9 @@
     pub target_latency: Duration,
     /// Longest pause between two events of a stream that is still on time.
     pub max_pause: Option<Duration>,
+    /// Time without an event, from the request on, after which callers give a stream up; none if
+    /// they wait until the deadline.
+    pub patience: Option<Duration>,
     /// Priority of its requests; 0 is the most urgent.
     pub priority: u8,
     /// Services and their weights; never empty, weights above 0.
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -27,6 +27,7 @@
         target_latency: ms(400),
         deadline: ms(12_000),
         slot_time: ms(1_000),
+        first_event_by: None,
     }
 }
 
@@ -46,6 +47,19 @@
     assert!(request.has_time(now, ms(2_800)) && !request.has_time(now, ms(2_801)));
 }
 
+/// Callers leave seconds before the deadline if no event comes. Guards against holding their requests
+/// for longer, which would then run for nobody.
+#[test]
+fn request_of_a_caller_that_leaves_is_refused_before() {
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let request = Request { first_event_by: Some(ms(2_000)), ..pending_request() };
+    let mut decide =
+        |ahead| wait_policy::decide(ms(0), &request, Cause::Full { ahead, rate: 40.0 }, rng);
+    assert!(matches!(decide(20), Verdict::Wait(until) if until < ms(2_000)));
+    assert!(matches!(decide(80), Verdict::Refuse(_)));
+    assert!(!request.has_time(ms(1_500), ms(500)));
+}
+
 /// A model's load ends within a second or within ten: waiting here pays only for the first, and not
 /// much longer than the load is expected to take.
 #[test]
