Read streams ahead while their callers are slow, within bounds

A stream was read from its engine as fast as its caller read, so that an engine cut off the stream of a slow caller, and nothing bounded what all callers hold. The kernel also closed a caller's connection whose receive buffer stayed full for 3.5 s, as if the caller were dead.

The tick now finds streams of which their callers have taken nothing for 200 ms, and reads them ahead. A quarter of the memory in the settings (limits.memoryMb) is the bound for all bodies, an eighth of that for one stream. Beyond it, answers are ended by bytes times time behind, and their callers' connections reset. Long answers allow 60 s of a full receive buffer, and the send buffers of callers are bounded. A stream whose caller keeps up gets no task, timer or copy. A shutdown waits for what was read ahead.

The longer time for dead callers keeps their engine's slot until the stream's deadline.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -157,7 +157,8 @@
     // Cached directory answers have expired, so no new requests are expected on idle connections.
     daemon.close_idle.notify(usize::MAX);
     let deadline = shutdown_start + daemon.settings.grace_period.saturating_sub(SHUTDOWN_MARGIN);
-    while daemon.open_requests.get() > 0 && clock::now() < deadline {
+    let is_busy = || daemon.open_requests.get() > 0 || daemon.read_ahead.behind_count() > 0;
+    while is_busy() && clock::now() < deadline {
         Timer::after(OPEN_REQUESTS_POLL_INTERVAL).await;
     }
 }
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -51,6 +51,10 @@
 use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::quota::Charge;
+use crate::daemon::read_ahead;
+use crate::daemon::read_ahead::Connection;
+use crate::daemon::read_ahead::Held;
+use crate::daemon::read_ahead::ReadAhead;
 use crate::daemon::reply::Responder;
 use crate::daemon::reply::error_response;
 use crate::daemon::retry;
@@ -107,7 +111,8 @@
 
 impl std::error::Error for Truncated {}
 
-type Frames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Truncated>>>>;
+/// An answer as it arrives.
+pub type Frames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Truncated>>>>;
 
 /// Body of an answer to a caller.
 pub enum Payload {
@@ -178,6 +183,8 @@
     pub headers: HeaderMap,
     /// Body, forwarded unchanged.
     pub body: Bytes,
+    /// Counts the body as held.
+    pub held: Held,
 }
 
 impl Job {
@@ -198,14 +205,18 @@
     daemon: Rc<Daemon>,
     request: String,
     arrived_at: Duration,
+    /// The caller's connection.
+    connection: Rc<Connection>,
     /// Whether the request has its final answer.
     pub answered: bool,
+    /// Whether its answer was ended as it held too much.
+    is_ended: Rc<Cell<bool>>,
 }
 
 impl Drop for Tracker {
     fn drop(&mut self) {
         self.daemon.open_requests.set(self.daemon.open_requests.get() - 1);
-        if !self.answered {
+        if !self.answered && !self.is_ended.get() {
             let took = clock::now().saturating_sub(self.arrived_at).as_millis() as u64;
             self.daemon.note(&Event::Left { request: self.request.clone(), took });
         }
@@ -240,7 +251,7 @@
 
 /// Serves one connection of a caller.
 async fn handle_connection(daemon: Rc<Daemon>, stream: TcpStream) {
-    if link::set_socket_options(&stream).is_err() {
+    if link::set_socket_options(&stream).is_err() || link::limit_send_buffer(&stream).is_err() {
         return;
     }
     let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
@@ -250,40 +261,45 @@
     let head = limits
         .map_or(MIN_HEAD_LIMIT_BYTES, |limits| limits.max_head_bytes.max(MIN_HEAD_LIMIT_BYTES));
     let shared = daemon.clone();
-    let caller = stream.clone();
+    let connection = Connection::new(stream.clone());
+    let caller = connection.clone();
     let service = service_fn(move |req| respond(shared.clone(), caller.clone(), req));
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head.max(8 << 10))
         .serve_connection(FuturesIo::new(stream), service);
-    let mut conn = std::pin::pin!(conn);
-    let closing = daemon.close_idle.listen();
-    let served = async {
-        // The caller disconnected or violated the protocol; each request logs its own end.
-        let _ = conn.as_mut().await;
-        true
-    };
-    let close_requested = async {
-        closing.await;
-        false
+    let serve = async {
+        let mut conn = std::pin::pin!(conn);
+        let closing = daemon.close_idle.listen();
+        let served = async {
+            // The caller disconnected or violated the protocol; each request logs its own end.
+            let _ = conn.as_mut().await;
+            true
+        };
+        let close_requested = async {
+            closing.await;
+            false
+        };
+        if !served.or(close_requested).await {
+            conn.as_mut().graceful_shutdown();
+            let _ = conn.await;
+        }
     };
-    if !served.or(close_requested).await {
-        conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
-    }
+    serve.or(smol::future::poll_fn(|cx| connection.poll_aborted(cx))).await;
 }
 
 async fn respond(
     daemon: Rc<Daemon>,
-    caller: TcpStream,
+    caller: Rc<Connection>,
     req: Request<Incoming>,
 ) -> Result<Response<Payload>, Infallible> {
     let has_chunks = req.version() > Version::HTTP_10;
-    let mut res = handle(&daemon, req).await;
+    caller.on_request();
+    let mut res = handle(&daemon, &caller, req).await;
     if let (false, Payload::Frames(frames)) = (has_chunks, res.body_mut()) {
         let unguarded = std::mem::replace(frames, Box::pin(smol::stream::empty()));
-        *frames = reset_unless_complete(caller, unguarded);
+        *frames = reset_unless_complete(caller.stream().clone(), unguarded);
     }
     if daemon.shutting_down.get() {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -306,7 +322,11 @@
 }
 
 /// Handles one request up to its final answer.
-async fn handle(daemon: &Rc<Daemon>, req: Request<Incoming>) -> Response<Payload> {
+async fn handle(
+    daemon: &Rc<Daemon>,
+    connection: &Rc<Connection>,
+    req: Request<Incoming>,
+) -> Response<Payload> {
     // The time in the socket's buffer counts towards the request's deadline.
     let arrived_at = daemon.lag.get().earliest_arrival(clock::now());
     let (head, body) = req.into_parts();
@@ -315,8 +335,14 @@
         Err(_) => return error_response(StatusCode::BAD_REQUEST, "malformed_request"),
     };
     daemon.open_requests.set(daemon.open_requests.get() + 1);
-    let mut tracker =
-        Tracker { daemon: daemon.clone(), request: caller.id.clone(), arrived_at, answered: false };
+    let mut tracker = Tracker {
+        daemon: daemon.clone(),
+        request: caller.id.clone(),
+        arrived_at,
+        connection: connection.clone(),
+        answered: false,
+        is_ended: Rc::default(),
+    };
     match admit(daemon, caller, &head, body, arrived_at).await {
         Ok(job) => run(daemon, &job, tracker).await,
         Err(res) => {
@@ -366,7 +392,8 @@
             responder.refused(daemon, &Refusal::new("starting", STARTUP_RETRY_AFTER))
         }
     })?;
-    let body = read_body(body, config.limits.max_body_bytes, time_limit).await?;
+    let held = Held::new(daemon);
+    let body = read_body(body, &held, config.limits.max_body_bytes, time_limit).await?;
     if let Some((began, end)) = daemon.shutdown_period.get()
         && !shutdown::accepts(clock::now(), began, end, caller.max_tokens)
     {
@@ -377,8 +404,16 @@
     let resumed = origin::resolve(daemon, &caller, &route, team_name).await;
     let resumed = resumed.map_err(|refusal| responder.refused(daemon, &refusal))?;
     let admitted = Admitted { caller, team, charge, resumed };
-    let job =
-        Rc::new(build_job(daemon, &config, route, admitted, head, body, arrived_at, deadline));
+    let job = Rc::new(build_job(
+        daemon,
+        &config,
+        route,
+        admitted,
+        head,
+        (body, held),
+        arrived_at,
+        deadline,
+    ));
     quarantine::on_arrival(daemon, &job.route.name, &job.content);
     daemon.allowance.borrow_mut().record_request(arrived_at, &job.spec.service);
     daemon
@@ -393,11 +428,12 @@
 /// Reads a body of at most `max` bytes within `limit`.
 async fn read_body(
     body: Incoming,
+    held: &Held,
     max: usize,
     limit: Duration,
 ) -> Result<Bytes, Response<Payload>> {
     let read = async {
-        match collect::collect(body, max).await {
+        match collect::collect(held.count(body), max).await {
             Ok(body) => Ok(body),
             Err(err) if err.is::<LengthLimitError>() => {
                 Err(error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
@@ -428,7 +464,7 @@
     route: Rc<Route>,
     admitted: Admitted,
     head: &http::request::Parts,
-    body: Bytes,
+    (body, held): (Bytes, Held),
     arrived_at: Duration,
     deadline: Duration,
 ) -> Job {
@@ -488,6 +524,7 @@
         arrived_at,
         deadline,
         body,
+        held,
     }
 }
 
@@ -563,7 +600,7 @@
         match outcome {
             Outcome::Complete(res, _) => {
                 tracker.answered = true;
-                return forward(daemon, job, res);
+                return forward(daemon, job, &tracker, res);
             }
             Outcome::Stream(head) => {
                 let attempts = progress.possible_runs + 1;
@@ -647,7 +684,7 @@
 ) -> Response<Payload> {
     tracker.answered = true;
     if let Some(res) = progress.failure {
-        return forward(daemon, job, res);
+        return forward(daemon, job, tracker, res);
     }
     if progress.possible_runs == 0 {
         return job.responder().refused(daemon, refusal);
@@ -661,14 +698,28 @@
 
 /// Forwards an endpoint's complete answer. The endpoint ran the request; if that may not run again, a
 /// status that promises the opposite to the caller is not forwarded.
-fn forward(daemon: &Daemon, job: &Job, res: Response<Bytes>) -> Response<Payload> {
+fn forward(
+    daemon: &Rc<Daemon>,
+    job: &Job,
+    tracker: &Tracker,
+    res: Response<Bytes>,
+) -> Response<Payload> {
     if !job.route.is_idempotent() && caller::promises_not_run(res.status().as_u16()) {
         return job.responder().failed(daemon, StatusCode::BAD_GATEWAY, "endpoint_failure");
     }
     let (parts, body) = res.into_parts();
-    let mut forwarded = Response::new(Payload::Complete(body));
+    let mut headers = daemon.dialect.forward_response_headers(&parts.headers);
+    tracker.connection.allow_slow_caller(body.len());
+    let body = if body.len() <= read_ahead::PIECE_BYTES {
+        Payload::Complete(body)
+    } else {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        let (id, connection) = (&job.caller.id, &tracker.connection);
+        Payload::Frames(Box::pin(ReadAhead::body(daemon, job.number, id, connection, body)))
+    };
+    let mut forwarded = Response::new(body);
     *forwarded.status_mut() = parts.status;
-    *forwarded.headers_mut() = daemon.dialect.forward_response_headers(&parts.headers);
+    *forwarded.headers_mut() = headers;
     forwarded
 }
 
@@ -683,6 +734,7 @@
     debug_assert_eq!(job.route.kind, Kind::Streaming);
     let status = head.parts.status;
     let headers = daemon.dialect.forward_response_headers(&head.parts.headers);
+    let (connection, is_ended) = (tracker.connection.clone(), tracker.is_ended.clone());
     let flow = Forwarder::new(daemon, job, permit, head, attempts, tracker);
     let frames = smol::stream::unfold(Some(flow), |flow| async {
         let mut flow = flow?;
@@ -691,6 +743,8 @@
         let next_state = item.is_ok().then_some(flow);
         Some((item, next_state))
     });
+    let (number, id) = (job.number, &job.caller.id);
+    let frames = ReadAhead::stream(daemon, number, id, &connection, is_ended, Box::pin(frames));
     let mut res = Response::new(Payload::Frames(Box::pin(frames)));
     *res.status_mut() = status;
     *res.headers_mut() = headers;
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -161,6 +161,7 @@
         let max_crashes = daemon.quarantine.borrow().max_crash_count(now);
         let (suspect_parts, refused_parts) = daemon.quarantine.borrow().part_counts(now);
         let (unreached, known) = fleet.unreached_count();
+        let (held, max_held) = daemon.read_ahead.held();
         let values = [
             ("poplarmux_endpoints", known as u64),
             ("poplarmux_endpoints_unreached", unreached as u64),
@@ -183,6 +184,9 @@
             ("poplarmux_refused_parts", refused_parts as u64),
             ("poplarmux_suspect_crashes_max", max_crashes as u64),
             ("poplarmux_leads", u64::from(daemon.placer.borrow().holds_lease(now))),
+            ("poplarmux_held_bytes", held as u64),
+            ("poplarmux_held_bytes_max", max_held as u64),
+            ("poplarmux_slow_callers", daemon.read_ahead.behind_count() as u64),
             ("poplarmux_late_orders", daemon.placer.borrow().late_orders.count(now) as u64),
         ];
         for (name, value) in values {
@@ -207,6 +211,10 @@
             let labels = format!("names=\"{names}\",not_run=\"{not_run}\"");
             writeln!(out, "poplarmux_foreign_answers_total{{{labels}}} {count}")?;
         }
+        for (cause, count) in daemon.read_ahead.ended() {
+            let cause: &str = cause.into();
+            writeln!(out, "poplarmux_answers_ended_total{{cause=\"{cause}\"}} {count}")?;
+        }
         let origins = daemon.origins.borrow();
         writeln!(out, "poplarmux_origins {}", origins.len())?;
         for (source, count) in origins.outcomes() {
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -356,6 +356,15 @@
         request: String,
         took: u64,
     },
+    ReadAhead {
+        request: String,
+    },
+    Overrun {
+        request: String,
+        cause: &'static str,
+        held: usize,
+        behind: u64,
+    },
     Omitted {
         kind: &'static str,
         lines: u64,
@@ -414,6 +423,8 @@
             Event::TakenUp { .. } => "taken_up",
             Event::Cut { .. } => "cut",
             Event::Left { .. } => "left",
+            Event::ReadAhead { .. } => "read_ahead",
+            Event::Overrun { .. } => "overrun",
             Event::Omitted { .. } => "omitted",
         }
     }
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -70,6 +70,9 @@
 /// Idle time before the first keep-alive probe, and the interval between probes. Their number does
 /// not matter, as `UNACKED_TIMEOUT` decides.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Send buffer of a caller's connection. The kernel doubles it, which sends 4 MB per second over a
+/// round trip of 60 ms between regions.
+const SEND_BUFFER_BYTES: usize = 128 << 10;
 /// Named requests that a connection carries, and remembers, until it is not used again.
 const MAX_CARRIED: usize = 1_024;
 /// Largest number of idle connections kept per address.
@@ -422,7 +425,7 @@
     /// Makes the kernel close the connection when bytes stay unacknowledged for `limit`, instead of
     /// `UNACKED_TIMEOUT`.
     pub fn set_unacked_timeout(&self, limit: Duration) -> rustix::io::Result<()> {
-        sockopt::set_tcp_user_timeout(&self.stream, limit.as_millis().max(1) as u32)
+        set_unacked_timeout(&self.stream, limit)
     }
 
     /// Returns whether the time to send the request ran out before any of it was written.
@@ -539,6 +542,18 @@
     sockopt::set_socket_linger(stream, resets.then_some(Duration::ZERO))
 }
 
+/// Makes the kernel close a connection when sent bytes stay unacknowledged, or the peer's receive
+/// buffer full, for `limit`.
+pub fn set_unacked_timeout(stream: &TcpStream, limit: Duration) -> rustix::io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, limit.as_millis().max(1) as u32)
+}
+
+/// Bounds what the kernel keeps of an answer that its caller does not read. Otherwise it may be as
+/// much as 4 MB per connection, which no bound of the daemon covers.
+pub fn limit_send_buffer(stream: &TcpStream) -> rustix::io::Result<()> {
+    sockopt::set_socket_send_buffer_size(stream, SEND_BUFFER_BYTES)
+}
+
 /// Sets the socket options that detect an unresponsive peer, and disables send delays.
 pub fn set_socket_options(stream: &TcpStream) -> rustix::io::Result<()> {
     sockopt::set_tcp_nodelay(stream, true)?;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -30,6 +30,7 @@
 pub mod placer;
 pub mod quarantine;
 pub mod quota;
+pub mod read_ahead;
 pub mod refusals;
 pub mod relay;
 pub mod reply;
@@ -136,6 +137,8 @@
     pub gauges: Gauges,
     /// Random number generator.
     pub rng: RefCell<SmallRng>,
+    /// What is held for callers that read slowly, and of other bodies.
+    pub read_ahead: read_ahead::Table,
     /// Monitor of the event loop's ticks.
     pub lag: Cell<Monitor>,
     /// Whether the daemon has been asked to stop.
@@ -198,6 +201,7 @@
             journal: RefCell::default(),
             gauges: Gauges::default(),
             rng: RefCell::new(rng),
+            read_ahead: read_ahead::Table::new(settings.memory),
             lag: Cell::default(),
             shutting_down: Cell::new(false),
             shutdown_period: Cell::new(None),
@@ -275,6 +279,7 @@
         let removed = daemon.fleet.borrow_mut().tick(now);
         daemon.fleet.borrow_mut().sharing = sharing(&daemon);
         contact::tick(&daemon, now);
+        read_ahead::tick(&daemon, now);
         if removed || !daemon.queue.borrow().is_empty() {
             admission::dispatch(&daemon);
         }
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -35,6 +35,7 @@
 use crate::daemon::quarantine;
 use crate::daemon::quarantine::Run;
 use crate::daemon::quota::Charge;
+use crate::daemon::read_ahead::Held;
 use crate::daemon::retry;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
@@ -575,7 +576,8 @@
         return Outcome::Stream(Box::new(head));
     }
     let idle_timeout = answer.idle_timeout;
-    let read = read_body(body).or(async {
+    let held = Held::new(daemon);
+    let read = read_body(body, &held).or(async {
         Timer::after(limit).await;
         Err(BodyEnd::Timeout)
     });
@@ -621,8 +623,8 @@
 }
 
 /// Reads a body to its end.
-async fn read_body(body: Incoming) -> Result<Bytes, BodyEnd> {
-    let read = collect::collect(body, MAX_BODY_BYTES).await;
+async fn read_body(body: Incoming, held: &Held) -> Result<Bytes, BodyEnd> {
+    let read = collect::collect(held.count(body), MAX_BODY_BYTES).await;
     read.map_err(|err| err.downcast_ref().map_or(BodyEnd::Failed, link::end_of))
 }
 
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -28,6 +28,8 @@
     pub data_centers: BTreeMap<DataCenterId, RegionId>,
     /// Processor share of its instance, in thousandths of a core.
     pub millicores: u32,
+    /// Memory that the process may use, in bytes; none if it is not stated.
+    pub memory: Option<usize>,
     /// Address that serves callers' requests.
     pub front: SocketAddr,
     /// Address that serves readiness checks.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,6 +42,7 @@
 pub mod queue;
 pub mod quota;
 pub mod reach;
+pub mod read_ahead;
 pub mod relay;
 pub mod rendezvous;
 mod response;
