--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -358,6 +358,15 @@
         request: String,
         took: u64,
     },
+    ReadAhead {
+        request: String,
+    },
+    Overrun {
+        request: String,
+        cause: &'static str,
+        held: usize,
+        behind: u64,
+    },
     Omitted {
         kind: &'static str,
         lines: u64,
@@ -416,6 +425,8 @@
             Event::TakenUp { .. } => "taken_up",
             Event::Cut { .. } => "cut",
             Event::Left { .. } => "left",
+            Event::ReadAhead { .. } => "read_ahead",
+            Event::Overrun { .. } => "overrun",
             Event::Omitted { .. } => "omitted",
         }
     }
