--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -20,7 +20,10 @@
 //! over and over nothing survives.
 //!
 //! All daemons tell each other of crashes, survivals and refusals (`suspects`), and each of them
-//! decides. One that knows better than a refusal tells the others, which drop it.
+//! decides. One that knows better than a refusal tells the others, which drop it. Of survivals they
+//! tell only as many as decide, since popular parts have hundreds a second: those of parts that
+//! several crashes count for, until twice as many are told and heard as refute the part. If fewer
+//! are told, some daemons hear of too few while many endpoints crash.
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -52,8 +55,16 @@
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Time before the first crash of a part from which survivals count.
 const SURVIVAL_WINDOW: Duration = Duration::from_secs(10);
-/// Survivals kept of one part, the latest. A part with so many is not refused.
+/// Survivals kept of one part, the latest; of one that crashes count for, twice as many. A part with
+/// so many is not refused.
 const MAX_SURVIVALS: usize = 16;
+/// Number of crashes of a part from which its survivals are passed on. With one more, some daemons
+/// decide before they hear of survivals.
+const MIN_SHARED_CRASHES: usize = MIN_CRASHES - 2;
+/// Survivals that wait to be passed on, the latest.
+const MAX_UNTOLD_SURVIVALS: usize = 256;
+/// Time for which what this daemon has learned waits to be passed on.
+pub const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
 /// Parts of which survivals are kept: those of a daemon's requests within `SURVIVAL_WINDOW`.
 const MAX_PARTS: usize = 8_192;
 /// Time for which a crash is kept.
@@ -137,10 +148,31 @@
     pub runs: BTreeSet<RunId>,
     /// Parts of the prompts of these.
     pub parts: BTreeSet<PartId>,
+    /// Runs that have not been passed on yet.
+    pub untold_runs: BTreeSet<RunId>,
+    /// Parts that have not been passed on yet.
+    pub untold_parts: BTreeSet<PartId>,
     /// Whether a refused part explains it.
     is_explained: bool,
 }
 
+/// A survival in the table.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    survival: Survival,
+    /// Whether this daemon has heard of it, has passed it on, or is to do so.
+    is_shared: bool,
+}
+
+/// A survival that is to be passed on.
+#[derive(Debug, Clone, Copy)]
+struct Untold {
+    part: PartId,
+    survival: Survival,
+    /// Time until which it may be passed on.
+    until: Duration,
+}
+
 /// How runs of this daemon went on in one second.
 #[derive(Debug, Clone, Copy)]
 struct Outcomes {
@@ -198,7 +230,9 @@
     /// Number of crashes of each part.
     counts: BTreeMap<PartId, usize>,
     /// Survivals of each part, the latest last.
-    survivals: BTreeMap<PartId, VecDeque<Survival>>,
+    survivals: BTreeMap<PartId, VecDeque<Known>>,
+    /// Survivals that are to be passed on, the latest last.
+    untold_survivals: VecDeque<Untold>,
     /// Hash of the route, and parts, of the latest requests.
     arrivals: VecDeque<(u64, Vec<PartId>)>,
     /// Outcomes of this daemon's runs, by the second.
@@ -262,27 +296,34 @@
             changed_at: now,
             runs: BTreeSet::new(),
             parts: BTreeSet::new(),
+            untold_runs: BTreeSet::new(),
+            untold_parts: BTreeSet::new(),
             is_explained: false,
         });
         crash.at = crash.at.min(at);
         let mut is_changed = false;
         for run in runs {
-            is_changed |= crash.runs.len() < MAX_PARTS_PER_CRASH && crash.runs.insert(run);
+            if crash.runs.len() < MAX_PARTS_PER_CRASH && crash.runs.insert(run) {
+                crash.untold_runs.insert(run);
+                is_changed = true;
+            }
         }
+        let mut added = Vec::new();
         for part in parts {
             if crash.parts.len() >= MAX_PARTS_PER_CRASH || !crash.parts.insert(part) {
                 continue;
             }
             is_changed = true;
+            crash.untold_parts.insert(part);
             *self.counts.entry(part).or_default() += 1;
-            // Other daemons are told again, as they may need to know now.
-            let survivals = self.survivals.get_mut(&part).into_iter().flatten();
-            survivals.for_each(|row| row.learned_at = now);
+            added.push(part);
         }
         if is_changed {
             crash.changed_at = now;
             self.decides_until = now + DECISION_PERIOD;
         }
+        // Other daemons may need to know of survivals now.
+        added.into_iter().for_each(|part| self.share_survivals(now, part));
         self.limit_crashes();
         is_changed
     }
@@ -296,7 +337,7 @@
     pub fn record_survival(&mut self, now: Duration, parts: &[PartId], run: RunId) {
         self.outcomes(now).survived += 1;
         for part in parts {
-            self.add_survival(*part, Survival { run, at: now, learned_at: now });
+            self.insert_survival(*part, Survival { run, at: now, learned_at: now });
         }
     }
 
@@ -318,26 +359,91 @@
         f64::from(cut + 1) / f64::from(cut + survived + 2)
     }
 
-    /// Adds a survival of a part.
+    /// Adds a survival of a part that another daemon has told of.
     pub fn add_survival(&mut self, part: PartId, survival: Survival) {
+        self.insert_survival(part, survival);
+        let rows = self.survivals.get_mut(&part).into_iter().flatten();
+        let heard = rows.filter(|row| row.survival.run == survival.run);
+        heard.for_each(|row| row.is_shared = true);
+    }
+
+    fn insert_survival(&mut self, part: PartId, survival: Survival) {
         let is_suspect = self.counts.contains_key(&part);
         if self.survivals.len() >= MAX_PARTS && !is_suspect && !self.survivals.contains_key(&part) {
             return;
         }
         let rows = self.survivals.entry(part).or_default();
-        if rows.iter().any(|row| row.run == survival.run) {
+        if rows.iter().any(|row| row.survival.run == survival.run) {
             return;
         }
-        let position = rows.partition_point(|row| row.at <= survival.at);
-        rows.insert(position, survival);
-        if rows.len() > MAX_SURVIVALS {
+        let position = rows.partition_point(|row| row.survival.at <= survival.at);
+        rows.insert(position, Known { survival, is_shared: false });
+        // Those of suspects show as well how many have been told and heard.
+        let max_rows = if is_suspect { 2 * MAX_SURVIVALS } else { MAX_SURVIVALS };
+        if rows.len() > max_rows {
             rows.pop_front();
         }
         if is_suspect {
             self.decides_until = self.decides_until.max(survival.learned_at + DECISION_PERIOD);
+            self.share_survivals(survival.learned_at, part);
         }
     }
 
+    /// Chooses survivals of a part to be passed on, if several crashes count for it: as many as
+    /// are, together with those that were told and heard before, twice as many as refute it.
+    fn share_survivals(&mut self, now: Duration, part: PartId) {
+        let count = self.counts.get(&part).copied().unwrap_or(0);
+        let Some(rows) = self.survivals.get(&part).filter(|_| count >= MIN_SHARED_CRASHES) else {
+            return;
+        };
+        let needed = 2 * (count + 1).min(MAX_SURVIVALS);
+        let shared_since = |since: Duration| {
+            rows.iter().filter(|row| row.is_shared && row.survival.at > since).count()
+        };
+        // Those count whichever crashes are considered.
+        if shared_since(now.saturating_sub(SURVIVAL_WINDOW)) >= needed {
+            return;
+        }
+        let has_part = self.crashes.values().filter(|crash| crash.parts.contains(&part));
+        let mut moments: Vec<Duration> = has_part.map(|crash| crash.at).collect();
+        moments.sort_unstable();
+        let first = moments.len().saturating_sub(MIN_CRASHES);
+        let since = moments.get(first).map_or(now, |at| at.saturating_sub(SURVIVAL_WINDOW));
+        let missing = needed.saturating_sub(shared_since(since));
+        let rows = self.survivals.get_mut(&part).into_iter().flatten().rev();
+        for row in rows.filter(|row| !row.is_shared).take(missing) {
+            row.is_shared = true;
+            let until = now + ANNOUNCEMENT_PERIOD;
+            self.untold_survivals.push_back(Untold { part, survival: row.survival, until });
+        }
+        let excess = self.untold_survivals.len().saturating_sub(MAX_UNTOLD_SURVIVALS);
+        self.untold_survivals.drain(..excess);
+    }
+
+    /// Removes and returns up to `count` survivals that are to be passed on: first those of parts of
+    /// which this daemon itself knows too few, then the latest.
+    pub fn take_untold_survivals(
+        &mut self,
+        now: Duration,
+        count: usize,
+    ) -> Vec<(PartId, Survival)> {
+        let rows = std::mem::take(&mut self.untold_survivals);
+        let (mut ordered, suspected): (Vec<Untold>, Vec<Untold>) =
+            rows.into_iter().partition(|row| !self.is_suspected(now, row.part));
+        ordered.extend(suspected);
+        let taken = ordered.split_off(ordered.len().saturating_sub(count));
+        self.untold_survivals = ordered.into();
+        taken.into_iter().map(|row| (row.part, row.survival)).collect()
+    }
+
+    /// Returns whether more must be known soon of a part: several crashes count for it, and no
+    /// more survivals than these speak against it.
+    pub fn is_suspected(&self, now: Duration, part: PartId) -> bool {
+        let count = self.counts.get(&part).copied().unwrap_or(0);
+        let survivals = self.survivals_since(part, now.saturating_sub(SURVIVAL_WINDOW));
+        count > 1 && survivals <= count.min(MAX_SURVIVALS - 1)
+    }
+
     /// Records that another daemon refuses a part for `remaining`. Returns whether it is refused
     /// here from now on.
     pub fn add_refusal(&mut self, now: Duration, part: PartId, remaining: Duration) -> bool {
@@ -498,7 +604,7 @@
 
     fn survivals_since(&self, part: PartId, since: Duration) -> usize {
         let rows = self.survivals.get(&part);
-        rows.map_or(0, |rows| rows.iter().filter(|row| row.at > since).count())
+        rows.map_or(0, |rows| rows.iter().filter(|row| row.survival.at > since).count())
     }
 
     /// Returns whether nearly all requests of a route have a part.
@@ -547,16 +653,12 @@
         self.crashes.get(key)
     }
 
-    /// Returns the survivals of parts with several crashes that this daemon learned of later than
-    /// `since`.
-    pub fn survivals_learned_since(
-        &self,
-        since: Duration,
-    ) -> impl Iterator<Item = (PartId, Survival)> {
-        let suspects = self.counts.iter().filter(|(_, count)| **count > 1);
-        let rows = suspects.filter_map(|(part, _)| Some((*part, self.survivals.get(part)?)));
-        let all = rows.flat_map(|(part, rows)| rows.iter().map(move |row| (part, *row)));
-        all.filter(move |(_, row)| row.learned_at > since)
+    /// Records that runs and parts of a crash have been passed on.
+    pub fn on_told(&mut self, key: &Key, runs: &[RunId], parts: &[PartId]) {
+        if let Some(crash) = self.crashes.get_mut(key) {
+            crash.untold_runs.retain(|run| !runs.contains(run));
+            crash.untold_parts.retain(|part| !parts.contains(part));
+        }
     }
 
     /// Returns the parts that this daemon learned later than `since` to crash nothing, each with the
@@ -574,9 +676,16 @@
         keys.iter().for_each(|key| self.remove_crash(key));
         let counts = &self.counts;
         self.survivals.retain(|part, rows| {
-            let is_recent = rows.back().is_some_and(|row| now < row.at + SURVIVAL_WINDOW);
+            let last = rows.back();
+            let is_recent = last.is_some_and(|row| now < row.survival.at + SURVIVAL_WINDOW);
             is_recent || counts.contains_key(part)
         });
+        self.untold_survivals.retain(|row| now < row.until);
+        let is_untold = |crash: &&mut Crash| now >= crash.changed_at + ANNOUNCEMENT_PERIOD;
+        for crash in self.crashes.values_mut().filter(is_untold) {
+            crash.untold_runs.clear();
+            crash.untold_parts.clear();
+        }
         let oldest = now.saturating_sub(CRASH_RETENTION + SURVIVAL_WINDOW).as_secs();
         self.outcomes.retain(|row| row.second >= oldest);
         self.refusals.retain(|_, row| now < row.until);
