Refuse displaced requests at once, and show how requests leave the queue

A request that is queued before others takes time that the last ones of its class need; the pass over the queue found that up to 0.4 s later. They are now refused when it is queued. They have not been sent, so the 503 is true.

No test replays displacement in a daemon; the replay in virtual time finds displaced requests by the pass only.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -230,6 +231,54 @@
     until: Duration,
 }
 
+/// How a request left the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum WaitEnd {
+    /// Sent, and its answer can be on time.
+    OnTime,
+    /// Sent late.
+    Late,
+    /// Refused, as a request that was queued before it took the time that it had.
+    Displaced,
+    /// Refused, as fewer requests completed than expected.
+    OutOfTime,
+    /// Refused, as it has waited as long as it could.
+    Expired,
+}
+
+/// Number of requests that have left the queue, and how long they waited in total.
+#[derive(Debug, Default)]
+pub struct Waits {
+    rows: HashMap<WaitEnd, (u64, Duration)>,
+}
+
+impl Waits {
+    /// Returns the counts.
+    pub fn rows(&self) -> impl Iterator<Item = (&'static str, u64, Duration)> {
+        self.rows.iter().map(|(end, (count, total))| (end.into(), *count, *total))
+    }
+}
+
+fn record_wait(daemon: &Daemon, now: Duration, arrival: &Arrival, end: WaitEnd) {
+    let waited = now.saturating_sub(arrival.arrived_at);
+    {
+        let mut waits = daemon.waits.borrow_mut();
+        let (count, total) = waits.rows.entry(end).or_default();
+        (*count, *total) = (*count + 1, *total + waited);
+    }
+    let spec = &arrival.spec;
+    daemon.note(&Event::Waited {
+        model: spec.model.clone(),
+        adapter: spec.adapter.clone(),
+        team: spec.terms.team.clone(),
+        priority: spec.priority,
+        outcome: end.into(),
+        waited: waited.as_millis() as u64,
+        left: arrival.deadline.saturating_sub(now).as_millis() as u64,
+    });
+}
+
 /// Decision on an arrival.
 pub enum Decision {
     /// Send it to this endpoint.
@@ -470,7 +519,7 @@
 
 /// Adds an arrival to the queue, where it waits until then at most.
 pub fn enqueue(
-    daemon: &Daemon,
+    daemon: &Rc<Daemon>,
     arrival: &Rc<Arrival>,
     recipient: Recipient,
     shortage: Shortage,
@@ -481,7 +530,14 @@
     let place = arrival.place(daemon, now, &request);
     let waiter = Waiter { arrival: arrival.clone(), recipient, request, shortage, until };
     let class = (pool(&arrival.spec.service, arrival.spec.model.as_deref()), arrival.class());
-    daemon.queue.borrow_mut().push(now, arrival.number, class, place, waiter);
+    let is_last = {
+        let mut queue = daemon.queue.borrow_mut();
+        queue.push(now, arrival.number, class, place, waiter);
+        queue.position(arrival.number).is_none_or(|ahead| ahead + 1 == queue.count(class.1))
+    };
+    if !is_last {
+        refuse_displaced(daemon, now, class.1, &arrival.spec);
+    }
 }
 
 /// Removes an arrival from the queue, and returns whether it was still queued.
@@ -519,16 +575,48 @@
         }
     }
     for (waiter, wait) in hopeless {
-        dequeue(daemon, &waiter.arrival);
-        let left = waiter.request.deadline.saturating_sub(now);
-        let retry_after = wait_policy::retry_after(left, wait, &mut daemon.rng.borrow_mut());
-        let shortage = Some(waiter.shortage);
-        let refusal = Refusal { reason: "waited", retry_after, shortage };
-        match waiter.recipient {
-            Recipient::Remote(from, ticket) => broker::refuse(daemon, from, ticket, &refusal),
-            // A request that has left the queue meanwhile needs no refusal.
-            Recipient::Local(sender) => drop(sender.try_send(Assignment::Refused(refusal))),
-        }
+        let has_expired = now >= waiter.until;
+        let end = if has_expired { WaitEnd::Expired } else { WaitEnd::OutOfTime };
+        refuse_waiter(daemon, now, waiter, wait, end);
+    }
+}
+
+/// Refuses the last requests of a class that can't be served by their deadlines any more, as another
+/// one has been queued before them. They have not been sent.
+fn refuse_displaced(daemon: &Rc<Daemon>, now: Duration, class: Class, spec: &Spec) {
+    let slots = expected_slots(daemon, now, spec);
+    let rate = completion_rate(daemon, now, spec, slots);
+    // Requests that wait for a load or an adapter have their own time limit.
+    if slots <= 0.0 {
+        return;
+    }
+    loop {
+        let (last, wait) = {
+            let queue = daemon.queue.borrow();
+            let Some(last) = queue.last(class) else {
+                return;
+            };
+            let wait = wait_policy::expected_wait(queue.count(class).saturating_sub(1), rate);
+            if last.shortage != Shortage::Slot || last.request.has_time(now, wait) {
+                return;
+            }
+            (last.clone(), wait)
+        };
+        refuse_waiter(daemon, now, last, wait, WaitEnd::Displaced);
+    }
+}
+
+fn refuse_waiter(daemon: &Rc<Daemon>, now: Duration, waiter: Waiter, wait: Duration, end: WaitEnd) {
+    dequeue(daemon, &waiter.arrival);
+    record_wait(daemon, now, &waiter.arrival, end);
+    let left = waiter.request.deadline.saturating_sub(now);
+    let retry_after = wait_policy::retry_after(left, wait, &mut daemon.rng.borrow_mut());
+    let shortage = Some(waiter.shortage);
+    let refusal = Refusal { reason: "waited", retry_after, shortage };
+    match waiter.recipient {
+        Recipient::Remote(from, ticket) => broker::refuse(daemon, from, ticket, &refusal),
+        // A request that has left the queue meanwhile needs no refusal.
+        Recipient::Local(sender) => drop(sender.try_send(Assignment::Refused(refusal))),
     }
 }
 
@@ -697,7 +785,10 @@
         }
         Some(Assignment::Refused(refusal)) => Err(refusal),
         Some(Assignment::OtherRegion(region)) => find_in_region(daemon, arrival, region).await,
-        None => Err(timeout_refusal(daemon, arrival, Some(shortage))),
+        None => {
+            record_wait(daemon, clock::now(), arrival, WaitEnd::Expired);
+            Err(timeout_refusal(daemon, arrival, Some(shortage)))
+        }
     }
 }
 
@@ -859,6 +950,8 @@
     if !dequeue(daemon, arrival) {
         return;
     }
+    let is_late = now >= waiter.request.late_from();
+    record_wait(daemon, now, arrival, if is_late { WaitEnd::Late } else { WaitEnd::OnTime });
     let region = broker_region(daemon, arrival, &key);
     if region.is_some() {
         daemon.fleet.borrow_mut().expect_grant(&key);
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -209,8 +209,8 @@
 ) {
     let waiter = Waiter { arrival: arrival.clone(), last_request_at: clock::now() };
     daemon.broker.borrow_mut().queued.insert((from, ticket), waiter);
-    admission::enqueue(daemon, arrival, Recipient::Remote(from, ticket), shortage, until);
     send(daemon, from, Message::Queued(ticket));
+    admission::enqueue(daemon, arrival, Recipient::Remote(from, ticket), shortage, until);
 }
 
 /// Refuses a request of another daemon.
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -206,6 +206,11 @@
             let outcome: &str = outcome.into();
             writeln!(out, "poplarmux_permits_total{{outcome=\"{outcome}\"}} {count}")?;
         }
+        for (outcome, count, total) in daemon.waits.borrow().rows() {
+            let (labels, ms) = (format!("outcome=\"{outcome}\""), total.as_millis());
+            writeln!(out, "poplarmux_waits_total{{{labels}}} {count}")?;
+            writeln!(out, "poplarmux_wait_ms_total{{{labels}}} {ms}")?;
+        }
         for (outcome, count) in daemon.retries.borrow().iter() {
             let outcome: &str = outcome.into();
             writeln!(out, "poplarmux_retries_total{{outcome=\"{outcome}\"}} {count}")?;
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -280,6 +280,15 @@
         until: u64,
         ahead: usize,
     },
+    Waited {
+        model: Option<String>,
+        adapter: Option<String>,
+        team: Option<String>,
+        priority: u8,
+        outcome: &'static str,
+        waited: u64,
+        left: u64,
+    },
     Transfer {
         from: String,
         kind: &'static str,
@@ -403,6 +412,7 @@
             Event::Failed { .. } => "failed",
             Event::Foreign { .. } => "foreign",
             Event::Waits { .. } => "waits",
+            Event::Waited { .. } => "waited",
             Event::Transfer { .. } => "transfer",
             Event::Reader { .. } => "reader",
             Event::Broker { .. } => "broker",
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -102,6 +102,8 @@
     pub queue: RefCell<Queue<admission::Waiter>>,
     /// Completed requests, which tell how long others wait.
     pub completions: RefCell<Completions>,
+    /// How requests have left the queue.
+    pub waits: RefCell<admission::Waits>,
     /// Slot time that teams have received.
     pub shares: RefCell<Teams>,
     /// Requests to brokers, and the grants that this daemon has given to others.
@@ -189,6 +191,7 @@
             fleet: RefCell::new(fleet),
             queue: RefCell::default(),
             completions: RefCell::default(),
+            waits: RefCell::default(),
             shares: RefCell::default(),
             broker: RefCell::default(),
             quotas: RefCell::new(quota::Quotas::new(clock::now())),
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -197,6 +197,17 @@
         Some((*rank, &self.rows.get(&rank.id)?.value))
     }
 
+    /// Returns the last request of a class.
+    pub fn last(&self, class: Class) -> Option<&T> {
+        let rank = self.classes.get(&class)?.ranks.last()?;
+        Some(&self.rows.get(&rank.id)?.value)
+    }
+
+    /// Returns the number of waiting requests of a class.
+    pub fn count(&self, class: Class) -> usize {
+        self.classes.get(&class).map_or(0, |row| row.ranks.len())
+    }
+
     /// Returns the classes of the waiting requests.
     pub fn classes(&self) -> impl Iterator<Item = Class> {
         self.classes.keys().copied()
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -107,6 +107,7 @@
     queue.push(ms(40), 6, (1, 8), place(0, 0, 900, 5), "other class");
     let urgent = ["first", "second", "late", "over its share", "less urgent route", "routine"];
     assert_eq!(order(&queue, 9), urgent);
+    assert_eq!((queue.last(9), queue.count(9), queue.count(7)), (Some(&"routine"), 6, 0));
     assert_eq!(queue.ahead(ms(40), 9, &place(0, 0, 900, 40)), 2);
     assert_eq!(queue.ahead(ms(40), 9, &place(1, 0, 900, 0)), 5);
     queue.advance(ms(95));
