Let late requests wait only while the queue before them gets shorter

A late request now waits only if the queue before it shrinks, at the rate of completions less that part of the arrivals that is served before it; what becomes late is decided on again. A late prompt does not wait for prefill, and the slots of a model are divided between its waiting classes.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -500,6 +500,7 @@
 /// Decides on an arrival, and requests the adapter load or the dispatch that it has to wait for.
 pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
     let request = arrival.request(daemon);
+    daemon.completions.borrow_mut().record_arrival(now, arrival.spec.class);
     let ahead =
         daemon.queue.borrow().ahead(now, arrival.class(), &arrival.place(daemon, now, &request));
     let choice = match choose(daemon, now, arrival) {
@@ -573,12 +574,19 @@
             let slots = expected_slots(daemon, now, &first.arrival.spec);
             // Requests that wait for a load or an adapter have their own time limit.
             let rate = completion_rate(daemon, now, &first.arrival.spec, slots);
+            let arrivals = daemon.completions.borrow().arrival_rate(now, class);
             let mut ahead = 0;
             for (_, waiter) in queue.rows(class) {
-                let wait = wait_policy::expected_wait(ahead, rate);
+                let wait = match waiter.request.late_from() <= now {
+                    false => Some(wait_policy::expected_wait(ahead, rate)),
+                    true => {
+                        wait_policy::expected_late_wait(ahead, queue.count(class), rate, arrivals)
+                    }
+                };
                 let has_time = slots <= 0.0
                     || waiter.shortage != Shortage::Slot
-                    || waiter.request.has_time(now, wait);
+                    || wait.is_some_and(|wait| waiter.request.has_time(now, wait));
+                let wait = wait.unwrap_or(wait_policy::expected_wait(ahead, rate));
                 if has_time && now < waiter.until {
                     ahead += 1;
                 } else {
@@ -859,7 +867,16 @@
     match choice {
         Choice::Send(_) | Choice::Full => {
             let slots = expected_slots(daemon, now, spec);
-            Cause::Full { ahead, rate: completion_rate(daemon, now, spec, slots) }
+            let queue = daemon.queue.borrow();
+            let request = arrival.request(daemon);
+            let place = Place { late_from: now, ..arrival.place(daemon, now, &request) };
+            Cause::Full {
+                ahead,
+                ahead_if_late: queue.ahead(now, arrival.class(), &place),
+                queued: queue.count(arrival.class()),
+                rate: completion_rate(daemon, now, spec, slots),
+                arrivals: daemon.completions.borrow().arrival_rate(now, spec.class),
+            }
         }
         Choice::Delay(wait) => Cause::Paced(*wait),
         Choice::Limited(wait) => Cause::Limited { ahead, wait: *wait },
@@ -896,7 +913,12 @@
     if has_broker { slots } else { slots / fleet.sharing.daemons.max(1) as f64 }
 }
 
+/// Returns the rate at which requests like this one complete. Those of other adapters of the model
+/// that wait share the slots.
 fn completion_rate(daemon: &Daemon, now: Duration, spec: &Spec, slots: f64) -> f64 {
+    let pool = pool(&spec.service, spec.model.as_deref());
+    let sharing = daemon.queue.borrow().classes_of(pool).count().max(1);
+    let slots = slots / sharing as f64;
     daemon.completions.borrow().rate(now, spec.class, &spec.service, slots)
 }
 
--- a/src/decide/completions.rs
+++ b/src/decide/completions.rs
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 struct ClassRow {
     completed: Rate,
+    arrived: Rate,
     since: Duration,
     last_at: Duration,
 }
@@ -52,18 +53,28 @@
 }
 
 impl Completions {
+    /// Records that a request of a class has arrived.
+    pub fn record_arrival(&mut self, now: Duration, class: Class) {
+        self.class(now, class).arrived.add(now, 1.0);
+    }
+
     /// Records that a request of a class has completed.
     pub fn record(&mut self, now: Duration, class: Class) {
+        self.class(now, class).completed.add(now, 1.0);
+    }
+
+    fn class(&mut self, now: Duration, class: Class) -> &mut ClassRow {
         if self.classes.len() >= MAX_CLASSES {
             self.classes.retain(|_, row| now < row.last_at + CLASS_RETENTION);
         }
         let row = self.classes.entry(class).or_insert_with(|| ClassRow {
             completed: Rate::new(now, RATE_WINDOW),
+            arrived: Rate::new(now, RATE_WINDOW),
             since: now,
             last_at: now,
         });
-        row.completed.add(now, 1.0);
         row.last_at = now;
+        row
     }
 
     /// Records for how long a completed request with this maximum number of tokens has occupied a
@@ -104,11 +115,19 @@
     /// Returns the requests of a class that complete per second, if `slots` serve it.
     pub fn rate(&self, now: Duration, class: Class, service: &str, slots: f64) -> f64 {
         let expected = slots / self.mean_slot_time(service).as_secs_f64();
-        let counted = self.classes.get(&class).map_or(0.0, |row| {
+        self.per_second(now, class, |row| &row.completed).max(expected)
+    }
+
+    /// Returns the requests of a class that arrive per second.
+    pub fn arrival_rate(&self, now: Duration, class: Class) -> f64 {
+        self.per_second(now, class, |row| &row.arrived)
+    }
+
+    fn per_second(&self, now: Duration, class: Class, count: impl Fn(&ClassRow) -> &Rate) -> f64 {
+        self.classes.get(&class).map_or(0.0, |row| {
             let age = now.saturating_sub(row.since).max(MIN_COUNTING_TIME);
             let window = RATE_WINDOW.as_secs_f64();
-            row.completed.per_second(now) / (1.0 - (-age.as_secs_f64() / window).exp())
-        });
-        counted.max(expected)
+            count(row).per_second(now) / (1.0 - (-age.as_secs_f64() / window).exp())
+        })
     }
 }
--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -52,8 +52,14 @@
     Full {
         /// Number of requests queued before it.
         ahead: usize,
+        /// Number of requests queued before it once it is late.
+        ahead_if_late: usize,
+        /// Number of requests queued in all.
+        queued: usize,
         /// Requests that end per second at these engines.
         rate: f64,
+        /// Requests that arrive per second for these engines.
+        arrivals: f64,
     },
     /// All engines that have the model and adapter resident have this much prefill time queued.
     Paced(Duration),
@@ -158,29 +164,57 @@
     Duration::from_secs_f64(seconds.min(MAX_EXPECTED_WAIT.as_secs_f64()))
 }
 
+/// Returns the expected wait of a late request behind `ahead` of `queued` others. Of those that arrive
+/// from now on, as large a part is served before it. None if the queue before it does not get
+/// shorter.
+pub fn expected_late_wait(
+    ahead: usize,
+    queued: usize,
+    rate: f64,
+    arrivals: f64,
+) -> Option<Duration> {
+    let part = (ahead as f64 + 1.0) / (queued as f64 + 1.0);
+    let drain = rate - arrivals * part.min(1.0);
+    (drain > 0.0).then(|| expected_wait(ahead, drain))
+}
+
 /// Decides at `now` whether a request waits.
 pub fn decide(now: Duration, request: &Request, cause: Cause, rng: &mut SmallRng) -> Verdict {
-    let wait = match cause {
-        Cause::Full { ahead, rate } => expected_wait(ahead, rate),
+    let latest_start = request.latest_start();
+    let late_from = request.late_from().min(latest_start);
+    let max_wait = latest_start.saturating_sub(now).mul_f64(MAX_WAIT_RATIO);
+    let (wait, until) = match cause {
+        Cause::Full { ahead, ahead_if_late, queued, rate, arrivals } => {
+            let wait = expected_wait(ahead, rate);
+            if now + wait <= late_from {
+                // What becomes late nevertheless is decided on again then.
+                return Verdict::Wait(latest_start);
+            }
+            let late_wait = expected_late_wait(ahead_if_late, queued, rate, arrivals);
+            (late_wait.unwrap_or(wait.max(max_wait)), latest_start)
+        }
         Cause::Limited { ahead, wait } => {
             let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-            wait.saturating_mul(ahead.saturating_add(1)).min(MAX_EXPECTED_WAIT)
+            let wait = wait.saturating_mul(ahead.saturating_add(1)).min(MAX_EXPECTED_WAIT);
+            (wait, latest_start)
         }
+        // A late prompt would take the prefill time of those that can be on time.
+        Cause::Paced(wait) if now + wait <= late_from => return Verdict::Wait(late_from),
+        Cause::Paced(wait) => (wait.max(max_wait), late_from),
         // Unlike with a limit, all that wait can be sent when the time is over.
-        Cause::Paced(wait) | Cause::Backoff(wait) | Cause::Loading(wait) => wait,
-        Cause::Nothing => Duration::from_secs(1),
+        Cause::Backoff(wait) => (wait, latest_start),
+        Cause::Loading(wait) => (wait, now + wait.mul_f64(LOAD_MARGIN) + LOAD_GRACE),
+        Cause::Nothing => (MAX_EXPECTED_WAIT, now),
     };
-    let latest_start = request.latest_start();
-    let max_wait = latest_start.saturating_sub(now).mul_f64(MAX_WAIT_RATIO);
-    if matches!(cause, Cause::Nothing) || wait > max_wait {
-        let remaining = request.deadline.saturating_sub(now);
-        return Verdict::Refuse(retry_after(remaining, wait, rng));
+    if wait < max_wait {
+        return Verdict::Wait(until.min(latest_start));
     }
-    let until = match cause {
-        Cause::Loading(wait) => now + wait.mul_f64(LOAD_MARGIN) + LOAD_GRACE,
-        _ => latest_start,
+    let delay = match cause {
+        Cause::Nothing => Duration::from_secs(1),
+        _ => wait,
     };
-    Verdict::Wait(until.min(latest_start))
+    let remaining = request.deadline.saturating_sub(now);
+    Verdict::Refuse(retry_after(remaining, delay, rng))
 }
 
 /// Returns the retry-after of a refused caller that could be served after `delay` and has
--- a/tests/decide_wait_load.rs
+++ b/tests/decide_wait_load.rs
@@ -32,6 +32,8 @@
     class: usize,
     daemon: usize,
     arrived_at: u64,
+    /// When this attempt was sent.
+    sent_at: u64,
     is_retry: bool,
 }
 
@@ -49,6 +51,11 @@
 /// sent them.
 type Counts = [[[f64; 3]; 2]; 3];
 
+/// Returns after how long a caller leaves without a first event.
+fn patience(kind: usize) -> u64 {
+    (4 * KINDS[kind].0).max(2_000)
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -77,7 +84,9 @@
             target_latency: ms(target),
             deadline: ms(row.arrived_at + deadline),
             slot_time: self.completions.slot_time("llm", slot_time as u32),
+            first_event_by: Some(ms(row.sent_at + patience(row.kind))),
         };
+        self.completions.record_arrival(ms(now), row.class as u64);
         let team = Some(row.team.to_string());
         let place = Place {
             priority: if scene.heavy > 1.0 { 0 } else { priority },
@@ -101,7 +110,12 @@
                 false => Verdict::Refuse(wait_policy::retry_after(left, wait, rng)),
             }
         } else {
-            wait_policy::decide(ms(now), &request, Cause::Full { ahead, rate }, rng)
+            let (queued, arrivals) =
+                (self.queue.count(class), self.completions.arrival_rate(ms(now), class));
+            let late = Place { late_from: ms(now), ..place };
+            let ahead_if_late = self.queue.ahead(ms(now), class, &late);
+            let cause = Cause::Full { ahead, ahead_if_late, queued, rate, arrivals };
+            wait_policy::decide(ms(now), &request, cause, rng)
         };
         match verdict {
             Verdict::Refuse(after) => return Some(after.as_millis() as u64),
@@ -122,9 +136,17 @@
         let mut hopeless = Vec::new();
         for class in self.queue.classes() {
             let rate = self.completions.rate(ms(now), class, "llm", self.slots(scene));
+            let arrivals = self.completions.arrival_rate(ms(now), class);
             let mut ahead = 0;
             for (id, (row, request, until)) in self.queue.rows(class) {
-                let has_time = request.has_time(ms(now), wait_policy::expected_wait(ahead, rate));
+                let wait = match request.late_from() <= ms(now) {
+                    false => Some(wait_policy::expected_wait(ahead, rate)),
+                    true => {
+                        let queued = self.queue.count(class);
+                        wait_policy::expected_late_wait(ahead, queued, rate, arrivals)
+                    }
+                };
+                let has_time = wait.is_some_and(|wait| request.has_time(ms(now), wait));
                 if ms(now) < *until && (has_time || scene.is_old_rule) {
                     ahead += 1;
                 } else {
@@ -164,8 +186,15 @@
                     let (class, daemon) =
                         (rng.random_range(0..CLASSES), rng.random_range(0..scene.daemons));
                     counts[kind][usize::from(team == 0)][0] += 1.0;
-                    let row =
-                        Request { kind, team, class, daemon, arrived_at: now, is_retry: false };
+                    let row = Request {
+                        kind,
+                        team,
+                        class,
+                        daemon,
+                        arrived_at: now,
+                        sent_at: now,
+                        is_retry: false,
+                    };
                     arrived.push(row);
                 }
             }
@@ -219,7 +248,8 @@
                     let work = slot_time as f64 / 1_000.0;
                     broker.teams.charge(ms(now), "llm", &Some(row.team.to_string()), work);
                     let count = &mut counts[row.kind][usize::from(row.team == 0)];
-                    count[1] += f64::from(u8::from(end <= row.arrived_at + deadline));
+                    let is_awaited = now + 100 <= row.sent_at + patience(row.kind);
+                    count[1] += f64::from(u8::from(is_awaited && end <= row.arrived_at + deadline));
                     count[2] += f64::from(u8::from(now + 100 <= row.arrived_at + target));
                 }
             }
@@ -232,7 +262,8 @@
         for (after, row) in refused.into_iter().filter(|(_, row)| !row.is_retry) {
             let left = (row.arrived_at + KINDS[row.kind].1).saturating_sub(now);
             if left > 0 {
-                returning.push((now + after.min(left / 3), Request { is_retry: true, ..row }));
+                let at = now + after.min(left / 3);
+                returning.push((at, Request { is_retry: true, sent_at: at, ..row }));
             }
         }
     }
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -32,13 +32,34 @@
     }
 }
 
+/// Engines that are full, at which no further requests arrive.
+fn full(ahead: usize, rate: f64) -> Cause {
+    Cause::Full { ahead, ahead_if_late: ahead, queued: ahead, rate, arrivals: 0.0 }
+}
+
+/// More requests arrive than complete, for longer than callers wait. Guards against late ones that
+/// are held in vain behind those that can still be on time, and against refusals while the queue
+/// gets shorter.
+#[test]
+fn late_request_waits_only_while_the_queue_gets_shorter() {
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let mut decide = |ahead, arrivals| {
+        let cause = Cause::Full { ahead, ahead_if_late: 60, queued: 60, rate: 40.0, arrivals };
+        wait_policy::decide(ms(0), &pending_request(), cause, rng)
+    };
+    assert!(matches!(decide(60, 40.0), Verdict::Refuse(_)));
+    assert!(matches!(decide(60, 35.0), Verdict::Refuse(_)), "12 s");
+    assert_eq!(decide(60, 20.0), Verdict::Wait(ms(10_800)));
+    assert_eq!(decide(5, 80.0), Verdict::Wait(ms(10_800)), "on time");
+}
+
 /// A burst fills all engines. Guards against refusing a request that is served seconds before its
 /// deadline, and against holding one in vain that is not.
 #[test]
 fn request_that_cannot_be_served_by_its_deadline_is_refused() {
     let rng = &mut SmallRng::seed_from_u64(1);
     let mut decide = |now, ahead| {
-        let cause = Cause::Full { ahead, rate: 40.0 };
+        let cause = full(ahead, 40.0);
         wait_policy::decide(ms(now), &pending_request(), cause, rng)
     };
     assert_eq!(decide(0, 60), Verdict::Wait(ms(10_800)));
@@ -54,8 +75,7 @@
 fn request_of_a_caller_that_leaves_is_refused_before() {
     let rng = &mut SmallRng::seed_from_u64(1);
     let request = Request { first_event_by: Some(ms(2_000)), ..pending_request() };
-    let mut decide =
-        |ahead| wait_policy::decide(ms(0), &request, Cause::Full { ahead, rate: 40.0 }, rng);
+    let mut decide = |ahead| wait_policy::decide(ms(0), &request, full(ahead, 40.0), rng);
     assert!(matches!(decide(20), Verdict::Wait(until) if until < ms(2_000)));
     assert!(matches!(decide(80), Verdict::Refuse(_)));
     assert!(!request.has_time(ms(1_500), ms(500)));
@@ -82,7 +102,7 @@
     ) {
         let rng = &mut SmallRng::seed_from_u64(seed);
         let request = Request { slot_time: ms(slot_time), ..pending_request() };
-        for cause in [Cause::Full { ahead, rate }, Cause::Loading(ms(eta)), Cause::Nothing] {
+        for cause in [full(ahead, rate), Cause::Loading(ms(eta)), Cause::Nothing] {
             match wait_policy::decide(ms(now), &request, cause, rng) {
                 Verdict::Wait(until) => {
                     prop_assert!(until <= request.latest_start());
