--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -279,6 +279,18 @@
     });
 }
 
+impl Waiter {
+    /// Returns whether it is short of a slot once its model is resident. What is short of a load of
+    /// its adapter or of prefill is so for a known time.
+    fn waits_for_slot(&self) -> bool {
+        match self.shortage {
+            Shortage::Slot => true,
+            Shortage::Load => self.arrival.spec.adapter.is_none(),
+            _ => false,
+        }
+    }
+}
+
 /// Decision on an arrival.
 pub enum Decision {
     /// Send it to this endpoint.
@@ -562,21 +574,21 @@
             let mut ahead = 0;
             for (_, waiter) in queue.rows(class) {
                 let wait = wait_policy::expected_wait(ahead, rate);
-                let has_time = slots <= 0.0
-                    || waiter.shortage != Shortage::Slot
-                    || waiter.request.has_time(now, wait);
-                if has_time && now < waiter.until {
-                    ahead += 1;
+                let waits_for_slot = slots > 0.0 && waiter.waits_for_slot();
+                let end = if waits_for_slot && !waiter.request.has_time(now, wait) {
+                    WaitEnd::OutOfTime
+                } else if !waits_for_slot && now >= waiter.until {
+                    WaitEnd::Expired
                 } else {
-                    let wait = if has_time { WAIT_TIMEOUT_RETRY_AFTER } else { wait };
-                    hopeless.push((waiter.clone(), wait));
-                }
+                    ahead += 1;
+                    continue;
+                };
+                let wait = if waits_for_slot { wait } else { WAIT_TIMEOUT_RETRY_AFTER };
+                hopeless.push((waiter.clone(), wait, end));
             }
         }
     }
-    for (waiter, wait) in hopeless {
-        let has_expired = now >= waiter.until;
-        let end = if has_expired { WaitEnd::Expired } else { WaitEnd::OutOfTime };
+    for (waiter, wait, end) in hopeless {
         refuse_waiter(daemon, now, waiter, wait, end);
     }
 }
@@ -597,7 +609,7 @@
                 return;
             };
             let wait = wait_policy::expected_wait(queue.count(class).saturating_sub(1), rate);
-            if last.shortage != Shortage::Slot || last.request.has_time(now, wait) {
+            if !last.waits_for_slot() || last.request.has_time(now, wait) {
                 return;
             }
             (last.clone(), wait)
@@ -855,22 +867,28 @@
         }
         // Models are not loaded for the streams of one version.
         Choice::NoModel if arrival.software.is_some() => Cause::Nothing,
+        // At first, one copy serves all that wait for the load.
         Choice::NoModel => match load_time(daemon, spec) {
-            Some(time) => Cause::Loading(time + ORDER_OVERHEAD),
+            Some((time, slots)) => {
+                let slot_time = daemon.completions.borrow().mean_slot_time(&spec.service);
+                let served_before = slot_time.mul_f64(ahead as f64 / f64::from(slots.max(1)));
+                Cause::Loading(time + ORDER_OVERHEAD + served_before)
+            }
             None => Cause::Nothing,
         },
         Choice::NoEndpoint => Cause::Nothing,
     }
 }
 
-/// Returns the shortest load time of the model at any engine; none if the model is not published.
-fn load_time(daemon: &Daemon, spec: &Spec) -> Option<Duration> {
+/// Returns the shortest load time of the model at any engine, and that engine's slots; none if the
+/// model is not published.
+fn load_time(daemon: &Daemon, spec: &Spec) -> Option<(Duration, u32)> {
     let config = daemon.config.borrow().clone()?;
     let name = spec.model.as_deref()?;
     let model = config.services.get(&spec.service)?.engines.as_ref()?.model(name)?.clone();
     let fleet = daemon.fleet.borrow();
     let rows = fleet.rows().filter(|row| row.instance.service == spec.service);
-    rows.map(|row| model.load_time(&row.instance.copies)).min()
+    rows.map(|row| (model.load_time(&row.instance.copies), row.instance.slots)).min()
 }
 
 /// Returns the slots that requests like this one can expect of the endpoints that serve them. Without
