Keep the tokens held at an engine within its memory

An engine crashes if the prompts and longest outputs of all requests that it holds exceed its token memory. Only slots were counted.

Brokers and daemons now count the tokens of the requests that they know at each engine; the others that a load report shows count with the mean size and two standard deviations. Grants to a daemon that is no longer heard count until their deadlines. Where average requests in all slots do not fit into the memory, a broker uses the part of the daemons that it reaches, and a daemon without a broker, or a new broker, its own part. A request that is larger than any engine's memory is refused at once as too_large.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -32,6 +32,7 @@
 use crate::decide::endpoint::Exclusion;
 use crate::decide::endpoint::Requirements;
 use crate::decide::fleet::Choice;
+use crate::decide::memory::Holder;
 use crate::decide::speed::Estimate;
 use crate::decide::wait_policy;
 use crate::decide::wait_policy::Cause;
@@ -63,6 +64,11 @@
 /// Retry-after of a request that has waited without success: a round of orders is complete by then.
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Refusal code of a request that is larger than the memory of any engine of its service.
+const TOO_LARGE: &str = "too_large";
+/// Retry-after of such a request, which only another configuration could change.
+const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// What a request requires of an endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Spec {
@@ -98,6 +104,11 @@
         self.engine_service && self.model.is_some()
     }
 
+    /// Returns the tokens that an engine has to hold.
+    pub fn tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_add(self.terms.output_tokens)
+    }
+
     /// Returns the requirements of an endpoint, excluding those in `tried`.
     pub fn requirements<'a>(&'a self, tried: &'a [Key]) -> Requirements<'a> {
         Requirements {
@@ -106,6 +117,7 @@
             adapter: self.adapter.as_deref(),
             adapter_slots: self.adapter_slots,
             prompt_tokens: self.prompt_tokens,
+            output_tokens: self.terms.output_tokens,
             parts: &self.parts,
             max_pause: self.max_pause,
             tried,
@@ -235,6 +247,8 @@
     pub estimate: Estimate,
     /// Address of the broker that granted the permit, and the ticket; none without a broker.
     broker: Option<(SocketAddr, Ticket)>,
+    /// Tokens that the endpoint holds for the request.
+    tokens: u32,
     load: Cell<Option<Load>>,
     end: Cell<End>,
 }
@@ -266,7 +280,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.daemon.fleet.borrow_mut().end_request(&self.key);
+        end_request(&self.daemon, &self.key, self.tokens);
         if let Some((broker, ticket)) = self.broker {
             broker::report_end(&self.daemon, broker, ticket, &self.key, self.end.get());
         }
@@ -288,13 +302,14 @@
     fn drop(&mut self) {
         dequeue(&self.daemon, &self.arrival);
         if let Ok(Assignment::Endpoint(key, estimate)) = self.assignments.try_recv() {
-            drop(permit(&self.daemon, key, estimate, None));
+            drop(permit(&self.daemon, &self.arrival.spec, key, estimate, None));
         }
     }
 }
 
 fn permit(
     daemon: &Rc<Daemon>,
+    spec: &Spec,
     key: Key,
     estimate: Estimate,
     broker: Option<(SocketAddr, Ticket)>,
@@ -304,11 +319,19 @@
         key,
         estimate,
         broker,
+        tokens: spec.tokens(),
         load: Cell::default(),
         end: Cell::default(),
     }
 }
 
+/// Records the end of a request of this daemon.
+fn end_request(daemon: &Daemon, key: &Key, tokens: u32) {
+    let mut fleet = daemon.fleet.borrow_mut();
+    fleet.end_request(key);
+    fleet.unhold(key, Holder::Own, tokens);
+}
+
 fn select(
     daemon: &Daemon,
     now: Duration,
@@ -360,6 +383,7 @@
         let mut fleet = daemon.fleet.borrow_mut();
         let estimate = fleet.estimate(now, key, &spec.requirements(&[]));
         fleet.start_request(now, key, &spec.parts, estimate.own_prefill);
+        fleet.hold(key, Holder::Own, spec.tokens());
         estimate
     };
     if spec.engine_service {
@@ -440,6 +464,13 @@
 
 /// Finds an endpoint for a job, waiting as long as that can help.
 pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Permit, Refusal> {
+    let requirements = job.spec.requirements(&[]);
+    let is_engine = job.spec.engine_service;
+    if is_engine
+        && daemon.fleet.borrow().memory.is_too_large(&job.spec.service, requirements.tokens())
+    {
+        return Err(Refusal::new(TOO_LARGE, TOO_LARGE_RETRY_AFTER));
+    }
     let mut excluded = tried.to_vec();
     let mut last_closed = Closed::Limited;
     for _ in 0..MAX_CLOSED_TRIES {
@@ -512,8 +543,12 @@
     key: Key,
     estimate: Estimate,
 ) -> Permit {
-    daemon.fleet.borrow_mut().start_request(clock::now(), &key, &spec.parts, estimate.own_prefill);
-    permit(daemon, key, estimate, Some((addr, ticket)))
+    {
+        let mut fleet = daemon.fleet.borrow_mut();
+        fleet.start_request(clock::now(), &key, &spec.parts, estimate.own_prefill);
+        fleet.hold(&key, Holder::Own, spec.tokens());
+    }
+    permit(daemon, spec, key, estimate, Some((addr, ticket)))
 }
 
 /// Finds an endpoint by this daemon's own state.
@@ -524,7 +559,7 @@
     match decide(daemon, now, &arrival) {
         Decision::Send(key) => {
             let estimate = start_locally(daemon, now, &arrival.spec, &key);
-            Ok(permit(daemon, key, estimate, None))
+            Ok(permit(daemon, &arrival.spec, key, estimate, None))
         }
         Decision::Refuse(refusal) => Err(refusal),
         Decision::OtherRegion(region) => find_in_region(daemon, &arrival, region).await,
@@ -580,7 +615,9 @@
     // it would soon be answered itself, but its prefill would pause every stream at the engine;
     // with one such request after another, the pauses would last as long as the burst.
     match assigned.or(timeout).await {
-        Some(Assignment::Endpoint(key, estimate)) => Ok(permit(daemon, key, estimate, None)),
+        Some(Assignment::Endpoint(key, estimate)) => {
+            Ok(permit(daemon, &arrival.spec, key, estimate, None))
+        }
         Some(Assignment::OtherRegion(region)) => find_in_region(daemon, arrival, region).await,
         None => Err(timeout_refusal(daemon, arrival, Some(shortage))),
     }
@@ -612,6 +649,7 @@
         Choice::Backoff(_) => "backoff",
         Choice::NoModel => "model_absent",
         Choice::NoEndpoint => "no_endpoint",
+        Choice::TooLarge => TOO_LARGE,
     }
 }
 
@@ -639,7 +677,7 @@
             Some(time) => Cause::Loading(time + ORDER_OVERHEAD),
             None => Cause::Nothing,
         },
-        Choice::NoEndpoint => Cause::Nothing,
+        Choice::NoEndpoint | Choice::TooLarge => Cause::Nothing,
     }
 }
 
@@ -675,7 +713,7 @@
                 dispatch_after(daemon, now, span);
                 blocked.insert(class);
             }
-            Choice::Full | Choice::NoModel | Choice::NoEndpoint => {
+            Choice::Full | Choice::NoModel | Choice::NoEndpoint | Choice::TooLarge => {
                 blocked.insert(class);
             }
         }
@@ -702,7 +740,7 @@
         (Recipient::Local(sender), None) => {
             let estimate = start_locally(daemon, now, &arrival.spec, &key);
             if sender.try_send(Assignment::Endpoint(key.clone(), estimate)).is_err() {
-                daemon.fleet.borrow_mut().end_request(&key);
+                end_request(daemon, &key, arrival.spec.tokens());
             }
         }
         // A request that has left the queue meanwhile no longer needs the region.
--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -174,6 +174,7 @@
     Waited,
     Limited,
     Backoff,
+    TooLarge,
 }
 
 pub(super) fn micros(span: Duration) -> u32 {
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -1,6 +1,7 @@
 //! The broker's side: gives grants to requests of other daemons.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,9 +26,12 @@
 use crate::daemon::admission::Spec;
 use crate::daemon::clock;
 use crate::daemon::peer;
+use crate::decide::broker::Grant;
 use crate::decide::broker::Ticket;
 use crate::decide::endpoint::End;
 use crate::decide::endpoint::Exclusion;
+use crate::decide::memory::Holder;
+use crate::decide::memory::Sum;
 use crate::decide::speed::Estimate;
 use crate::decide::wait_policy::Shortage;
 use crate::decide::wait_queue::Class;
@@ -46,10 +50,16 @@
 /// Time after which a queued request that its daemon has not resent is removed.
 const RESEND_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time for which the request of an adopted grant, whose deadline is not known, may be held after
+/// its daemon was last heard: the deadline of most requests.
+const LINGER_TIME: Duration = Duration::from_secs(10);
+
 /// The data that a broker keeps for a grant.
 pub(super) struct Details {
     need: Rc<Spec>,
     estimate: Estimate,
+    /// Until when the request may be held by the engine.
+    deadline: Duration,
 }
 
 /// A request of another daemon in this daemon's wait queue.
@@ -101,10 +111,18 @@
 /// resent.
 pub(super) fn remove_expired(daemon: &Rc<Daemon>) {
     let now = clock::now();
+    // The requests of a daemon that is only cut off from this one go on.
+    for grant in daemon.broker.borrow().grants.expiring(now) {
+        let until = grant.payload.as_ref().map_or(now + LINGER_TIME, |row| row.deadline);
+        daemon.fleet.borrow_mut().linger(&grant.key, tokens(grant), until);
+    }
     let expired = daemon.broker.borrow_mut().grants.expire(now);
     for key in &expired {
         daemon.fleet.borrow_mut().release_grant(key);
     }
+    if !expired.is_empty() {
+        count_tokens(daemon);
+    }
     daemon.broker.borrow_mut().queued.retain(|_, waiter| {
         let keep = now < waiter.last_request_at + RESEND_TIMEOUT;
         if !keep {
@@ -117,6 +135,22 @@
     }
 }
 
+/// Returns the tokens of a granted request; none if the grant was adopted from a list.
+fn tokens(grant: &Grant<Details>) -> Option<u32> {
+    grant.payload.as_ref().map(|row| row.need.tokens())
+}
+
+/// Counts the tokens of all grants again.
+fn count_tokens(daemon: &Daemon) {
+    let mut sums: HashMap<Key, Sum> = HashMap::new();
+    for grant in daemon.broker.borrow().grants.rows() {
+        if let Some(tokens) = tokens(grant) {
+            sums.entry(grant.key.clone()).or_default().add(tokens);
+        }
+    }
+    daemon.fleet.borrow_mut().set_granted(&sums);
+}
+
 /// Handles a daemon's request for a grant.
 pub(super) fn on_request(
     daemon: &Rc<Daemon>,
@@ -128,6 +162,7 @@
 ) {
     let now = clock::now();
     let ticket = request.ticket;
+    daemon.fleet.borrow_mut().memory.on_asked(now);
     {
         let mut state = daemon.broker.borrow_mut();
         if let Some(waiter) = state.queued.get_mut(&(from, ticket)) {
@@ -257,13 +292,21 @@
         let mut fleet = daemon.fleet.borrow_mut();
         let estimate = fleet.estimate(now, &key, &need.requirements(&[]));
         fleet.grant(now, &key, &need.parts, estimate.own_prefill);
+        fleet.hold(&key, Holder::Granted, need.tokens());
         estimate
     };
     let message = grant_message(ticket, key.clone(), &estimate);
     let class = arrival.class();
     let mut state = daemon.broker.borrow_mut();
     state.queued.remove(&(to, ticket));
-    state.grants.issue(now, to, ticket, key, class, Details { need, estimate });
+    state.grants.issue(
+        now,
+        to,
+        ticket,
+        key,
+        class,
+        Details { need, estimate, deadline: arrival.deadline },
+    );
     drop(state);
     send(daemon, to, message);
 }
@@ -284,7 +327,7 @@
     if let Some(load) = load {
         fleet.on_load_report(now, &grant.key, load);
     }
-    if let Some(Details { need, estimate }) = &grant.payload {
+    if let Some(Details { need, estimate, .. }) = &grant.payload {
         fleet.record_first_byte(now, &grant.key, elapsed, need.model.as_deref(), estimate);
     }
 }
@@ -309,6 +352,9 @@
         let mut fleet = daemon.fleet.borrow_mut();
         fleet.release_grant(&grant.key);
         fleet.record_event(now, &grant.key, event_interval);
+        if let Some(tokens) = tokens(&grant) {
+            fleet.unhold(&grant.key, Holder::Granted, tokens);
+        }
         if let Some(Details { need, .. }) = &grant.payload {
             fleet.record_end(now, &grant.key, end, &need.requirements(&[]));
         }
@@ -337,6 +383,7 @@
     change.released.iter().for_each(|key| fleet.release_grant(key));
     drop(fleet);
     if !change.released.is_empty() {
+        count_tokens(daemon);
         admission::dispatch(daemon);
     }
 }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -259,6 +259,8 @@
             if let Some(max) = row.max_rejections(now) {
                 writeln!(out, "poplarmux_endpoint_max_rejections{{{labels}}} {max}")?;
             }
+            let held = row.held_tokens();
+            writeln!(out, "poplarmux_endpoint_held_tokens{{{labels}}} {held}")?;
             if let Some(percent) = row.work_percent(now) {
                 writeln!(out, "poplarmux_endpoint_work_percent{{{labels}}} {percent}")?;
             }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -273,7 +273,14 @@
             });
         }
         let removed = daemon.fleet.borrow_mut().tick(now);
-        daemon.fleet.borrow_mut().sharing = sharing(&daemon);
+        let sharing = sharing(&daemon);
+        let reached_ratio = daemon.nodes.borrow().reached_ratio(now, |_| false);
+        daemon.fleet.borrow_mut().sharing = sharing;
+        daemon.fleet.borrow_mut().memory.set_daemons(
+            sharing.daemons,
+            reached_ratio,
+            sharing.has_brokers,
+        );
         contact::tick(&daemon, now);
         if removed || !daemon.queue.borrow().is_empty() {
             admission::dispatch(&daemon);
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -598,6 +598,8 @@
     });
     daemon.relay.clear_newer_version();
     *daemon.published.borrow_mut() = Some(object.spec.clone());
+    let capacities = config.engines().map(|(service, row)| (service.name.clone(), row.kv_tokens));
+    daemon.fleet.borrow_mut().memory.set_capacities(capacities.collect());
     *daemon.config.borrow_mut() = Some(Rc::new(config));
 }
 
--- a/src/decide/broker.rs
+++ b/src/decide/broker.rs
@@ -83,6 +83,12 @@
     listed_at: Duration,
 }
 
+impl<T> Grant<T> {
+    fn is_expired(&self, now: Duration) -> bool {
+        now >= self.listed_at + DAEMON_TIMEOUT
+    }
+}
+
 /// Changes to the grants caused by a daemon's list.
 #[derive(Debug, Default, PartialEq)]
 pub struct Change {
@@ -165,11 +171,21 @@
         change
     }
 
+    /// Returns the open grants.
+    pub fn rows(&self) -> impl Iterator<Item = &Grant<T>> {
+        self.rows.values()
+    }
+
+    /// Returns the grants of daemons that have timed out.
+    pub fn expiring(&self, now: Duration) -> impl Iterator<Item = &Grant<T>> {
+        self.rows.values().filter(move |grant| grant.is_expired(now))
+    }
+
     /// Releases the grants of daemons that have timed out and returns their engines.
     pub fn expire(&mut self, now: Duration) -> Vec<Key> {
         let mut expired = Vec::new();
         self.rows.retain(|_, grant| {
-            let lost = now >= grant.listed_at + DAEMON_TIMEOUT;
+            let lost = grant.is_expired(now);
             if lost {
                 expired.push(grant.key.clone());
             }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -16,6 +16,8 @@
 use crate::decide::contact::Path;
 use crate::decide::limit;
 use crate::decide::limit::Statement;
+use crate::decide::memory::Held;
+use crate::decide::memory::Situation;
 use crate::decide::pause;
 use crate::decide::pause::Growth;
 use crate::decide::pause::Pauses;
@@ -126,6 +128,8 @@
     pub adapter_slots: u32,
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
+    /// Maximum number of tokens of the answer.
+    pub output_tokens: u32,
     /// Hashes of the prompt's prefixes, each with the tokens of its last part.
     pub parts: &'a [Part],
     /// Longest pause allowed between events of a stream; none where prefill delays no stream.
@@ -150,6 +154,11 @@
 }
 
 impl Requirements<'_> {
+    /// Returns the tokens that an engine has to hold.
+    pub fn tokens(&self) -> u64 {
+        u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
+    }
+
     /// Returns for how long the daemon of the request does not call an endpoint; `None` if the
     /// endpoint is leaving.
     pub fn remaining_backoff(&self, now: Duration, row: &Endpoint) -> Option<Duration> {
@@ -245,6 +254,8 @@
     work_time: WorkTime,
     /// Whether it was noted that it states no usable figure of that.
     pub(in crate::decide) is_work_time_noted: bool,
+    /// Known requests, by the memory that they need.
+    pub(in crate::decide) held: Held,
     /// Pauses between events, without the effects of load and of the stated figures.
     pauses: Pauses,
     /// Adapters that were requested, and since when.
@@ -314,6 +325,7 @@
             event_interval: Interval::default(),
             work_time: WorkTime::default(),
             is_work_time_noted: false,
+            held: Held::default(),
             pauses: Pauses::default(),
             requested_adapters: HashMap::new(),
             expires_at: None,
@@ -482,6 +494,21 @@
         self.reported_at.is_some_and(|received| now < received + LOAD_REPORT_TIMEOUT)
     }
 
+    /// Returns the tokens of the requests that this daemon knows there.
+    pub fn held_tokens(&self) -> u64 {
+        self.held.tokens()
+    }
+
+    /// Returns what decides on whether the engine can hold another request.
+    pub fn memory_situation(&self, now: Duration) -> Situation<'_> {
+        Situation {
+            service: &self.instance.service,
+            slots: self.instance.slots,
+            held: &self.held,
+            load: self.load(now),
+        }
+    }
+
     /// Returns whether a model is resident, and with it the adapter if one is named.
     pub fn is_resident(&self, now: Duration, model: &str, adapter: Option<&str>) -> bool {
         is_resident(&self.instance.resident, model, adapter)
@@ -694,6 +721,7 @@
     /// Applies what is due by `now`.
     pub fn tick(&mut self, now: Duration) {
         self.not_resident.retain(|_, until| *until > now);
+        self.held.tick(now);
         self.apply_recorded_resident(now);
     }
 
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -34,6 +34,9 @@
 use crate::decide::endpoint::Requirements;
 use crate::decide::limit::MIN_PAUSE;
 use crate::decide::limit::Statement;
+use crate::decide::memory::Holder;
+use crate::decide::memory::Memory;
+use crate::decide::memory::Sum;
 use crate::decide::origin::MAX_STREAM_AGE;
 use crate::decide::pause::Growth;
 use crate::decide::speed::Estimate;
@@ -77,6 +80,8 @@
     NoModel,
     /// The service has no usable endpoint.
     NoEndpoint,
+    /// No endpoint of the service has the memory for it, however idle.
+    TooLarge,
 }
 
 /// Last record of a removed endpoint.
@@ -108,6 +113,8 @@
     growth: Growth,
     /// Services whose endpoints state how long work takes.
     work_time_services: HashSet<ServiceId>,
+    /// Memory of the engines.
+    pub memory: Memory,
     /// How daemons share the endpoints' slots.
     pub sharing: Sharing,
     /// When the complete list of endpoints was first known.
@@ -137,6 +144,7 @@
             speeds: Speeds::default(),
             growth: Growth::default(),
             work_time_services: HashSet::new(),
+            memory: Memory::default(),
             sharing: Sharing::default(),
             listed_since: None,
             last_connect: Duration::ZERO,
@@ -315,6 +323,10 @@
         is_engine: bool,
         rng: &mut SmallRng,
     ) -> Choice {
+        let tokens = requirements.tokens();
+        if is_engine && self.memory.is_too_large(requirements.service, tokens) {
+            return Choice::TooLarge;
+        }
         let mut has_usable = false;
         let mut has_resident = false;
         // The shortest pause, and whether it is one that the endpoint asked for.
@@ -348,6 +360,7 @@
             has_resident = true;
             if requirements.tried.contains(&row.instance.key)
                 || !row.has_room(now, is_engine, self.sharing)
+                || (is_engine && !self.memory.has_room(now, &row.memory_situation(now), tokens))
             {
                 continue;
             }
@@ -422,6 +435,38 @@
         }
     }
 
+    /// Records a request that an engine holds from now on.
+    pub fn hold(&mut self, key: &Key, holder: Holder, tokens: u32) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.held.add(holder, tokens);
+            self.memory.record_size(&row.instance.service, tokens);
+        }
+    }
+
+    /// Records that an engine no longer holds a request.
+    pub fn unhold(&mut self, key: &Key, holder: Holder, tokens: u32) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.held.remove(holder, tokens);
+        }
+    }
+
+    /// Records a request of a daemon that is gone, which an engine may hold until then. A request
+    /// whose tokens are not known counts with the mean of those that are.
+    pub fn linger(&mut self, key: &Key, tokens: Option<u32>, until: Duration) {
+        if let Some(row) = self.rows.get_mut(key) {
+            let mean = || self.memory.mean_size(&row.instance.service);
+            let tokens = tokens.unwrap_or_else(mean);
+            row.held.linger(tokens, until);
+        }
+    }
+
+    /// Replaces the sums of the grants at all engines.
+    pub fn set_granted(&mut self, sums: &HashMap<Key, Sum>) {
+        for (key, row) in &mut self.rows {
+            row.held.set_granted(sums.get(key).copied().unwrap_or_default());
+        }
+    }
+
     /// Returns the regions of usable endpoints that have a model resident, each with their number.
     pub fn resident_regions(
         &self,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -28,6 +28,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod memory;
 pub mod offer;
 pub mod orders;
 pub mod origin;
--- a/tests/decide_broker.rs
+++ b/tests/decide_broker.rs
@@ -227,6 +227,7 @@
     adapter: None,
     adapter_slots: 8,
     prompt_tokens: 700,
+    output_tokens: 0,
     parts: &[],
     max_pause: None,
     tried: &[],
--- a/tests/decide_contact.rs
+++ b/tests/decide_contact.rs
@@ -55,6 +55,7 @@
         adapter: None,
         adapter_slots: 0,
         prompt_tokens: 0,
+        output_tokens: 0,
         parts: &[],
         max_pause: None,
         tried: &[],
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -79,6 +79,7 @@
         adapter,
         adapter_slots: 8,
         prompt_tokens: 700,
+        output_tokens: 0,
         parts: &[],
         max_pause: None,
         tried,
--- a/tests/decide_speed.rs
+++ b/tests/decide_speed.rs
@@ -218,6 +218,7 @@
         adapter: None,
         adapter_slots: 8,
         prompt_tokens: prompt,
+        output_tokens: 0,
         parts: &[],
         max_pause: None,
         tried: &[],
--- a/tests/decide_work_time.rs
+++ b/tests/decide_work_time.rs
@@ -31,6 +31,7 @@
     adapter: None,
     adapter_slots: 8,
     prompt_tokens: 600,
+    output_tokens: 0,
     parts: &[],
     max_pause: Some(MAX_PAUSE),
     tried: &[],
