--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -33,6 +33,7 @@
 use crate::decide::endpoint::Exclusion;
 use crate::decide::endpoint::Requirements;
 use crate::decide::fleet::Choice;
+use crate::decide::memory::Holder;
 use crate::decide::speed::Estimate;
 use crate::decide::wait_policy;
 use crate::decide::wait_policy::Cause;
@@ -69,6 +70,11 @@
 /// Retry-after of a request that has waited without success: a round of orders is complete by then.
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Refusal code of a request that is larger than the memory of any engine of its service.
+const TOO_LARGE: &str = "too_large";
+/// Retry-after of such a request, which only another configuration could change.
+const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// What a request requires of an endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Spec {
@@ -104,6 +110,11 @@
         self.engine_service && self.model.is_some()
     }
 
+    /// Returns the tokens that an engine has to hold.
+    pub fn tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_add(self.terms.output_tokens)
+    }
+
     /// Returns the requirements of an endpoint, excluding those in `tried`.
     pub fn requirements<'a>(&'a self, tried: &'a [Key]) -> Requirements<'a> {
         Requirements {
@@ -112,6 +123,7 @@
             adapter: self.adapter.as_deref(),
             adapter_slots: self.adapter_slots,
             prompt_tokens: self.prompt_tokens,
+            output_tokens: self.terms.output_tokens,
             parts: &self.parts,
             max_pause: self.max_pause,
             tried,
@@ -343,6 +355,8 @@
     issued_at: Duration,
     /// Slot time that its team was charged with.
     charged: Duration,
+    /// Tokens that the endpoint holds for the request.
+    tokens: u32,
     load: Cell<Option<Load>>,
     end: Cell<End>,
 }
@@ -374,7 +388,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.daemon.fleet.borrow_mut().end_request(&self.key);
+        end_request(&self.daemon, &self.key, self.tokens);
         if let Some((broker, ticket)) = self.broker {
             broker::report_end(&self.daemon, broker, ticket, &self.key, self.end.get());
         }
@@ -445,11 +459,19 @@
         spec: spec.clone(),
         issued_at: now,
         charged: charge(daemon, now, spec),
+        tokens: spec.tokens(),
         load: Cell::default(),
         end: Cell::default(),
     }
 }
 
+/// Records the end of a request of this daemon.
+fn end_request(daemon: &Daemon, key: &Key, tokens: u32) {
+    let mut fleet = daemon.fleet.borrow_mut();
+    fleet.end_request(key);
+    fleet.unhold(key, Holder::Own, tokens);
+}
+
 fn select(
     daemon: &Daemon,
     now: Duration,
@@ -501,6 +523,7 @@
         let mut fleet = daemon.fleet.borrow_mut();
         let estimate = fleet.estimate(now, key, &spec.requirements(&[]));
         fleet.start_request(now, key, &spec.parts, estimate.own_prefill);
+        fleet.hold(key, Holder::Own, spec.tokens());
         estimate
     };
     if spec.engine_service {
@@ -675,6 +698,13 @@
 
 /// Finds an endpoint for a job, waiting as long as that can help.
 pub async fn find(daemon: &Rc<Daemon>, job: &Rc<Job>, tried: &[Key]) -> Result<Permit, Refusal> {
+    let requirements = job.spec.requirements(&[]);
+    let is_engine = job.spec.engine_service;
+    if is_engine
+        && daemon.fleet.borrow().memory.is_too_large(&job.spec.service, requirements.tokens())
+    {
+        return Err(Refusal::new(TOO_LARGE, TOO_LARGE_RETRY_AFTER));
+    }
     let mut excluded = tried.to_vec();
     let mut last_closed = Closed::Limited;
     for _ in 0..MAX_CLOSED_TRIES {
@@ -747,7 +777,11 @@
     key: Key,
     estimate: Estimate,
 ) -> Permit {
-    daemon.fleet.borrow_mut().start_request(clock::now(), &key, &spec.parts, estimate.own_prefill);
+    {
+        let mut fleet = daemon.fleet.borrow_mut();
+        fleet.start_request(clock::now(), &key, &spec.parts, estimate.own_prefill);
+        fleet.hold(&key, Holder::Own, spec.tokens());
+    }
     permit(daemon, spec, key, estimate, Some((addr, ticket)))
 }
 
@@ -866,6 +900,7 @@
         Choice::Backoff(_) => "backoff",
         Choice::NoModel => "model_absent",
         Choice::NoEndpoint => "no_endpoint",
+        Choice::TooLarge => TOO_LARGE,
     }
 }
 
@@ -908,7 +943,7 @@
             }
             None => Cause::Nothing,
         },
-        Choice::NoEndpoint => Cause::Nothing,
+        Choice::NoEndpoint | Choice::TooLarge => Cause::Nothing,
     }
 }
 
@@ -994,7 +1029,7 @@
             Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) => {
                 dispatch_class_at(daemon, class, now + span);
             }
-            Choice::Full | Choice::NoModel | Choice::NoEndpoint => {}
+            Choice::Full | Choice::NoModel | Choice::NoEndpoint | Choice::TooLarge => {}
         }
     }
 }
@@ -1021,7 +1056,7 @@
         (Recipient::Local(sender), None) => {
             let estimate = start_locally(daemon, now, &arrival.spec, &key);
             if sender.try_send(Assignment::Endpoint(key.clone(), estimate)).is_err() {
-                daemon.fleet.borrow_mut().end_request(&key);
+                end_request(daemon, &key, arrival.spec.tokens());
             }
         }
         // A request that has left the queue meanwhile no longer needs the region.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -295,7 +295,14 @@
             });
         }
         daemon.fleet.borrow_mut().tick(now);
-        daemon.fleet.borrow_mut().sharing = sharing(&daemon);
+        let sharing = sharing(&daemon);
+        let reached_ratio = daemon.nodes.borrow().reached_ratio(now, |_| false);
+        daemon.fleet.borrow_mut().sharing = sharing;
+        daemon.fleet.borrow_mut().memory.set_daemons(
+            sharing.daemons,
+            reached_ratio,
+            sharing.has_brokers,
+        );
         contact::tick(&daemon, now);
         read_ahead::tick(&daemon, now);
         if !daemon.queue.borrow().is_empty() && now >= next_pass {
