Decide on displacement in a pure function, and test it

The rule by which a request queued before others displaces the last of its class stood in the daemon, where no test reached it. It is now wait_policy::displaced; the test states that only what has no time left and waits for a slot is refused.

--- a/src/daemon/admission.rs
+++ b/src/daemon/admission.rs
@@ -602,19 +602,17 @@
     if slots <= 0.0 {
         return;
     }
+    let request = |waiter: &Waiter| waiter.waits_for_slot().then_some(waiter.request);
     loop {
-        let (last, wait) = {
+        let displaced = {
             let queue = daemon.queue.borrow();
-            let Some(last) = queue.last(class) else {
-                return;
-            };
-            let wait = wait_policy::expected_wait(queue.count(class).saturating_sub(1), rate);
-            if !last.waits_for_slot() || last.request.has_time(now, wait) {
-                return;
-            }
-            (last.clone(), wait)
+            let last = wait_policy::displaced(now, &queue, class, rate, request);
+            last.map(|(waiter, wait)| (waiter.clone(), wait))
+        };
+        let Some((waiter, wait)) = displaced else {
+            return;
         };
-        refuse_waiter(daemon, now, last, wait, WaitEnd::Displaced);
+        refuse_waiter(daemon, now, waiter, wait, WaitEnd::Displaced);
     }
 }
 
--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -20,6 +20,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::wait_queue::Class;
+use crate::decide::wait_queue::Queue;
+
 /// Part of the target latency that may pass before a request is sent that is to be on time.
 const ON_TIME_RATIO: f64 = 0.7;
 /// Part of the time until a request has to be sent that its expected wait may take. The expectation
@@ -152,6 +155,21 @@
     Duration::from_secs_f64(seconds.min(MAX_EXPECTED_WAIT.as_secs_f64()))
 }
 
+/// Returns the last waiting request of a class and its expected wait, if it can't be served by its
+/// deadline any more, as another one has been queued before it. `request` returns what a value of the
+/// queue states, if it waits for a slot.
+pub fn displaced<T>(
+    now: Duration,
+    queue: &Queue<T>,
+    class: Class,
+    rate: f64,
+    request: impl Fn(&T) -> Option<Request>,
+) -> Option<(&T, Duration)> {
+    let last = queue.last(class)?;
+    let wait = expected_wait(queue.count(class).saturating_sub(1), rate);
+    (!request(last)?.has_time(now, wait)).then_some((last, wait))
+}
+
 /// Decides at `now` whether a request waits.
 pub fn decide(now: Duration, request: &Request, cause: Cause, rng: &mut SmallRng) -> Verdict {
     let wait = match cause {
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -121,6 +121,27 @@
     assert_eq!((queue.len(), queue.classes().count(), queue.classes_of(1).count()), (0, 0, 0));
 }
 
+/// Guards against holding a request that an urgent one has displaced, and against refusing one that
+/// can still be served, or that does not wait for a slot.
+#[test]
+fn only_what_has_no_time_behind_an_urgent_request_is_displaced() {
+    let mut queue = Queue::default();
+    let request =
+        |deadline| Request { deadline: ms(deadline), slot_time: ms(0), ..pending_request() };
+    queue.push(ms(0), 1, (1, 9), place(1, 0, 400, 1), request(600));
+    queue.push(ms(0), 2, (1, 9), place(1, 0, 400, 2), request(600));
+    let displaced = |queue: &Queue<Request>, waits: bool| {
+        let last = wait_policy::displaced(ms(0), queue, 9, 4.0, |row| waits.then_some(*row));
+        last.map(|(row, wait)| (row.deadline, wait))
+    };
+    assert_eq!(displaced(&queue, true), None);
+    queue.push(ms(0), 3, (1, 9), place(0, 0, 400, 3), request(5_000));
+    assert_eq!(displaced(&queue, false), None);
+    assert_eq!(displaced(&queue, true), Some((ms(600), ms(750))));
+    assert!(queue.remove(2).is_some());
+    assert_eq!(displaced(&queue, true), None);
+}
+
 proptest! {
     /// Guards against positions and orders that are wrong after requests were added, have become late
     /// and were removed in any order.
