Weigh placements by their time, and limit those that wait

In the same scene in virtual time 36 to 44 engines had no order in progress after a quarter was lost: each waited for another engine to load a model that was in its way. Missing models were placed like that, too, and regardless of where their weights were.

At most 2 % of the engines (at least one) now wait for a load elsewhere. A missing model goes where its weights are at hand, and waits for a load elsewhere last. Slow parts of a step count for less, and a load from the store must lower the sum of squares by 0.7 of the squared even load (0.45).

A placement that is given up as its idle model is requested again, or as nothing loads it elsewhere, is logged.

--- a/src/daemon/placer/order.rs
+++ b/src/daemon/placer/order.rs
@@ -12,6 +12,7 @@
 use crate::daemon::gate::Call;
 use crate::daemon::placer::Placer;
 use crate::daemon::placer::log_held;
+use crate::daemon::placer::log_target;
 use crate::daemon::placer::poll;
 use crate::decide::orders;
 use crate::decide::orders::Task;
@@ -66,6 +67,13 @@
         let Some(tracker) = trackers.get_mut(key) else {
             return;
         };
+        if waits_in_vain && let Some(target) = tracker.target.take() {
+            tracker.draining = false;
+            placer.queue_update(key);
+            drop(placer);
+            log_target(daemon, key, &target, "given_up");
+            return;
+        }
         // An aborted order may have been carried out since the target was set. Its model then takes
         // the memory that the target was planned with, and the load would crash the engine.
         let is_valid = tracker.target.as_ref().is_none_or(|target| {
@@ -75,7 +83,7 @@
                 || (now <= target.set_at + TARGET_TIMEOUT
                     && orders::fits(engines, remaining, &target.model))
         });
-        if !is_valid || waits_in_vain {
+        if !is_valid {
             tracker.target = None;
         }
         let is_draining =
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -15,9 +15,10 @@
 //! the way, one of them is first loaded on another engine and may then be evicted. An engine carries
 //! out one step at a time.
 //!
-//! A model without a replica comes first if callers request it. One without requests comes last,
-//! and only goes into free memory: there are more models than fit, so that models without a replica
-//! would otherwise evict serving replicas one after another.
+//! A model without a replica comes first if callers request it, on an engine where its weights are at
+//! hand if there is one. One without requests comes last, and only goes into free memory: there are
+//! more models than fit, so that models without a replica would otherwise evict serving replicas one
+//! after another.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -33,8 +34,10 @@
 /// in the demand would move models back and forth.
 const MIN_GAIN_RATIO: f64 = 0.25;
 /// `MIN_GAIN_RATIO` for a load from the weight store: it takes seconds, in which demand may turn
-/// again, and the store allows few loads.
-const MIN_COLD_GAIN_RATIO: f64 = 0.45;
+/// again, and the store allows few loads. At 0.45 some demand is never settled, as two replicas
+/// evict each other in turn (`any_demand_keeps_capacity_and_last_replicas`), and the busy day of
+/// tests/decide_shift takes 324 loads instead of 291, for as many requests.
+const MIN_COLD_GAIN_RATIO: f64 = 0.7;
 /// Even load, in concurrent requests, below which no step is worth its load.
 const MIN_EVEN_LOAD: f64 = 1.0;
 /// Part of its slots below which an engine serves all its models in time: replicas that relieve it
@@ -45,8 +48,14 @@
 /// all callers request.
 const MAX_RARE_LOADS_RATIO: f64 = 0.5;
 /// Factor on the gain for each slow part of a step (a load from the store, an unload, a load of
-/// another model elsewhere): each takes up to half of the time for which demand stays the same.
-const SLOW_STEP_FACTOR: f64 = 0.6;
+/// another model elsewhere): each takes up to half of the time for which demand stays the same, and
+/// keeps an engine from other steps. In tests/decide_shift a busy day of 112 engines needs 344 loads
+/// from the store at 0.6, and 324 at 0.4, with 0.049 and 0.048 of its demand without a slot.
+const SLOW_STEP_FACTOR: f64 = 0.4;
+/// Part of the engines that may wait for a model to be loaded elsewhere before they evict it: each
+/// takes two loads for one replica, and no other order for 10 s. Without the limit 36 to 44 of the
+/// 112 engines of the day above were taken with no order in progress after a quarter was lost.
+const MAX_WAITING_RATIO: f64 = 0.02;
 /// Part of the even load that may be evicted where a model is loaded only to free its place
 /// elsewhere.
 const MAX_RELOCATION_EVICTED_RATIO: f64 = 0.1;
@@ -196,6 +205,8 @@
     hosts: Vec<Host>,
     /// Load of each host, in concurrent requests.
     loads: Vec<f64>,
+    /// Number of hosts that wait for a load elsewhere before they evict a model.
+    waiting_hosts: usize,
 }
 
 /// A candidate step: loads `model` on `host` after evicting `evicted`. All are indexes.
@@ -325,8 +336,13 @@
             .enumerate()
             .map(|(i, requirement)| (requirement.model.as_str(), i))
             .collect();
-        let mut planner =
-            Planner { rows, index, hosts: hosts.to_vec(), loads: vec![0.0; hosts.len()] };
+        let mut planner = Planner {
+            rows,
+            index,
+            hosts: hosts.to_vec(),
+            loads: vec![0.0; hosts.len()],
+            waiting_hosts: 0,
+        };
         for (i, host) in hosts.iter().enumerate() {
             for model in host.resident.iter().filter(|model| !host.unloading.contains(model)) {
                 if let Some(row) = planner.index.get(model.as_str()) {
@@ -344,6 +360,7 @@
                 planner.loads[*host] += row.load_per_replica();
             }
         }
+        planner.waiting_hosts = planner.count_waiting_hosts();
         planner
     }
 
@@ -466,6 +483,10 @@
         if missing {
             // Any host will do; the one where the least load is displaced is preferred.
             gain -= self.loads[host] + evicted.len() as f64;
+            // Its callers are refused until the load is done.
+            let slow_parts =
+                f64::from(u8::from(cold)) + 2.0 * f64::from(u8::from(blocked.is_some()));
+            gain -= slow_parts * self.even_load().max(MIN_EVEN_LOAD);
         }
         Ok(Step { model, host, evicted, gain, cold, blocked })
     }
@@ -496,6 +517,9 @@
         if step.blocked.is_none() {
             return (!step.cold || cold_loads > 0).then_some(step);
         }
+        if self.waiting_hosts >= (self.hosts.len() as f64 * MAX_WAITING_RATIO).ceil() as usize {
+            return None;
+        }
         let relocation = relocations.iter().find(|candidate| candidate.host != step.host)?;
         // Either step may evict a model with two replicas; both together would evict the last one.
         if relocation.evicted.iter().any(|evicted_model| step.evicted.contains(evicted_model)) {
@@ -536,6 +560,16 @@
         steps
     }
 
+    /// Counts the engines that wait for another replica of a model before they unload it.
+    fn count_waiting_hosts(&self) -> usize {
+        let waits = |host: &&Host| {
+            let rows = host.unloading.iter().filter_map(|model| self.index.get(model.as_str()));
+            let mut rows = rows.map(|row| &self.rows[*row]);
+            rows.any(|row| row.is_loading && row.hosts.len() == 1)
+        };
+        self.hosts.iter().filter(waits).count()
+    }
+
     /// Counts the engines that load a model which no other engine holds.
     fn rare_loads(&self) -> f64 {
         self.rows.iter().filter(|row| row.is_loading && row.hosts.len() == 1).count() as f64
@@ -600,28 +634,33 @@
 
     /// Returns by how much the sum of squares falls when a model replaces others on a host.
     fn gain(&self, model: usize, host: usize, evicted: &[usize]) -> f64 {
-        let mut change: HashMap<usize, f64> = HashMap::new();
+        // A list, as it is short and this runs for each model and host of a plan.
+        let mut change: Vec<(usize, f64)> = Vec::new();
+        let mut add = |host: usize, delta: f64| match change.iter_mut().find(|row| row.0 == host) {
+            Some(row) => row.1 += delta,
+            None => change.push((host, delta)),
+        };
         let row = &self.rows[model];
         let (demand, copies) = (row.requirement.demand, row.copies());
         if copies > 0.0 {
             for other in &row.hosts {
-                *change.entry(*other).or_default() -= demand / (copies * (copies + 1.0));
+                add(*other, -demand / (copies * (copies + 1.0)));
             }
         }
-        *change.entry(host).or_default() += demand / (copies + 1.0);
+        add(host, demand / (copies + 1.0));
         for evicted_model in evicted {
             let row = &self.rows[*evicted_model];
             let (demand, copies) = (row.requirement.demand, row.copies());
-            *change.entry(host).or_default() -= demand / copies;
+            add(host, -demand / copies);
             if row.hosts.len() < 2 {
                 // Its load moves to its new engine, which has little load.
                 continue;
             }
             for other in row.hosts.iter().filter(|other| **other != host) {
-                *change.entry(*other).or_default() += demand / (copies * (copies - 1.0));
+                add(*other, demand / (copies * (copies - 1.0)));
             }
         }
-        let decrease = |(i, delta): (&usize, &f64)| {
+        let decrease = |(i, delta): &(usize, f64)| {
             let load = self.loads[*i];
             load * load - (load + delta) * (load + delta)
         };
@@ -639,9 +678,12 @@
         self.rows[step.model].hosts.push(step.host);
         self.rows[step.model].is_loading = true;
         self.add_load(step.model, 1.0);
+        let names = step.evicted.iter().map(|row| self.rows[*row].requirement.model.clone());
         let host = &mut self.hosts[step.host];
+        host.unloading.extend(names);
         host.busy = true;
         host.resident.push(self.rows[step.model].requirement.model.clone());
+        self.waiting_hosts = self.count_waiting_hosts();
     }
 
     fn add_load(&mut self, row: usize, sign: f64) {
--- a/tests/decide_shift.rs
+++ b/tests/decide_shift.rs
@@ -41,6 +41,15 @@
 const MEMORY_MODELS: usize = 2;
 const DISK_MODELS: usize = 6;
 
+const BUSY_ENGINES: usize = 112;
+const BUSY_MODELS: usize = 242;
+/// Models with four fifths of the requests of the busy day, and those with the others. The rest is
+/// not requested.
+const POPULAR_MODELS: usize = 36;
+const RARE_MODELS: usize = 170;
+/// Duration of its streams, in milliseconds.
+const BUSY_STREAM_MS: u64 = 550;
+
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -49,6 +58,26 @@
     format!("m{model:02}")
 }
 
+/// The platform of the busy day.
+fn busy_platform() -> Engines {
+    let model = |i: usize| Model {
+        name: name(i),
+        weights_mb: 72.0,
+        adapter_mb: 0.1,
+        store_load_time: ms(4_000),
+        disk_load_time: ms(800),
+        memory_load_time: ms(400),
+    };
+    Engines {
+        slots: 12,
+        kv_tokens: 45_650,
+        weights_mb: 220.0,
+        adapter_slots: 8,
+        loads_per_second: 18.0,
+        models: (0..BUSY_MODELS).map(model).collect(),
+    }
+}
+
 fn published() -> Engines {
     let model = |i: usize| Model {
         name: name(i),
@@ -106,7 +135,39 @@
     }
 }
 
+/// What differs between the scenes.
+#[derive(Clone, Copy)]
+struct Scene {
+    in_time_streams: f64,
+    max_streams: f64,
+    max_stream_ms: u64,
+    max_loads: usize,
+    max_steps: usize,
+    is_busy_day: bool,
+}
+
+const SHIFTS: Scene = Scene {
+    in_time_streams: IN_TIME_STREAMS,
+    max_streams: MAX_STREAMS,
+    max_stream_ms: MAX_STREAM_MS,
+    max_loads: 7,
+    max_steps: MAX_STEPS,
+    is_busy_day: false,
+};
+
+const BUSY_DAY: Scene = Scene {
+    in_time_streams: 12.0,
+    max_streams: 12.0,
+    max_stream_ms: 1_000,
+    max_loads: 91,
+    max_steps: 2,
+    is_busy_day: true,
+};
+
 struct World {
+    scene: Scene,
+    /// Ends of the requests of each model that are running, in milliseconds.
+    requests: Vec<VecDeque<u64>>,
     engines: Vec<Engine>,
     published: Engines,
     demand: Demand,
@@ -120,6 +181,8 @@
     max_absence: u64,
     /// Number of loads from the store.
     cold_loads: usize,
+    /// Free and all slots, each by the number of requests refused then.
+    free_at_refusal: (f64, f64),
 }
 
 impl World {
@@ -135,9 +198,40 @@
         for (i, model) in others_shuffled.into_iter().enumerate() {
             resident_models[i % ENGINES].push(model);
         }
+        World::assemble(SHIFTS, published(), rng, &resident_models, total)
+    }
+
+    /// The day begins with the popular models on a third of all places.
+    fn busy_day(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let further_copies = (0..3 * BUSY_ENGINES - BUSY_MODELS).map(|i| i % POPULAR_MODELS);
+        let mut replicas: Vec<usize> = (0..BUSY_MODELS).chain(further_copies).collect();
+        replicas.shuffle(&mut rng);
+        let mut resident_models: Vec<Vec<usize>> = vec![Vec::new(); BUSY_ENGINES];
+        for model in replicas {
+            let mut free: Vec<_> = resident_models.iter_mut().filter(|row| row.len() < 3).collect();
+            let has_no_copy = free.iter().position(|row| !row.contains(&model));
+            free[has_no_copy.unwrap_or(0)].push(model);
+        }
+        let mut world = World::assemble(BUSY_DAY, busy_platform(), rng, &resident_models, 0.0);
+        for engine in &mut world.engines {
+            let report = engine.report(false);
+            engine.tracker.merge_report(ms(0), report);
+        }
+        world
+    }
+
+    fn assemble(
+        scene: Scene,
+        published: Engines,
+        mut rng: SmallRng,
+        resident_models: &[Vec<usize>],
+        total: f64,
+    ) -> Self {
         let engines = resident_models.iter().enumerate().map(|(i, resident_models)| {
-            let mut absent_models: Vec<usize> =
-                (0..MODELS).filter(|model| !resident_models.contains(model)).collect();
+            let mut absent_models: Vec<usize> = (0..published.models.len())
+                .filter(|model| !resident_models.contains(model))
+                .collect();
             absent_models.shuffle(&mut rng);
             let disk =
                 absent_models[..3].iter().chain(resident_models).copied().map(name).collect();
@@ -159,8 +253,10 @@
         });
         let engines = engines.collect();
         World {
+            scene,
+            requests: vec![VecDeque::new(); published.models.len()],
             engines,
-            published: published(),
+            published,
             demand: Demand::default(),
             loads: VecDeque::new(),
             rng,
@@ -169,7 +265,46 @@
             absent_since: BTreeMap::new(),
             max_absence: 0,
             cold_loads: 0,
+            free_at_refusal: (0.0, 0.0),
+        }
+    }
+
+    /// Returns the requests per second for a model of the busy day: every eight seconds six other
+    /// models become popular, and together get a third of all requests.
+    fn busy_rate(time: u64, model: usize) -> f64 {
+        let popular = match model {
+            _ if model >= POPULAR_MODELS + RARE_MODELS => return 0.0,
+            _ if model >= POPULAR_MODELS => return 200.0 / RARE_MODELS as f64,
+            _ => 500.0 / POPULAR_MODELS as f64,
+        };
+        let group = |time: u64| (time / 8_000) as usize;
+        let rise = ((time % 8_000) as f64 / 8_000.0).min(1.0);
+        let part = |at: usize| f64::from(u8::from(model / 6 == at % 6));
+        let now = group(time);
+        popular
+            + 58.0 * (rise * part(now) + (1.0 - rise) * if now > 0 { part(now - 1) } else { 0.0 })
+    }
+
+    /// Returns the offered load of each model, in concurrent requests, and the slot time that its
+    /// new requests take, in milliseconds.
+    fn offered(&mut self, time: u64) -> Vec<(usize, f64, Option<u32>)> {
+        if !self.scene.is_busy_day {
+            let rows = self.shares(time).into_iter();
+            return rows.map(|(model, share)| (model, share * self.total, None)).collect();
+        }
+        let mut rows = Vec::new();
+        for model in 0..self.requests.len() {
+            let expected = World::busy_rate(time, model) * STEP_MS as f64 / 1000.0;
+            // Of ten possible requests for each expected one.
+            let chances = (expected * 10.0).ceil().max(1.0);
+            let arrived =
+                (0..chances as u64).filter(|_| self.rng.random_bool(expected / chances)).count();
+            let running = &mut self.requests[model];
+            running.retain(|end| *end > time);
+            running.extend(std::iter::repeat_n(time + BUSY_STREAM_MS, arrived));
+            rows.push((model, running.len() as f64, Some(arrived as u32 * BUSY_STREAM_MS as u32)));
         }
+        rows
     }
 
     /// Returns the shares of the demand: most of it is for two models, which change every ten
@@ -193,11 +328,11 @@
     }
 
     fn serve(&mut self, time: u64) {
-        let shares = self.shares(time);
+        let offered = self.offered(time);
         let mut free: Vec<f64> = vec![0.0; self.engines.len()];
         let mut load = free.clone();
         for (row, engine) in free.iter_mut().zip(&self.engines) {
-            *row = if engine.down_until.is_some() { 0.0 } else { MAX_STREAMS };
+            *row = if engine.down_until.is_some() { 0.0 } else { self.scene.max_streams };
         }
         let serving_engines = |world: &World, model: usize| -> Vec<usize> {
             let name = name(model);
@@ -205,13 +340,17 @@
                 |engine: &Engine| engine.down_until.is_none() && engine.tracker.serves(&name);
             (0..world.engines.len()).filter(|i| serves(&world.engines[*i])).collect()
         };
-        let mut by_replicas: Vec<(usize, f64)> = shares.into_iter().collect();
-        by_replicas.sort_by_key(|(model, _)| serving_engines(self, *model).len());
+        let mut by_replicas = offered;
+        by_replicas.sort_by_key(|(model, ..)| serving_engines(self, *model).len());
         let mut requests = Vec::new();
-        for (model, share) in by_replicas {
-            let noise = self.rng.random_range(0.9..1.1);
-            let mut unserved = share * self.total * noise;
-            requests.push((name(model), (unserved * STEP_MS as f64) as u32));
+        let mut refused = 0.0;
+        for (model, offered, arrived) in by_replicas {
+            let noise = if arrived.is_some() { 1.0 } else { self.rng.random_range(0.9..1.1) };
+            let mut unserved = offered * noise;
+            let slot_time = arrived.unwrap_or((unserved * STEP_MS as f64) as u32);
+            if arrived != Some(0) {
+                requests.push((name(model), slot_time));
+            }
             self.served_and_offered.1 += unserved;
             let serving_engines = serving_engines(self, model);
             if serving_engines.is_empty() {
@@ -234,11 +373,15 @@
                     self.engines[best].last_used.insert(name(model), time);
                 }
             }
+            refused += unserved;
         }
+        self.free_at_refusal.0 += refused * free.iter().sum::<f64>();
+        self.free_at_refusal.1 += refused * self.scene.max_streams * self.engines.len() as f64;
         self.served_and_offered.0 += load
             .iter()
             .map(|load| {
-                load.min(IN_TIME_STREAMS) + LATE_STREAM_WEIGHT * (load - IN_TIME_STREAMS).max(0.0)
+                let in_time = self.scene.in_time_streams;
+                load.min(in_time) + LATE_STREAM_WEIGHT * (load - in_time).max(0.0)
             })
             .sum::<f64>();
         // Daemons count requests by the slot time that they take, in milliseconds.
@@ -278,26 +421,36 @@
         while self.loads.front().is_some_and(|begun| time > begun + 5_000) {
             self.loads.pop_front();
         }
-        let max_cold_loads = 7_usize.saturating_sub(self.loads.len()) as u32;
+        let max_cold_loads = self.scene.max_loads.saturating_sub(self.loads.len()) as u32;
         let published = self.published.models.clone();
         let requirements: Vec<Requirement> = (published.iter())
-            .map(|model| Requirement {
-                model: model.name.clone(),
-                weights_mb: model.weights_mb,
-                demand: self.demand.expected(now, &model.name),
-                requested_for: Some(ms(self.absence_ms(&model.name, time))),
-                idle: false,
-                missing_adapters: 0,
+            .map(|model| {
+                let absence = self.absence_ms(&model.name, time);
+                let is_absent = self.absent_since.contains_key(&model.name);
+                let wanted = self.demand.wanted(now, &model.name).filter(|_| is_absent);
+                let expected = self.demand.expected(now, &model.name);
+                let is_wanted = !self.scene.is_busy_day || wanted.is_some();
+                Requirement {
+                    model: model.name.clone(),
+                    weights_mb: model.weights_mb,
+                    demand: wanted.filter(|_| self.scene.is_busy_day).unwrap_or(expected),
+                    requested_for: is_wanted.then_some(ms(absence)),
+                    idle: self.scene.is_busy_day && self.demand.is_idle(now, &model.name),
+                    missing_adapters: 0,
+                }
             })
             .collect();
         let hosts: Vec<spread::Host> =
             (self.engines.iter().filter(|engine| engine.down_until.is_none()))
-                .map(|engine| {
+                .enumerate()
+                .map(|(i, engine)| {
+                    let region = if self.scene.is_busy_day { i % 3 } else { 0 };
                     let key = engine.key.clone();
-                    orders::host(now, &engine.tracker, key, "r".to_string(), &self.published)
+                    let region = format!("r{region}");
+                    orders::host(now, &engine.tracker, key, region, &self.published)
                 })
                 .collect();
-        for step in spread::plan(&requirements, &hosts, max_cold_loads, MAX_STEPS) {
+        for step in spread::plan(&requirements, &hosts, max_cold_loads, self.scene.max_steps) {
             let engine =
                 self.engines.iter_mut().find(|engine| engine.key == step.key).expect("known");
             engine.tracker.target = Some(Target {
@@ -322,8 +475,16 @@
             if engine.down_until.is_some() || engine.order_in_progress.is_some() {
                 continue;
             }
-            let protected = orders::sole_models(&trackers, &engine.key);
+            if engine.tracker.target.is_none() {
+                continue;
+            }
+            let idle = |model: &str| self.scene.is_busy_day && self.demand.is_idle(now, model);
+            let protected = orders::protected_models(&trackers, &engine.key, idle);
+            let waits_in_vain = orders::waits_in_vain(&trackers, &engine.key, &protected);
             let tracker = &mut engine.tracker;
+            if waits_in_vain {
+                tracker.target = None;
+            }
             if tracker
                 .target
                 .as_ref()
@@ -339,7 +500,7 @@
             let duration = match task.action {
                 Action::Unload => {
                     let last_used = engine.last_used.get(&task.model).copied().unwrap_or(0);
-                    (last_used + MAX_STREAM_MS).saturating_sub(time) + 300
+                    (last_used + self.scene.max_stream_ms).saturating_sub(time) + 300
                 }
                 Action::Load => {
                     let model = self.published.model(&task.model).expect("published");
@@ -432,3 +593,39 @@
     assert!(busy > 0.855, "{busy}");
     assert!(missing < 8.5, "{missing}");
 }
+
+/// Plays the busy day, and returns the part of its demand that finds no slot.
+fn refused_on_the_busy_day(seed: u64) -> f64 {
+    let mut world = World::busy_day(seed);
+    for time in (0..36_000).step_by(STEP_MS as usize) {
+        for engine in &mut world.engines {
+            engine.down_until = engine.down_until.filter(|until| *until > time);
+        }
+        if time == 6_000 {
+            let lost: Vec<usize> = (0..BUSY_ENGINES).step_by(4).collect();
+            world.crash(time, &lost);
+        }
+        world.serve(time);
+        world.place(time);
+    }
+    let ((served, offered), (free, all)) = (world.served_and_offered, world.free_at_refusal);
+    let refused = 1.0 - served / offered;
+    println!("{refused:.4} of the demand, {:.3} free, {} loads", free / all, world.cold_loads);
+    refused
+}
+
+/// On the heaviest day of a deployment over a thousand requests per second were refused while half
+/// of the slots were free: last replicas of idle models kept their places, and those of popular
+/// models were swapped. Before this was changed, 0.072 to 0.095 of the demand found no slot.
+#[test]
+fn idle_models_make_way_on_the_busy_day() {
+    let refused = refused_on_the_busy_day(0);
+    assert!(refused < 0.07, "{refused}");
+}
+
+/// The aim for the busy day: a tenth of the refusals before, which were 0.083 of the demand.
+#[test]
+fn busy_day_is_served_by_the_free_slots() {
+    let refused = refused_on_the_busy_day(1);
+    assert!(refused < 0.0083, "{refused}");
+}
