Bound the requests at endpoints that have just started

An endpoint that is new, was replaced or is used again after failures looks idle to every daemon, so that all of them send it what they have before its first answer shows whether it is slow.

A bound on the requests of all daemons begins with an eighth of the slots, grows by one with each answer in time, halves with late ones and failures, and ends at the slots or after 30 s. The choice among endpoints leaves one beyond its bound out only while another one in the region has a free slot, no bound and no failures. Fleets that start at once and endpoints that were known when the daemon started have no bound. Without a broker daemons take turns. Logged as `pace`, with a metric.

--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -264,6 +264,9 @@
             writeln!(out, "poplarmux_control_calls_total{{{labels}}} {}", row.control_calls)?;
             let backoff = row.remaining_backoff(now).as_millis();
             writeln!(out, "poplarmux_endpoint_backoff_ms{{{labels}}} {backoff}")?;
+            if let Some(bound) = row.pace_bound() {
+                writeln!(out, "poplarmux_endpoint_pace{{{labels}}} {bound}")?;
+            }
             if let Some(max) = row.max_rejections(now) {
                 writeln!(out, "poplarmux_endpoint_max_rejections{{{labels}}} {max}")?;
             }
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -359,6 +359,10 @@
     ReadAhead {
         request: String,
     },
+    Pace {
+        endpoint: String,
+        bound: Option<u32>,
+    },
     Overrun {
         request: String,
         cause: &'static str,
@@ -424,6 +428,7 @@
             Event::Cut { .. } => "cut",
             Event::Left { .. } => "left",
             Event::ReadAhead { .. } => "read_ahead",
+            Event::Pace { .. } => "pace",
             Event::Overrun { .. } => "overrun",
             Event::Omitted { .. } => "omitted",
         }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -168,11 +168,12 @@
         let seed = started_at ^ xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
         let mut rng = SmallRng::seed_from_u64(seed);
         let allowance = Allowance::new(settings.retries, SmallRng::from_rng(&mut rng));
-        let fleet = Fleet::new(
+        let mut fleet = Fleet::new(
             settings.region.clone(),
             settings.data_center.clone(),
             settings.data_centers.clone(),
         );
+        fleet.seat = seed;
         Rc::new(Daemon {
             started_at,
             config: RefCell::default(),
@@ -280,6 +281,10 @@
         daemon.fleet.borrow_mut().sharing = sharing(&daemon);
         contact::tick(&daemon, now);
         read_ahead::tick(&daemon, now);
+        let pace_changes = daemon.fleet.borrow_mut().take_pace_changes();
+        for (key, bound) in pace_changes {
+            daemon.note(&Event::Pace { endpoint: key.id, bound });
+        }
         if removed || !daemon.queue.borrow().is_empty() {
             admission::dispatch(&daemon);
         }
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -9,6 +9,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::decide::brittle;
 use crate::decide::brittle::Sharing;
@@ -16,6 +17,9 @@
 use crate::decide::contact::Path;
 use crate::decide::limit;
 use crate::decide::limit::Statement;
+use crate::decide::pace;
+use crate::decide::pace::Pace;
+use crate::decide::pace::Share;
 use crate::decide::prefill;
 use crate::decide::prefill::Window;
 use crate::decide::speed::Estimate;
@@ -71,6 +75,8 @@
 /// Time in which the observations of an unused endpoint expire, so that one that was slow is tried
 /// again.
 const OBSERVATION_WINDOW: Duration = Duration::from_secs(4);
+/// The same for an endpoint whose requests are bounded, where trying costs little.
+const BOUNDED_OBSERVATION_WINDOW: Duration = Duration::from_secs(1);
 /// How long an endpoint's load report is used.
 const LOAD_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long an unreachable endpoint is not used, at first.
@@ -256,6 +262,10 @@
     /// The number of rejections within a second beyond which it fails, if it stated one, and when
     /// it last did.
     brittle: Option<(u32, Duration)>,
+    /// When the endpoint became known.
+    known_since: Duration,
+    /// Bound on its requests; none if slots are the only limit.
+    pace: Option<Pace>,
 }
 
 impl Endpoint {
@@ -306,6 +316,8 @@
             backoff_until: Duration::ZERO,
             control_calls: 0,
             brittle: None,
+            known_since: now,
+            pace: None,
         }
     }
 
@@ -332,6 +344,73 @@
         brittle::has_room(self.instance.slots, is_engine, load, self.running, sharing)
     }
 
+    /// Returns whether the endpoint is within its pace with another request of this daemon. `seat`
+    /// differs between daemons.
+    pub fn is_within_pace(
+        &self,
+        now: Duration,
+        is_engine: bool,
+        sharing: Sharing,
+        seat: u64,
+    ) -> bool {
+        self.pace.is_none_or(|pace| {
+            let seat = seat.wrapping_add(xxh3_64(self.instance.key.id.as_bytes()));
+            let own = self.running + self.granted;
+            pace.allows(now, self.load(now), own, Share::new(is_engine, sharing, seat))
+        })
+    }
+
+    /// Returns whether a request could begin at once at this endpoint, as far as known, and is not
+    /// expected to fail: slots are its only limit, one is free, and at most one request has failed
+    /// lately.
+    pub fn is_established(&self, now: Duration) -> bool {
+        let is_recent = now < self.observed_at + OBSERVATION_WINDOW;
+        let is_failing = is_recent && self.failure_ratio > OBSERVATION_SMOOTHING;
+        self.pace.is_none() && !is_failing && self.load(now) < self.instance.slots
+    }
+
+    /// Returns the bound on the requests of all daemons here; none if slots are the only limit.
+    pub fn pace_bound(&self) -> Option<u32> {
+        self.pace.map(|pace| pace.bound())
+    }
+
+    /// Returns whether the endpoint has become known lately.
+    pub fn is_new(&self, now: Duration) -> bool {
+        now < self.known_since + pace::NEW_PERIOD
+    }
+
+    /// Bounds the requests as for an endpoint that has just started.
+    pub fn start_pace(&mut self, now: Duration) {
+        let is_cold = !self.instance.warmup.is_zero();
+        self.pace = Some(Pace::new(now, self.instance.slots, is_cold));
+    }
+
+    /// Records a first byte for the bound, where `usual_delay` is that of other endpoints, if known.
+    pub fn record_pace(
+        &mut self,
+        now: Duration,
+        took: Duration,
+        estimate: &Estimate,
+        usual_delay: Option<Duration>,
+    ) {
+        let load = self.load(now);
+        let max = self.max_requests(true);
+        if let Some(pace) = &mut self.pace {
+            let expected = usual_delay
+                .map(|usual_delay| estimate.own_prefill + estimate.queued_prefill + usual_delay);
+            pace.on_answer(now, took, expected, load, self.running + self.granted);
+            if pace.has_ended(now, max) {
+                self.pace = None;
+            }
+        }
+    }
+
+    /// Returns the recent delay of first bytes, if there is one.
+    pub fn recent_delay(&self, now: Duration) -> Option<Duration> {
+        let is_recent = now < self.observed_at + OBSERVATION_WINDOW && self.delay_ms > 0.0;
+        is_recent.then(|| Duration::from_secs_f64(self.delay_ms / 1000.0))
+    }
+
     /// Returns whether the endpoint accepts new requests.
     pub fn is_usable(&self, now: Duration) -> bool {
         self.instance.state == State::Live && !self.is_gone && !self.is_down(now)
@@ -509,11 +588,15 @@
         )
     }
 
+    fn observation_window(&self) -> Duration {
+        if self.pace.is_some() { BOUNDED_OBSERVATION_WINDOW } else { OBSERVATION_WINDOW }
+    }
+
     /// Returns the cost of a request: the expected milliseconds to its first byte, plus penalties
     /// for distance, load and failures.
     pub fn cost(&self, now: Duration, is_engine: bool, estimate: &Estimate) -> f64 {
-        let idle =
-            now.saturating_sub(self.observed_at).as_secs_f64() / OBSERVATION_WINDOW.as_secs_f64();
+        let window = self.observation_window().as_secs_f64();
+        let idle = now.saturating_sub(self.observed_at).as_secs_f64() / window;
         let freshness = (1.0 - idle).max(0.0);
         let distance = match self.distance {
             Distance::SameDataCenter => 0.0,
@@ -589,7 +672,7 @@
     }
 
     fn record_delay(&mut self, now: Duration, delay: f64) {
-        let idle = now.saturating_sub(self.observed_at) > OBSERVATION_WINDOW;
+        let idle = now.saturating_sub(self.observed_at) > self.observation_window();
         self.delay_ms = if idle {
             delay
         } else {
@@ -625,6 +708,7 @@
     pub fn tick(&mut self, now: Duration) {
         self.not_resident.retain(|_, until| *until > now);
         self.apply_recorded_resident(now);
+        self.pace = self.pace.filter(|pace| !pace.has_ended(now, u32::MAX));
     }
 
     /// Records a request that is sent here, with a prompt that takes `prefill_time` to read.
@@ -633,7 +717,7 @@
             self.last_activity = now;
         }
         self.running += 1;
-        self.pace(now);
+        self.space_requests(now);
         self.record_prompt(now, parts, prefill_time);
     }
 
@@ -645,7 +729,7 @@
     /// Records a grant to another daemon, for a prompt that takes `prefill_time` to read.
     pub fn grant(&mut self, now: Duration, parts: &[Part], prefill_time: Duration) {
         self.granted += 1;
-        self.pace(now);
+        self.space_requests(now);
         self.record_prompt(now, parts, prefill_time);
     }
 
@@ -714,6 +798,7 @@
             MIN_DOWN_TIME.saturating_mul(1 << self.failed_connects.min(4)).min(MAX_DOWN_TIME);
         self.down_until = Some(now + down_time);
         self.failed_connects += 1;
+        self.start_pace(now);
     }
 
     /// Applies a statement of the endpoint's limit, and returns whether the limit has changed.
@@ -742,8 +827,11 @@
         self.paused_until = self.paused_until.max(until);
     }
 
-    /// Spaces the requests that this daemon sends under a limit.
-    fn pace(&mut self, now: Duration) {
+    /// Spaces the requests that this daemon sends under a limit or a bound.
+    fn space_requests(&mut self, now: Duration) {
+        if let Some(pace) = &mut self.pace {
+            pace.on_sent(now);
+        }
         if let Some(limit) = self.statement.limit {
             self.pause_until(now + limit::interval(limit));
         }
@@ -790,6 +878,11 @@
     pub fn record_failure(&mut self, now: Duration) {
         self.observed_at = now;
         self.failure_ratio += (1.0 - self.failure_ratio) * OBSERVATION_SMOOTHING;
+        match &mut self.pace {
+            Some(pace) => pace.on_failure(now),
+            None if self.failure_ratio > pace::MAX_FAILURE_RATIO => self.start_pace(now),
+            None => {}
+        }
     }
 
     /// Records the endpoint's load report.
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -16,6 +16,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -34,6 +35,7 @@
 use crate::decide::limit::MIN_PAUSE;
 use crate::decide::limit::Statement;
 use crate::decide::origin::MAX_STREAM_AGE;
+use crate::decide::pace;
 use crate::decide::speed::Estimate;
 use crate::decide::speed::Speeds;
 use crate::edge::dialect::Load;
@@ -103,6 +105,10 @@
     speeds: Speeds,
     /// How daemons share the endpoints' slots.
     pub sharing: Sharing,
+    /// Number that differs between daemons, for the order in which they use new endpoints.
+    pub seat: u64,
+    /// Endpoints whose pace was known to be bounded when the changes were last taken.
+    paced: HashSet<Key>,
     /// When the complete list of endpoints was first known.
     listed_since: Option<Duration>,
     /// When a connection of this daemon to an endpoint was last opened.
@@ -129,6 +135,8 @@
             removed_software: HashMap::new(),
             speeds: Speeds::default(),
             sharing: Sharing::default(),
+            seat: 0,
+            paced: HashSet::new(),
             listed_since: None,
             last_connect: Duration::ZERO,
             last_received: Duration::ZERO,
@@ -175,12 +183,46 @@
                 if let Some(removed) = self.removed.get(&key) {
                     row.back_off_until(removed.backoff_until);
                 }
-                self.rows.insert(key, row);
+                let service = row.instance.service.clone();
+                self.rows.insert(key.clone(), row);
+                self.start_pace(now, &key, &service);
             }
         }
         true
     }
 
+    /// Bounds the requests at a new endpoint, unless it was known when this daemon started, or most
+    /// endpoints of its service are new.
+    fn start_pace(&mut self, now: Duration, key: &Key, service: &str) {
+        let rows = self.rows.values().filter(|row| row.instance.service == service);
+        let all = rows.clone().count();
+        let new = rows.filter(|row| row.is_new(now)).count();
+        if self.listed_since.is_some()
+            && !pace::is_fleet_new(new, all)
+            && let Some(row) = self.rows.get_mut(key)
+        {
+            row.start_pace(now);
+        }
+    }
+
+    /// Returns the endpoints whose bound has begun, each with the bound, or ended since the last call.
+    pub fn take_pace_changes(&mut self) -> Vec<(Key, Option<u32>)> {
+        let rows = self
+            .rows
+            .values()
+            .filter(|row| row.pace_bound().is_some() != self.paced.contains(&row.instance.key));
+        let changes: Vec<_> =
+            rows.map(|row| (row.instance.key.clone(), row.pace_bound())).collect();
+        for (key, bound) in &changes {
+            match bound {
+                Some(_) => self.paced.insert(key.clone()),
+                None => self.paced.remove(key),
+            };
+        }
+        self.paced.retain(|key| self.rows.contains_key(key));
+        changes
+    }
+
     fn outdated(&self, key: &Key, instance: &Instance) -> bool {
         let was_leaving = |state: State| state == State::Leaving && instance.state == State::Live;
         match (self.rows.get(key), self.removed.get(key)) {
@@ -311,6 +353,9 @@
         // The shortest pause, and whether it is one that the endpoint asked for.
         let mut shortest_pause: Option<(Duration, bool)> = None;
         let mut best: Option<(f64, &Endpoint, bool, Duration)> = None;
+        // The best one within its pace, and whether one of those could begin at once.
+        let mut best_paced: Option<(f64, &Endpoint, bool, Duration)> = None;
+        let mut has_alternative = false;
         for row in self.rows.values() {
             if row.instance.service != requirements.service || !row.is_usable(now) {
                 continue;
@@ -365,6 +410,18 @@
             if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
                 best = Some((cost, row, ready, delay));
             }
+            if row.is_within_pace(now, is_engine, self.sharing, self.seat) {
+                has_alternative |= ready
+                    && delay.is_zero()
+                    && row.distance != Distance::OtherRegion
+                    && row.is_established(now);
+                if best_paced.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
+                    best_paced = Some((cost, row, ready, delay));
+                }
+            }
+        }
+        if has_alternative {
+            best = best_paced;
         }
         match best {
             Some((_, row, false, _)) => Choice::LoadAdapter(row.instance.key.clone()),
@@ -701,9 +758,28 @@
     ) {
         if let Some(row) = self.rows.get_mut(key) {
             row.record_first_byte(now, took, model, estimate, &mut self.speeds);
+            if row.pace_bound().is_some() {
+                let usual_delay = self.usual_delay(now, key);
+                if let Some(row) = self.rows.get_mut(key) {
+                    row.record_pace(now, took, estimate, usual_delay);
+                }
+            }
         }
     }
 
+    /// Returns the median delay of first bytes at the other endpoints of a service, if any is known.
+    fn usual_delay(&self, now: Duration, key: &Key) -> Option<Duration> {
+        let service = self.rows.get(key).map(|row| &row.instance.service);
+        let others = self
+            .rows
+            .values()
+            .filter(|row| row.instance.key != *key && Some(&row.instance.service) == service);
+        let unbounded = others.filter(|row| row.pace_bound().is_none());
+        let mut delays: Vec<Duration> = unbounded.filter_map(|row| row.recent_delay(now)).collect();
+        delays.sort_unstable();
+        delays.get(delays.len() / 2).copied()
+    }
+
     fn distance(&self, data_center: &str) -> Distance {
         if data_center == self.data_center {
             Distance::SameDataCenter
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -33,6 +33,7 @@
 pub mod origin;
 pub mod outlier;
 pub mod owner;
+pub mod pace;
 pub mod part;
 pub mod place;
 pub mod pool;
