--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -29,8 +29,7 @@
 
 use crate::decide::brittle::Sharing;
 
-/// Part of the slots with which the bound begins: a late start of an eighth costs a fleet less than
-/// its usual noise.
+/// Part of the slots with which the bound begins: three doublings reach the slots.
 const INITIAL_RATIO: f64 = 0.125;
 /// Least bound. The endpoint would not be tried again without requests.
 const MIN_BOUND: f64 = 1.0;
@@ -40,8 +39,8 @@
 const DELAY_SLACK: Duration = Duration::from_millis(20);
 /// Factor of the bound after a late answer or a failure.
 const SHRINK_RATIO: f64 = 0.5;
-/// Time after which there is no bound: longer than endpoints take to warm up. The costs of
-/// `decide::endpoint` avoid those that remain slow.
+/// Time after which there is no bound, so that none lasts without evidence. The costs of
+/// `decide::endpoint` avoid endpoints that remain slow.
 const MAX_AGE: Duration = Duration::from_secs(30);
 /// Time for which an endpoint counts as new.
 pub const NEW_PERIOD: Duration = Duration::from_secs(5);
--- a/src/decide/read_ahead.rs
+++ b/src/decide/read_ahead.rs
@@ -21,7 +21,7 @@
 /// Time for which a stream may hold as much as allowed while its engine has more to send. Less than
 /// the seconds after which engines cut off an unread answer.
 pub const MAX_FULL_TIME: Duration = Duration::from_secs(1);
-/// Memory of the process if the settings do not state it: that of the usual machine.
+/// Memory of the process if the settings do not state it: half of that of the largest machines.
 const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
 /// Share of the memory that bodies may hold, as a divisor. With tables and connections at a
 /// thousand streams a daemon holds up to 77 MB (docs/MEASUREMENTS.md), of 120 on the smallest.
