--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -36,6 +36,7 @@
 pub mod origin;
 pub mod outlier;
 pub mod owner;
+pub mod pace;
 pub mod part;
 pub mod pause;
 pub mod place;
