--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -22,8 +22,8 @@
 //! All daemons tell each other of crashes, survivals and refusals (`suspects`), and each of them
 //! decides. One that knows better than a refusal tells the others, which drop it. Of survivals they
 //! tell only as many as decide, since popular parts have hundreds a second: those of parts that
-//! several crashes count for, until twice as many are told and heard as refute the part. If fewer
-//! are told, some daemons hear of too few while many endpoints crash.
+//! several crashes count for and that the last one was within `DECISION_PERIOD`, and twice as many as
+//! refute the part: with as many, some daemons hear of too few.
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -55,14 +55,11 @@
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Time before the first crash of a part from which survivals count.
 const SURVIVAL_WINDOW: Duration = Duration::from_secs(10);
-/// Survivals kept of one part, the latest; of one that crashes count for, twice as many. A part with
-/// so many is not refused.
+/// Survivals kept of one part, the latest. A part with so many is not refused.
 const MAX_SURVIVALS: usize = 16;
-/// Number of crashes of a part from which its survivals are passed on. With one more, some daemons
-/// decide before they hear of survivals.
+/// Number of crashes of a part from which its survivals are passed on. From one crash later on, some
+/// daemons decide before they hear of survivals.
 const MIN_SHARED_CRASHES: usize = MIN_CRASHES - 2;
-/// Survivals that wait to be passed on, the latest.
-const MAX_UNTOLD_SURVIVALS: usize = 256;
 /// Time for which what this daemon has learned waits to be passed on.
 pub const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
 /// Parts of which survivals are kept: those of a daemon's requests within `SURVIVAL_WINDOW`.
@@ -160,17 +157,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Known {
     survival: Survival,
-    /// Whether this daemon has heard of it, has passed it on, or is to do so.
-    is_shared: bool,
-}
-
-/// A survival that is to be passed on.
-#[derive(Debug, Clone, Copy)]
-struct Untold {
-    part: PartId,
-    survival: Survival,
-    /// Time until which it may be passed on.
-    until: Duration,
+    /// Whether this daemon has passed it on.
+    is_told: bool,
 }
 
 /// How runs of this daemon went on in one second.
@@ -229,10 +217,13 @@
     crashes: BTreeMap<Key, Crash>,
     /// Number of crashes of each part.
     counts: BTreeMap<PartId, usize>,
+    /// When each of these parts was last added to a crash.
+    hit_at: BTreeMap<PartId, Duration>,
     /// Survivals of each part, the latest last.
     survivals: BTreeMap<PartId, VecDeque<Known>>,
-    /// Survivals that are to be passed on, the latest last.
-    untold_survivals: VecDeque<Untold>,
+    /// Times of the survivals of each part with crashes that this daemon has passed on, the latest
+    /// last. They are counted apart, as those above of a popular part are replaced within a second.
+    told: BTreeMap<PartId, VecDeque<Duration>>,
     /// Hash of the route, and parts, of the latest requests.
     arrivals: VecDeque<(u64, Vec<PartId>)>,
     /// Outcomes of this daemon's runs, by the second.
@@ -308,7 +299,6 @@
                 is_changed = true;
             }
         }
-        let mut added = Vec::new();
         for part in parts {
             if crash.parts.len() >= MAX_PARTS_PER_CRASH || !crash.parts.insert(part) {
                 continue;
@@ -316,14 +306,12 @@
             is_changed = true;
             crash.untold_parts.insert(part);
             *self.counts.entry(part).or_default() += 1;
-            added.push(part);
+            self.hit_at.insert(part, now);
         }
         if is_changed {
             crash.changed_at = now;
             self.decides_until = now + DECISION_PERIOD;
         }
-        // Other daemons may need to know of survivals now.
-        added.into_iter().for_each(|part| self.share_survivals(now, part));
         self.limit_crashes();
         is_changed
     }
@@ -337,7 +325,8 @@
     pub fn record_survival(&mut self, now: Duration, parts: &[PartId], run: RunId) {
         self.outcomes(now).survived += 1;
         for part in parts {
-            self.insert_survival(*part, Survival { run, at: now, learned_at: now });
+            let survival = Survival { run, at: now, learned_at: now };
+            self.add_survival(*part, survival);
         }
     }
 
@@ -359,15 +348,8 @@
         f64::from(cut + 1) / f64::from(cut + survived + 2)
     }
 
-    /// Adds a survival of a part that another daemon has told of.
+    /// Adds a survival of a part.
     pub fn add_survival(&mut self, part: PartId, survival: Survival) {
-        self.insert_survival(part, survival);
-        let rows = self.survivals.get_mut(&part).into_iter().flatten();
-        let heard = rows.filter(|row| row.survival.run == survival.run);
-        heard.for_each(|row| row.is_shared = true);
-    }
-
-    fn insert_survival(&mut self, part: PartId, survival: Survival) {
         let is_suspect = self.counts.contains_key(&part);
         if self.survivals.len() >= MAX_PARTS && !is_suspect && !self.survivals.contains_key(&part) {
             return;
@@ -377,63 +359,73 @@
             return;
         }
         let position = rows.partition_point(|row| row.survival.at <= survival.at);
-        rows.insert(position, Known { survival, is_shared: false });
-        // Those of suspects show as well how many have been told and heard.
-        let max_rows = if is_suspect { 2 * MAX_SURVIVALS } else { MAX_SURVIVALS };
-        if rows.len() > max_rows {
+        rows.insert(position, Known { survival, is_told: false });
+        if rows.len() > MAX_SURVIVALS {
             rows.pop_front();
         }
         if is_suspect {
             self.decides_until = self.decides_until.max(survival.learned_at + DECISION_PERIOD);
-            self.share_survivals(survival.learned_at, part);
-        }
-    }
-
-    /// Chooses survivals of a part to be passed on, if several crashes count for it: as many as
-    /// are, together with those that were told and heard before, twice as many as refute it.
-    fn share_survivals(&mut self, now: Duration, part: PartId) {
-        let count = self.counts.get(&part).copied().unwrap_or(0);
-        let Some(rows) = self.survivals.get(&part).filter(|_| count >= MIN_SHARED_CRASHES) else {
-            return;
-        };
-        let needed = 2 * (count + 1).min(MAX_SURVIVALS);
-        let shared_since = |since: Duration| {
-            rows.iter().filter(|row| row.is_shared && row.survival.at > since).count()
-        };
-        // Those count whichever crashes are considered.
-        if shared_since(now.saturating_sub(SURVIVAL_WINDOW)) >= needed {
-            return;
-        }
-        let has_part = self.crashes.values().filter(|crash| crash.parts.contains(&part));
-        let mut moments: Vec<Duration> = has_part.map(|crash| crash.at).collect();
-        moments.sort_unstable();
-        let first = moments.len().saturating_sub(MIN_CRASHES);
-        let since = moments.get(first).map_or(now, |at| at.saturating_sub(SURVIVAL_WINDOW));
-        let missing = needed.saturating_sub(shared_since(since));
-        let rows = self.survivals.get_mut(&part).into_iter().flatten().rev();
-        for row in rows.filter(|row| !row.is_shared).take(missing) {
-            row.is_shared = true;
-            let until = now + ANNOUNCEMENT_PERIOD;
-            self.untold_survivals.push_back(Untold { part, survival: row.survival, until });
         }
-        let excess = self.untold_survivals.len().saturating_sub(MAX_UNTOLD_SURVIVALS);
-        self.untold_survivals.drain(..excess);
     }
 
-    /// Removes and returns up to `count` survivals that are to be passed on: first those of parts of
-    /// which this daemon itself knows too few, then the latest.
+    /// Returns up to `count` survivals to be passed on, as many of each part as are of use, and
+    /// records that they are told. Parts of which this daemon knows too few come first.
     pub fn take_untold_survivals(
         &mut self,
         now: Duration,
         count: usize,
     ) -> Vec<(PartId, Survival)> {
-        let rows = std::mem::take(&mut self.untold_survivals);
-        let (mut ordered, suspected): (Vec<Untold>, Vec<Untold>) =
-            rows.into_iter().partition(|row| !self.is_suspected(now, row.part));
-        ordered.extend(suspected);
-        let taken = ordered.split_off(ordered.len().saturating_sub(count));
-        self.untold_survivals = ordered.into();
-        taken.into_iter().map(|row| (row.part, row.survival)).collect()
+        // Of other parts nothing is decided now.
+        let is_hit =
+            |part: &PartId| self.hit_at.get(part).is_some_and(|at| now < *at + DECISION_PERIOD);
+        let suspects = self
+            .counts
+            .iter()
+            .filter(|(part, crashes)| **crashes >= MIN_SHARED_CRASHES && is_hit(part));
+        let due = suspects.filter_map(|(part, crashes)| {
+            let needed = (2 * (*crashes + 1)).min(MAX_SURVIVALS);
+            let missing = self.untold_count(now, *part, needed);
+            let known = self.survivals_since(*part, now.saturating_sub(SURVIVAL_WINDOW));
+            (missing > 0).then(|| (needed.saturating_sub(known), *part, missing))
+        });
+        let mut due: Vec<(usize, PartId, usize)> = due.collect();
+        due.sort_unstable_by(|one, other| other.cmp(one));
+        let mut taken = Vec::new();
+        for (_, part, missing) in due {
+            let rows = self.survivals.get_mut(&part).into_iter().flatten().rev();
+            let left = count - taken.len();
+            for row in rows.filter(|row| !row.is_told).take(missing.min(left)) {
+                row.is_told = true;
+                taken.push((part, row.survival));
+            }
+        }
+        for (part, survival) in &taken {
+            let times = self.told.entry(*part).or_default();
+            times.push_back(survival.at);
+            if times.len() > MAX_SURVIVALS {
+                times.pop_front();
+            }
+        }
+        taken
+    }
+
+    /// Returns how many survivals of a part are still to be told of `needed`.
+    fn untold_count(&self, now: Duration, part: PartId, needed: usize) -> usize {
+        let is_done =
+            self.survivals.get(&part).is_none_or(|rows| rows.iter().all(|row| row.is_told));
+        let missing_since = |since: Duration| {
+            let times = self.told.get(&part).into_iter().flatten();
+            needed.saturating_sub(times.filter(|at| **at > since).count())
+        };
+        // These count whichever crashes are considered.
+        if is_done || missing_since(now.saturating_sub(SURVIVAL_WINDOW)) == 0 {
+            return 0;
+        }
+        let with_part = self.crashes.values().filter(|crash| crash.parts.contains(&part));
+        let mut times: Vec<Duration> = with_part.map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let first = times.get(times.len().saturating_sub(MIN_CRASHES));
+        missing_since(first.map_or(now, |at| at.saturating_sub(SURVIVAL_WINDOW)))
     }
 
     /// Returns whether more must be known soon of a part: several crashes count for it, and no
@@ -680,7 +672,6 @@
             let is_recent = last.is_some_and(|row| now < row.survival.at + SURVIVAL_WINDOW);
             is_recent || counts.contains_key(part)
         });
-        self.untold_survivals.retain(|row| now < row.until);
         let is_untold = |crash: &&mut Crash| now >= crash.changed_at + ANNOUNCEMENT_PERIOD;
         for crash in self.crashes.values_mut().filter(is_untold) {
             crash.untold_runs.clear();
@@ -711,6 +702,8 @@
                 *count -= 1;
                 if *count == 0 {
                     self.counts.remove(&part);
+                    self.hit_at.remove(&part);
+                    self.told.remove(&part);
                 }
             }
         }
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -6,14 +6,15 @@
 //!
 //! Each daemon that learns of a crash, a survival or a complete answer passes it on once, to
 //! `FANOUT` of the others; the daemon that saw a crash itself does so twice. If each of n daemons
-//! sends a row to f others of which a share of l is lost, it misses one of them with a probability
-//! of exp(-f (1 - l)): 0.0033 for 6 and 5 %, whatever n is. It then learns the decision from the others. Refusals are repeated for as long as they last, so that daemons that start or were cut
-//! off learn of them, too. The same holds for parts of prompts (`part`).
+//! sends a row to f others and a share l of that is lost, it misses one of them with a probability
+//! of exp(-f (1 - l)), which is 0.0033 for 6 and 5 %, whatever n is. That one learns the decision
+//! from the others. Refusals are repeated for as long as they last, so that daemons that start or
+//! were cut off learn of them, too. The same holds for parts of prompts (`part`).
 //!
 //! Bound: a daemon sends at most `MAX_BYTES_PER_SECOND` in any second, headers included. While more
-//! is known than that allows, refusals come first, then survivals, then what may lead to a refusal soon: runs at
-//! crashed endpoints, and parts and requests with several crashes. The newest crashes come first, and
-//! what could not be sent within `ANNOUNCEMENT_PERIOD` is left out.
+//! is known than that allows, refusals come first, then survivals, then what may lead to a refusal
+//! soon: runs at crashed endpoints, and parts and requests with several crashes. The newest crashes
+//! come first, and what could not be sent within `ANNOUNCEMENT_PERIOD` is left out.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
