Limit the bytes of messages about crashed endpoints

Cause: each daemon repeated all that it knew of a changed crash for six rounds to 24 daemons, and up to 400 survivals of popular parts in each round, told as well by every daemon that heard of them.

Change: a daemon passes on only rows that are new to it, once, to six daemons; the one that saw a crash does so twice. Survivals are told of parts with two crashes and a recent one, up to twice as many as refute the part. A byte budget (decide::byte_budget) allows 12.5 kB in any second, headers included: 1 % of a link of 10 Mbit/s. Refusals come first, in turn, then survivals, then suspected parts and requests. No message has changed, so earlier releases understand all.

With heavier loads than these the budget leaves rows out, so that decisions may come later.

--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -43,8 +43,6 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest time for which a retry waits until it is known whether the last endpoint crashed.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(300);
-/// Daemons that are sent all refusals in each round.
-const REFUSAL_FANOUT: usize = 2;
 
 /// Time after the first byte of an answer from which the request did not cause a crash of its
 /// endpoint: it would have crashed sooner.
@@ -260,7 +258,7 @@
         let news = daemon.quarantine.borrow_mut().suspects.add_crash(now, key, &breakage);
         apply(daemon, &news, "connection");
         if news.has_new_runs {
-            let messages = daemon.quarantine.borrow().suspects.announcements(now, key);
+            let messages = daemon.quarantine.borrow_mut().suspects.announcements(now, key);
             messages.into_iter().for_each(|message| send(daemon, message));
         }
     }
@@ -395,6 +393,6 @@
 }
 
 fn send(daemon: &Rc<Daemon>, message: Message) {
-    let fanout = if message.is_permanent() { REFUSAL_FANOUT } else { peer::HEARTBEAT_FANOUT };
-    peer::spawn_send(daemon, peer::choose(daemon, fanout), peer::Message::Quarantine(message));
+    let recipients = peer::choose(daemon, message.fanout());
+    peer::spawn_send(daemon, recipients, peer::Message::Quarantine(message));
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod breaker;
 pub mod brittle;
 pub mod broker;
+pub mod byte_budget;
 pub mod call_latency;
 pub mod claim;
 pub mod contact;
--- a/src/decide/part.rs
+++ b/src/decide/part.rs
@@ -20,7 +20,10 @@
 //! over and over nothing survives.
 //!
 //! All daemons tell each other of crashes, survivals and refusals (`suspects`), and each of them
-//! decides. One that knows better than a refusal tells the others, which drop it.
+//! decides. One that knows better than a refusal tells the others, which drop it. Of survivals they
+//! tell only as many as decide, since popular parts have hundreds a second: those of parts that
+//! several crashes count for and that the last one was within `DECISION_PERIOD`, and twice as many as
+//! refute the part: with as many, some daemons hear of too few.
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -54,6 +57,11 @@
 const SURVIVAL_WINDOW: Duration = Duration::from_secs(10);
 /// Survivals kept of one part, the latest. A part with so many is not refused.
 const MAX_SURVIVALS: usize = 16;
+/// Number of crashes of a part from which its survivals are passed on. From one crash later on, some
+/// daemons decide before they hear of survivals.
+const MIN_SHARED_CRASHES: usize = MIN_CRASHES - 2;
+/// Time for which what this daemon has learned waits to be passed on.
+pub const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
 /// Parts of which survivals are kept: those of a daemon's requests within `SURVIVAL_WINDOW`.
 const MAX_PARTS: usize = 8_192;
 /// Time for which a crash is kept.
@@ -137,10 +145,22 @@
     pub runs: BTreeSet<RunId>,
     /// Parts of the prompts of these.
     pub parts: BTreeSet<PartId>,
+    /// Runs that have not been passed on yet.
+    pub untold_runs: BTreeSet<RunId>,
+    /// Parts that have not been passed on yet.
+    pub untold_parts: BTreeSet<PartId>,
     /// Whether a refused part explains it.
     is_explained: bool,
 }
 
+/// A survival in the table.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    survival: Survival,
+    /// Whether this daemon has passed it on.
+    is_told: bool,
+}
+
 /// How runs of this daemon went on in one second.
 #[derive(Debug, Clone, Copy)]
 struct Outcomes {
@@ -197,8 +217,13 @@
     crashes: BTreeMap<Key, Crash>,
     /// Number of crashes of each part.
     counts: BTreeMap<PartId, usize>,
+    /// When each of these parts was last added to a crash.
+    hit_at: BTreeMap<PartId, Duration>,
     /// Survivals of each part, the latest last.
-    survivals: BTreeMap<PartId, VecDeque<Survival>>,
+    survivals: BTreeMap<PartId, VecDeque<Known>>,
+    /// Times of the survivals of each part with crashes that this daemon has passed on, the latest
+    /// last. They are counted apart, as those above of a popular part are replaced within a second.
+    told: BTreeMap<PartId, VecDeque<Duration>>,
     /// Hash of the route, and parts, of the latest requests.
     arrivals: VecDeque<(u64, Vec<PartId>)>,
     /// Outcomes of this daemon's runs, by the second.
@@ -262,22 +287,26 @@
             changed_at: now,
             runs: BTreeSet::new(),
             parts: BTreeSet::new(),
+            untold_runs: BTreeSet::new(),
+            untold_parts: BTreeSet::new(),
             is_explained: false,
         });
         crash.at = crash.at.min(at);
         let mut is_changed = false;
         for run in runs {
-            is_changed |= crash.runs.len() < MAX_PARTS_PER_CRASH && crash.runs.insert(run);
+            if crash.runs.len() < MAX_PARTS_PER_CRASH && crash.runs.insert(run) {
+                crash.untold_runs.insert(run);
+                is_changed = true;
+            }
         }
         for part in parts {
             if crash.parts.len() >= MAX_PARTS_PER_CRASH || !crash.parts.insert(part) {
                 continue;
             }
             is_changed = true;
+            crash.untold_parts.insert(part);
             *self.counts.entry(part).or_default() += 1;
-            // Other daemons are told again, as they may need to know now.
-            let survivals = self.survivals.get_mut(&part).into_iter().flatten();
-            survivals.for_each(|row| row.learned_at = now);
+            self.hit_at.insert(part, now);
         }
         if is_changed {
             crash.changed_at = now;
@@ -296,7 +325,8 @@
     pub fn record_survival(&mut self, now: Duration, parts: &[PartId], run: RunId) {
         self.outcomes(now).survived += 1;
         for part in parts {
-            self.add_survival(*part, Survival { run, at: now, learned_at: now });
+            let survival = Survival { run, at: now, learned_at: now };
+            self.add_survival(*part, survival);
         }
     }
 
@@ -325,11 +355,11 @@
             return;
         }
         let rows = self.survivals.entry(part).or_default();
-        if rows.iter().any(|row| row.run == survival.run) {
+        if rows.iter().any(|row| row.survival.run == survival.run) {
             return;
         }
-        let position = rows.partition_point(|row| row.at <= survival.at);
-        rows.insert(position, survival);
+        let position = rows.partition_point(|row| row.survival.at <= survival.at);
+        rows.insert(position, Known { survival, is_told: false });
         if rows.len() > MAX_SURVIVALS {
             rows.pop_front();
         }
@@ -338,6 +368,74 @@
         }
     }
 
+    /// Returns up to `count` survivals to be passed on, as many of each part as are of use, and
+    /// records that they are told. Parts of which this daemon knows too few come first.
+    pub fn take_untold_survivals(
+        &mut self,
+        now: Duration,
+        count: usize,
+    ) -> Vec<(PartId, Survival)> {
+        // Of other parts nothing is decided now.
+        let is_hit =
+            |part: &PartId| self.hit_at.get(part).is_some_and(|at| now < *at + DECISION_PERIOD);
+        let suspects = self
+            .counts
+            .iter()
+            .filter(|(part, crashes)| **crashes >= MIN_SHARED_CRASHES && is_hit(part));
+        let due = suspects.filter_map(|(part, crashes)| {
+            let needed = (2 * (*crashes + 1)).min(MAX_SURVIVALS);
+            let missing = self.untold_count(now, *part, needed);
+            let known = self.survivals_since(*part, now.saturating_sub(SURVIVAL_WINDOW));
+            (missing > 0).then(|| (needed.saturating_sub(known), *part, missing))
+        });
+        let mut due: Vec<(usize, PartId, usize)> = due.collect();
+        due.sort_unstable_by(|one, other| other.cmp(one));
+        let mut taken = Vec::new();
+        for (_, part, missing) in due {
+            let rows = self.survivals.get_mut(&part).into_iter().flatten().rev();
+            let left = count - taken.len();
+            for row in rows.filter(|row| !row.is_told).take(missing.min(left)) {
+                row.is_told = true;
+                taken.push((part, row.survival));
+            }
+        }
+        for (part, survival) in &taken {
+            let times = self.told.entry(*part).or_default();
+            times.push_back(survival.at);
+            if times.len() > MAX_SURVIVALS {
+                times.pop_front();
+            }
+        }
+        taken
+    }
+
+    /// Returns how many survivals of a part are still to be told of `needed`.
+    fn untold_count(&self, now: Duration, part: PartId, needed: usize) -> usize {
+        let is_done =
+            self.survivals.get(&part).is_none_or(|rows| rows.iter().all(|row| row.is_told));
+        let missing_since = |since: Duration| {
+            let times = self.told.get(&part).into_iter().flatten();
+            needed.saturating_sub(times.filter(|at| **at > since).count())
+        };
+        // These count whichever crashes are considered.
+        if is_done || missing_since(now.saturating_sub(SURVIVAL_WINDOW)) == 0 {
+            return 0;
+        }
+        let with_part = self.crashes.values().filter(|crash| crash.parts.contains(&part));
+        let mut times: Vec<Duration> = with_part.map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let first = times.get(times.len().saturating_sub(MIN_CRASHES));
+        missing_since(first.map_or(now, |at| at.saturating_sub(SURVIVAL_WINDOW)))
+    }
+
+    /// Returns whether more must be known soon of a part: several crashes count for it, and no
+    /// more survivals than these speak against it.
+    pub fn is_suspected(&self, now: Duration, part: PartId) -> bool {
+        let count = self.counts.get(&part).copied().unwrap_or(0);
+        let survivals = self.survivals_since(part, now.saturating_sub(SURVIVAL_WINDOW));
+        count > 1 && survivals <= count.min(MAX_SURVIVALS - 1)
+    }
+
     /// Records that another daemon refuses a part for `remaining`. Returns whether it is refused
     /// here from now on.
     pub fn add_refusal(&mut self, now: Duration, part: PartId, remaining: Duration) -> bool {
@@ -498,7 +596,7 @@
 
     fn survivals_since(&self, part: PartId, since: Duration) -> usize {
         let rows = self.survivals.get(&part);
-        rows.map_or(0, |rows| rows.iter().filter(|row| row.at > since).count())
+        rows.map_or(0, |rows| rows.iter().filter(|row| row.survival.at > since).count())
     }
 
     /// Returns whether nearly all requests of a route have a part.
@@ -547,16 +645,12 @@
         self.crashes.get(key)
     }
 
-    /// Returns the survivals of parts with several crashes that this daemon learned of later than
-    /// `since`.
-    pub fn survivals_learned_since(
-        &self,
-        since: Duration,
-    ) -> impl Iterator<Item = (PartId, Survival)> {
-        let suspects = self.counts.iter().filter(|(_, count)| **count > 1);
-        let rows = suspects.filter_map(|(part, _)| Some((*part, self.survivals.get(part)?)));
-        let all = rows.flat_map(|(part, rows)| rows.iter().map(move |row| (part, *row)));
-        all.filter(move |(_, row)| row.learned_at > since)
+    /// Records that runs and parts of a crash have been passed on.
+    pub fn on_told(&mut self, key: &Key, runs: &[RunId], parts: &[PartId]) {
+        if let Some(crash) = self.crashes.get_mut(key) {
+            crash.untold_runs.retain(|run| !runs.contains(run));
+            crash.untold_parts.retain(|part| !parts.contains(part));
+        }
     }
 
     /// Returns the parts that this daemon learned later than `since` to crash nothing, each with the
@@ -574,9 +668,15 @@
         keys.iter().for_each(|key| self.remove_crash(key));
         let counts = &self.counts;
         self.survivals.retain(|part, rows| {
-            let is_recent = rows.back().is_some_and(|row| now < row.at + SURVIVAL_WINDOW);
+            let last = rows.back();
+            let is_recent = last.is_some_and(|row| now < row.survival.at + SURVIVAL_WINDOW);
             is_recent || counts.contains_key(part)
         });
+        let is_untold = |crash: &&mut Crash| now >= crash.changed_at + ANNOUNCEMENT_PERIOD;
+        for crash in self.crashes.values_mut().filter(is_untold) {
+            crash.untold_runs.clear();
+            crash.untold_parts.clear();
+        }
         let oldest = now.saturating_sub(CRASH_RETENTION + SURVIVAL_WINDOW).as_secs();
         self.outcomes.retain(|row| row.second >= oldest);
         self.refusals.retain(|_, row| now < row.until);
@@ -602,6 +702,8 @@
                 *count -= 1;
                 if *count == 0 {
                     self.counts.remove(&part);
+                    self.hit_at.remove(&part);
+                    self.told.remove(&part);
                 }
             }
         }
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -4,20 +4,30 @@
 //! causes is seen by those whose requests were running there. Without this module each daemon would
 //! have to see three crashes itself.
 //!
-//! Datagrams may be lost, so all messages are repeated. Crashes and complete answers are passed on
-//! by each daemon that learns of them, for `ANNOUNCEMENT_PERIOD` after more became known of them.
-//! Refusals are repeated for as long as they last, so that daemons that start or were cut off learn
-//! of them, too. The same holds for parts of prompts (`part`).
+//! Each daemon that learns of a crash, a survival or a complete answer passes it on once, to
+//! `FANOUT` of the others; the daemon that saw a crash itself does so twice. If each of n daemons
+//! sends a row to f others and a share l of that is lost, it misses one of them with a probability
+//! of exp(-f (1 - l)), which is 0.0033 for 6 and 5 %, whatever n is. That one learns the decision
+//! from the others. Refusals are repeated for as long as they last, so that daemons that start or
+//! were cut off learn of them, too. The same holds for parts of prompts (`part`).
+//!
+//! Bound: a daemon sends at most `MAX_BYTES_PER_SECOND` in any second, headers included. While more
+//! is known than that allows, refusals come first, then survivals, then what may lead to a refusal
+//! soon: runs at crashed endpoints, and parts and requests with several crashes. The newest crashes
+//! come first, and what could not be sent within `ANNOUNCEMENT_PERIOD` is left out.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use postcard::ser_flavors::Size;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3;
 
+use crate::decide::byte_budget::ByteBudget;
 use crate::decide::part;
+use crate::decide::part::ANNOUNCEMENT_PERIOD;
 use crate::decide::part::Evidence;
 use crate::decide::part::Survival;
 use crate::decide::quarantine::Quarantine;
@@ -29,9 +39,17 @@
 
 /// Number of crashes after which a request is refused: suspects run beside each other.
 pub const MAX_CRASHES: usize = 3;
-/// Time for which a crash is announced after more became known of it, in each round to some of the
-/// other daemons.
-const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(1_500);
+/// Largest number of bytes that a daemon sends in any second: 1 % of a link of 10 Mbit/s, the
+/// slowest of a daemon.
+pub const MAX_BYTES_PER_SECOND: u32 = 12_500;
+/// Bytes that may be sent at once: all of a crash with 16 runs, to `FANOUT` daemons.
+const BURST_BYTES: u32 = 4_500;
+/// Daemons that a message is sent to.
+const FANOUT: usize = 6;
+/// Daemons that refusals are sent to in each round.
+const REFUSAL_FANOUT: usize = 2;
+/// Refusals of each kind in one round, in turn.
+const MAX_REFUSALS_PER_ROUND: usize = 16;
 /// Time for which a crash is kept, so that repeated announcements of it are known.
 const CRASH_RETENTION: Duration = Duration::from_secs(15);
 /// Fingerprints or parts in one message, which has to fit into a datagram.
@@ -40,8 +58,16 @@
 const MAX_RUNS: usize = 75;
 /// Survivals in one message.
 const MAX_SURVIVALS: usize = 50;
-/// Messages with survivals in one round.
-const MAX_SURVIVAL_MESSAGES: usize = 8;
+/// Number of crashes from which a request is passed on before others.
+const MIN_URGENT_CRASHES: usize = 2;
+/// Largest size of an encoded hash.
+const HASH_BYTES: usize = 10;
+/// Largest size of an encoded id of a run.
+const RUN_BYTES: usize = 5;
+/// Largest size of an encoded time.
+const TIME_BYTES: usize = 5;
+/// Largest size of what a message about a crash holds besides its rows and the endpoint's id.
+const CRASH_BYTES: usize = 20;
 
 /// A message between daemons about requests that ran on crashed endpoints. Times are in
 /// milliseconds, and relative, as clocks of daemons differ.
@@ -84,6 +110,11 @@
     pub fn is_permanent(&self) -> bool {
         matches!(self, Message::Refused(_) | Message::RefusedParts(_))
     }
+
+    /// Returns the number of daemons that it is sent to.
+    pub fn fanout(&self) -> usize {
+        if self.is_permanent() { REFUSAL_FANOUT } else { FANOUT }
+    }
 }
 
 /// What may crash endpoints of what a request holds.
@@ -155,6 +186,8 @@
     changed_at: Duration,
     /// Requests that ran there, each with the time when it was last sent there.
     runs: BTreeMap<Fingerprint, Duration>,
+    /// Requests that have not been passed on yet.
+    untold: BTreeSet<Fingerprint>,
 }
 
 /// Requests that ran on crashed endpoints.
@@ -162,9 +195,13 @@
 pub struct Suspects {
     table: Quarantine<Key>,
     crashes: BTreeMap<Key, Crash>,
-    /// When answers to suspects were complete, and when this daemon learned of it.
+    /// When answers to suspects were complete, and when this daemon learned of it; until that has
+    /// been passed on.
     completed: BTreeMap<Fingerprint, (Duration, Duration)>,
     parts: part::Table,
+    budget: ByteBudget,
+    /// The refused request and the refused part that were sent last.
+    last_refusals: (Fingerprint, PartId),
 }
 
 impl Default for Suspects {
@@ -174,6 +211,8 @@
             crashes: BTreeMap::new(),
             completed: BTreeMap::new(),
             parts: part::Table::default(),
+            budget: ByteBudget::new(MAX_BYTES_PER_SECOND - BURST_BYTES, BURST_BYTES),
+            last_refusals: (0, 0),
         }
     }
 }
@@ -257,11 +296,15 @@
             at: breakage.at,
             changed_at: now,
             runs: BTreeMap::new(),
+            untold: BTreeSet::new(),
         });
         let is_explained = self.parts.is_explained(key);
         let mut news = News::default();
         for (fingerprint, sent_at) in &breakage.runs {
-            news.has_new_runs |= crash.runs.insert(*fingerprint, *sent_at).is_none();
+            if crash.runs.insert(*fingerprint, *sent_at).is_none() {
+                news.has_new_runs = true;
+                crash.untold.insert(*fingerprint);
+            }
             let run = Run { endpoint: key.clone(), sent_at: *sent_at, crashed_at: crash.at };
             if !is_explained && self.table.on_crash(*fingerprint, run) {
                 news.refused.push(*fingerprint);
@@ -340,67 +383,163 @@
         }
     }
 
-    /// Returns the messages about a crash.
-    pub fn announcements(&self, now: Duration, key: &Key) -> Vec<Message> {
-        let mut messages = self.run_announcements(now, key);
-        if let Some(crash) = self.parts.crash(key) {
-            messages.extend(part_announcements(now, key, crash));
-        }
-        messages
-    }
-
-    /// Returns the messages about the requests that ran on an endpoint when it crashed.
-    fn run_announcements(&self, now: Duration, key: &Key) -> Vec<Message> {
-        let Some(crash) = self.crashes.get(key) else {
-            return Vec::new();
-        };
-        let age_ms = millis(now.saturating_sub(crash.at));
-        let ran_ms = |sent_at: Duration| millis(crash.at.saturating_sub(sent_at));
-        let runs: Vec<(Fingerprint, u32)> =
-            crash.runs.iter().map(|(row, sent_at)| (*row, ran_ms(*sent_at))).collect();
-        let chunks = runs.chunks(MAX_FINGERPRINTS);
-        chunks
-            .map(|runs| Message::Crashed { key: key.clone(), age_ms, runs: runs.to_vec() })
-            .collect()
+    /// Returns the messages about what is new of a crash. It is passed on once more in the next
+    /// round, since this daemon may be the only one that knows.
+    pub fn announcements(&mut self, now: Duration, key: &Key) -> Vec<Message> {
+        self.budget.update(now);
+        let parts = self.crashed_parts(now, key, false);
+        let requests = self.crashed_requests(now, key, false);
+        parts.into_iter().chain(requests).collect()
     }
 
     /// Removes what has expired, and returns the messages that are due in a round.
     pub fn round(&mut self, now: Duration) -> Vec<Message> {
-        let is_recent = |changed_at: Duration| now < changed_at + ANNOUNCEMENT_PERIOD;
+        self.budget.update(now);
         self.table.tick(now);
         self.parts.tick(now);
         self.crashes.retain(|_, crash| now < crash.at + CRASH_RETENTION);
-        self.completed.retain(|_, (_, changed_at)| is_recent(*changed_at));
-        let crashes = self.crashes.iter().filter(|(_, crash)| is_recent(crash.changed_at));
-        let mut messages: Vec<Message> =
-            crashes.flat_map(|(key, _)| self.run_announcements(now, key)).collect();
-        let completed = self.completed.iter();
-        let completed: Vec<(Fingerprint, u32)> =
-            completed.map(|(row, (at, _))| (*row, millis(now.saturating_sub(*at)))).collect();
-        let chunks = completed.chunks(MAX_FINGERPRINTS);
-        messages.extend(chunks.map(|rows| Message::Completed(rows.to_vec())));
-        messages.extend(self.refusals(now));
-        messages.extend(self.part_messages(now));
+        self.completed.retain(|_, (_, learned_at)| now < *learned_at + ANNOUNCEMENT_PERIOD);
+        let mut messages = self.due_refusals(now);
+        messages.extend(self.cleared_parts(now));
+        messages.extend(self.survivals(now));
+        let keys = self.untold_crashes(now);
+        for is_urgent in [true, false] {
+            for key in &keys {
+                if let Some(message) = self.crashed_parts(now, key, is_urgent) {
+                    if let Message::CrashedParts { runs, parts, .. } = &message {
+                        self.parts.on_told(key, runs, parts);
+                    }
+                    messages.push(message);
+                }
+                if let Some(message) = self.crashed_requests(now, key, is_urgent) {
+                    if let (Message::Crashed { runs, .. }, Some(crash)) =
+                        (&message, self.crashes.get_mut(key))
+                    {
+                        crash.untold.retain(|row| !runs.iter().any(|run| run.0 == *row));
+                    }
+                    messages.push(message);
+                }
+            }
+            if is_urgent {
+                messages.extend(self.completed_requests(now));
+            }
+        }
         messages
     }
 
-    /// Returns the messages about parts that are due in a round.
-    fn part_messages(&self, now: Duration) -> Vec<Message> {
+    /// Returns the endpoints of whose crashes something is to be passed on, the last crash first.
+    fn untold_crashes(&self, now: Duration) -> Vec<Key> {
         let since = now.saturating_sub(ANNOUNCEMENT_PERIOD);
-        let crashes = self.parts.crashes_since(since);
-        let mut messages: Vec<Message> =
-            crashes.flat_map(|(key, crash)| part_announcements(now, key, crash)).collect();
+        let is_untold = |crash: &&Crash| crash.changed_at > since && !crash.untold.is_empty();
+        let requests = self.crashes.iter().filter(|(_, crash)| is_untold(crash));
+        let mut rows: BTreeMap<&Key, Duration> =
+            requests.map(|(key, crash)| (key, crash.at)).collect();
+        let parts = self.parts.crashes_since(since);
+        rows.extend(parts.map(|(key, crash)| (key, crash.at)));
+        let mut keys: Vec<(Duration, &Key)> = rows.into_iter().map(|(key, at)| (at, key)).collect();
+        keys.sort_unstable_by(|one, other| other.cmp(one));
+        keys.into_iter().map(|(_, key)| key.clone()).collect()
+    }
+
+    /// Returns a message about the runs that had just begun on a crashed endpoint and the parts of
+    /// their prompts, as far as they are new; none if there are none or no bytes left.
+    fn crashed_parts(&mut self, now: Duration, key: &Key, is_urgent: bool) -> Option<Message> {
+        let crash = self.parts.crash(key)?;
+        let age_ms = millis(now.saturating_sub(crash.at));
+        // The number of runs at a crash shows how likely it hits a sound part, so they come first.
+        let fixed = CRASH_BYTES + key.id.len();
+        let max_runs = self.budget.max_rows(FANOUT, fixed, RUN_BYTES).min(MAX_RUNS);
+        let runs: Vec<RunId> = crash.untold_runs.iter().copied().take(max_runs).collect();
+        let fixed = fixed + runs.len() * RUN_BYTES;
+        let max_parts = self.budget.max_rows(FANOUT, fixed, HASH_BYTES).min(MAX_RUNS);
+        let is_suspected = |part: &&PartId| self.parts.is_suspected(now, **part);
+        let (suspected, others): (Vec<PartId>, Vec<PartId>) =
+            crash.untold_parts.iter().partition(is_suspected);
+        let others = others.into_iter().filter(|_| !is_urgent);
+        let parts: Vec<PartId> = suspected.into_iter().chain(others).take(max_parts).collect();
+        if runs.is_empty() && parts.is_empty() {
+            return None;
+        }
+        Some(self.spend(Message::CrashedParts { key: key.clone(), age_ms, runs, parts }))
+    }
+
+    /// Returns a message about the requests that ran on a crashed endpoint, as far as they are new;
+    /// none if there are none or no bytes left.
+    fn crashed_requests(&mut self, now: Duration, key: &Key, is_urgent: bool) -> Option<Message> {
+        let crash = self.crashes.get(key)?;
+        let age_ms = millis(now.saturating_sub(crash.at));
+        let row_bytes = HASH_BYTES + TIME_BYTES;
+        let fixed = CRASH_BYTES + key.id.len();
+        let max_rows = self.budget.max_rows(FANOUT, fixed, row_bytes).min(MAX_FINGERPRINTS);
+        let is_suspected = |row: &&Fingerprint| self.crash_count(**row) >= MIN_URGENT_CRASHES;
+        let (suspected, others): (Vec<Fingerprint>, Vec<Fingerprint>) =
+            crash.untold.iter().partition(is_suspected);
+        let others = others.into_iter().filter(|_| !is_urgent);
+        let ran_ms = |row: Fingerprint| {
+            let sent_at = crash.runs.get(&row).copied().unwrap_or(crash.at);
+            (row, millis(crash.at.saturating_sub(sent_at)))
+        };
+        let rows = suspected.into_iter().chain(others).take(max_rows);
+        let runs: Vec<(Fingerprint, u32)> = rows.map(ran_ms).collect();
+        if runs.is_empty() {
+            return None;
+        }
+        Some(self.spend(Message::Crashed { key: key.clone(), age_ms, runs }))
+    }
+
+    /// Returns the message about survivals that is due in a round.
+    fn survivals(&mut self, now: Duration) -> Option<Message> {
+        let row_bytes = HASH_BYTES + RUN_BYTES + TIME_BYTES;
+        let max_rows = self.budget.max_rows(FANOUT, 2, row_bytes).min(MAX_SURVIVALS);
+        // A quarter of the bytes is left for crashes.
+        let max_rows = max_rows - max_rows / 4;
+        let rows = self.parts.take_untold_survivals(now, max_rows).into_iter();
         let age_ms = |at: Duration| millis(now.saturating_sub(at));
-        let survivals = self.parts.survivals_learned_since(since);
-        let survivals: Vec<(PartId, RunId, u32)> =
-            survivals.map(|(part, row)| (part, row.run, age_ms(row.at))).collect();
-        let chunks = survivals.chunks(MAX_SURVIVALS).take(MAX_SURVIVAL_MESSAGES);
-        messages.extend(chunks.map(|rows| Message::Survived(rows.to_vec())));
-        let cleared = self.parts.cleared_since(since);
-        let cleared: Vec<(PartId, u32)> = cleared.map(|(part, at)| (part, age_ms(at))).collect();
-        let chunks = cleared.chunks(MAX_FINGERPRINTS);
-        messages.extend(chunks.map(|rows| Message::ClearedParts(rows.to_vec())));
-        messages
+        let rows: Vec<(PartId, RunId, u32)> =
+            rows.map(|(part, row)| (part, row.run, age_ms(row.at))).collect();
+        (!rows.is_empty()).then(|| self.spend(Message::Survived(rows)))
+    }
+
+    /// Returns the message about complete answers that is due in a round.
+    fn completed_requests(&mut self, now: Duration) -> Option<Message> {
+        // Half of the bytes are left for crashes.
+        let row_bytes = HASH_BYTES + TIME_BYTES;
+        let max_rows = self.budget.max_rows(2 * FANOUT, 2, row_bytes).min(MAX_FINGERPRINTS);
+        let rows = self.completed.iter().take(max_rows);
+        let rows: Vec<(Fingerprint, u32)> =
+            rows.map(|(row, (at, _))| (*row, millis(now.saturating_sub(*at)))).collect();
+        self.completed.retain(|row, _| !rows.iter().any(|told| told.0 == *row));
+        (!rows.is_empty()).then(|| self.spend(Message::Completed(rows)))
+    }
+
+    /// Returns the message about parts that crash nothing that is due in a round.
+    fn cleared_parts(&mut self, now: Duration) -> Option<Message> {
+        let row_bytes = HASH_BYTES + TIME_BYTES;
+        let max_rows = self.budget.max_rows(FANOUT, 2, row_bytes).min(MAX_FINGERPRINTS);
+        let cleared = self.parts.cleared_since(now.saturating_sub(ANNOUNCEMENT_PERIOD));
+        let rows: Vec<(PartId, u32)> = cleared
+            .take(max_rows)
+            .map(|(part, at)| (part, millis(now.saturating_sub(at))))
+            .collect();
+        (!rows.is_empty()).then(|| self.spend(Message::ClearedParts(rows)))
+    }
+
+    /// Returns the messages about refusals that are due in a round: all in turn.
+    fn due_refusals(&mut self, now: Duration) -> Vec<Message> {
+        let max_rows = self.budget.max_rows(2 * REFUSAL_FANOUT, 2, HASH_BYTES + TIME_BYTES);
+        let max_rows = max_rows.min(MAX_REFUSALS_PER_ROUND);
+        let requests = next_rows(self.table.refused(now), &mut self.last_refusals.0, max_rows);
+        let parts = next_rows(self.parts.refused(now), &mut self.last_refusals.1, max_rows);
+        let requests = (!requests.is_empty()).then_some(Message::Refused(requests));
+        let parts = (!parts.is_empty()).then_some(Message::RefusedParts(parts));
+        requests.into_iter().chain(parts).map(|message| self.spend(message)).collect()
+    }
+
+    /// Takes the bytes of a message out of the budget.
+    fn spend(&mut self, message: Message) -> Message {
+        let bytes = postcard::serialize_with_flavor(&message, Size::default()).unwrap_or_default();
+        self.budget.spend(message.fanout(), bytes);
+        message
     }
 
     /// Returns the messages about what is refused.
@@ -418,24 +557,18 @@
     }
 }
 
-/// Returns the messages about the runs that had just begun on a crashed endpoint.
-fn part_announcements(now: Duration, key: &Key, crash: &part::Crash) -> Vec<Message> {
-    let age_ms = millis(now.saturating_sub(crash.at));
-    let runs: Vec<RunId> = crash.runs.iter().copied().collect();
-    let parts: Vec<PartId> = crash.parts.iter().copied().collect();
-    let count = runs.len().max(parts.len()).div_ceil(MAX_RUNS);
-    let message = |index: usize| Message::CrashedParts {
-        key: key.clone(),
-        age_ms,
-        runs: chunk(&runs, index),
-        parts: chunk(&parts, index),
-    };
-    (0..count).map(message).collect()
-}
-
-/// Returns the rows for one of several messages; none if there are no more.
-fn chunk<T: Clone>(rows: &[T], index: usize) -> Vec<T> {
-    rows.chunks(MAX_RUNS).nth(index).unwrap_or_default().to_vec()
+/// Returns the next `count` rows after the last one, each with its remaining time, and moves on.
+fn next_rows(
+    rows: impl Iterator<Item = (u64, Duration)>,
+    last: &mut u64,
+    count: usize,
+) -> Vec<(u64, u32)> {
+    let rows: Vec<(u64, u32)> = rows.map(|(row, left)| (row, millis(left))).collect();
+    let start = rows.partition_point(|row| row.0 <= *last);
+    let next = rows[start..].iter().chain(&rows[..start]).take(count);
+    let next: Vec<(u64, u32)> = next.copied().collect();
+    *last = next.last().map_or(*last, |row| row.0);
+    next
 }
 
 fn millis(span: Duration) -> u32 {
