--- a/tests/decide_pace.rs
+++ b/tests/decide_pace.rs
@@ -94,6 +94,7 @@
     adapter: None,
     adapter_slots: 0,
     prompt_tokens: 0,
+    output_tokens: 0,
     parts: &[],
     max_pause: None,
     tried: &[],
@@ -143,7 +144,7 @@
                 fleet.record_failure(ms(now), &row.at);
             } else if now == row.first_at {
                 let same = running.iter().filter(|other| other.index == row.index);
-                let load = Load { running: same.count() as u32, waiting: 0 };
+                let load = Load { running: same.count() as u32, ..Load::default() };
                 if !has_broker {
                     fleet.on_load_report(ms(now), &row.at, load);
                 }
@@ -270,7 +271,7 @@
     assert_eq!(bounds(&fleet), [None, None, Some(2)]);
     let answer = |fleet: &mut Fleet, now: u64, running: u32| {
         let at = instance(2, 2).key;
-        fleet.on_load_report(ms(now), &at, Load { running, waiting: 0 });
+        fleet.on_load_report(ms(now), &at, Load { running, ..Load::default() });
         fleet.record_first_byte(ms(now), &at, ms(50), None, &Estimate::default());
     };
     answer(&mut fleet, 9_100, 7);
