Let fewer requests wait at engines whose streams take longer

Each engine was sent a quarter of its slots in requests beyond them, which wait there for a slot. On an engine whose streams take three times as long they wait three times as long, while slots of others become free. For engines that state how long work takes, that quarter is now divided by the pause of their streams relative to the usual one of all engines, up to a half for fast ones.

--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -111,6 +111,8 @@
 /// becomes free. Credit earned on simulated days of two fleets, as a share of the marks: 0.70 and
 /// 0.66 at 0.75, 0.77 and 0.73 at 1.0, 0.84 and 0.80 at 1.25.
 const MAX_ENGINE_LOAD_RATIO: f64 = 1.25;
+/// Requests that wait for a slot at a fast engine at most, relative to its slots.
+const MAX_WAITING_RATIO: f64 = 0.5;
 /// Requests sent to a plain service at most, relative to its slots. The excess waits there for a
 /// few milliseconds, where a daemon would wait for the next load report.
 const MAX_PLAIN_LOAD_RATIO: f64 = 2.0;
@@ -359,10 +361,16 @@
     }
 
     /// Returns whether the endpoint takes another request of this daemon.
-    pub fn has_room(&self, now: Duration, is_engine: bool, sharing: Sharing) -> bool {
+    pub fn has_room(
+        &self,
+        now: Duration,
+        is_engine: bool,
+        sharing: Sharing,
+        growth: &Growth,
+    ) -> bool {
         let load = self.load(now);
         if self.max_rejections(now).is_none() {
-            return load < self.max_requests(is_engine);
+            return load < self.max_requests(now, is_engine, growth);
         }
         brittle::has_room(self.instance.slots, is_engine, load, self.running, sharing)
     }
@@ -663,10 +671,19 @@
     }
 
     /// Returns the number of requests that the endpoint is sent at most unless it is brittle.
-    fn max_requests(&self, is_engine: bool) -> u32 {
+    fn max_requests(&self, now: Duration, is_engine: bool, growth: &Growth) -> u32 {
         let slots = f64::from(self.instance.slots);
-        (if is_engine { slots * MAX_ENGINE_LOAD_RATIO } else { slots * MAX_PLAIN_LOAD_RATIO })
-            as u32
+        let ratio = if !is_engine {
+            MAX_PLAIN_LOAD_RATIO
+        } else if self.work_time.is_stated() {
+            // The slower its streams, the longer a request waits there for one of them to end.
+            let slowness = self.pauses.relative(growth, self.work_time.mean(now));
+            let waiting = (MAX_ENGINE_LOAD_RATIO - 1.0) / slowness;
+            1.0 + waiting.min(MAX_WAITING_RATIO)
+        } else {
+            MAX_ENGINE_LOAD_RATIO
+        };
+        (slots * ratio) as u32
     }
 
     /// Returns for how long the engine accepts no order for an adapter.
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -359,7 +359,7 @@
             };
             has_resident = true;
             if requirements.tried.contains(&row.instance.key)
-                || !row.has_room(now, is_engine, self.sharing)
+                || !row.has_room(now, is_engine, self.sharing, &self.growth)
                 || (is_engine && !self.memory.has_room(now, &row.memory_situation(now), tokens))
             {
                 continue;
--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -24,8 +24,8 @@
 /// Part of the memory that is used by several requests. The rest covers requests that have ended
 /// here and not yet at the engine.
 const USABLE_RATIO: f64 = 0.95;
-/// Requests that an engine is sent at most, relative to its slots.
-const MAX_LOAD_RATIO: f64 = 1.25;
+/// Requests that an engine is sent at most, relative to its slots, if it is fast.
+const MAX_LOAD_RATIO: f64 = 1.5;
 /// Weight of one request in the mean size.
 const SIZE_SMOOTHING: f64 = 0.02;
 /// Standard deviations of the sum of unknown requests that are added to its mean.
--- a/src/decide/pause.rs
+++ b/src/decide/pause.rs
@@ -85,14 +85,23 @@
     /// Returns the expected pause at a load, while work takes `work_time` of the usual time; none
     /// before any engine's first pause.
     pub fn expected(&self, common: &Growth, load: f64, work_time: f64) -> Option<Duration> {
+        Some(self.usual(common)?.mul_f64(common.factor(load) * work_time))
+    }
+
+    /// Returns the pause relative to that of all engines at usual speed, while work takes `work_time`
+    /// of the usual time.
+    pub fn relative(&self, common: &Growth, work_time: f64) -> f64 {
+        let all = common.pause.get();
+        self.usual(common).map_or(1.0, |usual| usual.div_duration_f64(all)) * work_time
+    }
+
+    /// Returns the pause on an idle engine whose machine has its usual speed.
+    fn usual(&self, common: &Growth) -> Option<Duration> {
         let all = common.pause.get();
-        if all.is_zero() {
-            return None;
-        }
         let count = f64::from(self.count);
         let weight = count / (count + PRIOR_COUNT);
         let usual = self.pause.get().mul_f64(weight) + all.mul_f64(1.0 - weight);
-        Some(usual.mul_f64(common.factor(load) * work_time))
+        (!all.is_zero()).then_some(usual)
     }
 }
 
