--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -437,7 +437,7 @@
         usual_delay: Option<Duration>,
     ) {
         let load = self.load(now);
-        let max = self.max_requests(true);
+        let max = (f64::from(self.instance.slots) * MAX_ENGINE_LOAD_RATIO) as u32;
         if let Some(pace) = &mut self.pace {
             let expected = usual_delay
                 .map(|usual_delay| estimate.own_prefill + estimate.queued_prefill + usual_delay);
