--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -9,9 +9,10 @@
 //! left, the request is refused at once with a retry-after time, as its caller can only come back
 //! while there is time. What waits is checked again (`has_time`), as more urgent requests arrive.
 //!
-//! Before, a request waited for 0.7 of its target latency at most. In a fleet with targets of 0.5 s
-//! and 8 s the urgent requests were then refused after 0.35 s, with 9.6 s left until their deadline,
-//! while the others waited for 5.6 s and took the slots.
+//! Callers of streams leave if no first event comes in time, which may be seconds before the
+//! deadline: a request that is sent later runs for nobody. A request that will be late waits only
+//! while the queue before it gets shorter. Otherwise it would be held until its caller leaves, or
+//! take a slot from one that can still be on time.
 
 use std::time::Duration;
 
