--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -188,6 +188,11 @@
 }
 
 impl Job {
+    /// Returns the name of the team that sent it.
+    fn team_name(&self) -> Option<&str> {
+        self.team.as_ref().map(|team| team.name.as_str())
+    }
+
     /// Returns what the daemon's own answers need of the job.
     fn responder(&self) -> Responder<'_> {
         let (caller, route) = (&self.caller, self.route.name.as_str());
@@ -601,10 +606,12 @@
         match outcome {
             Outcome::Complete(res, _) => {
                 tracker.answered = true;
+                record_answer(daemon, job);
                 return forward(daemon, job, &tracker, res);
             }
             Outcome::Stream(head) => {
                 let attempts = progress.possible_runs + 1;
+                record_answer(daemon, job);
                 return forward_stream(daemon, job, permit, head, attempts, tracker);
             }
             Outcome::Failure(res, _) => {
@@ -660,6 +667,12 @@
     }
 }
 
+/// Counts a request whose answer has begun: on time if that is within its target latency.
+fn record_answer(daemon: &Daemon, job: &Job) {
+    let is_late = clock::now() > job.arrived_at + job.route.target_latency;
+    daemon.gauges.record_end(job.team_name(), if is_late { "late" } else { "on_time" });
+}
+
 /// Returns the refusal of a request that may not be sent again.
 fn no_credit() -> Refusal {
     Refusal::new("no_allowance", EXHAUSTED_RETRY_AFTER)
@@ -684,6 +697,8 @@
     refusal: &Refusal,
 ) -> Response<Payload> {
     tracker.answered = true;
+    let end = if progress.possible_runs == 0 { refusal.reason } else { "failed" };
+    daemon.gauges.record_end(job.team_name(), end);
     if let Some(res) = progress.failure {
         return forward(daemon, job, tracker, res);
     }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -52,12 +52,17 @@
 /// Bound on rows by team and outcome; requests that would need another row are counted together.
 const MAX_TEAM_ROWS: usize = 128;
 
+/// Bound on rows by team and how their requests ended: fifty teams with ten refusal codes each.
+const MAX_ENDED_ROWS: usize = 512;
+
 /// Counters kept in addition to the log's event counts.
 #[derive(Debug, Default)]
 pub struct Gauges {
     first_bytes: RefCell<HashMap<routing::Kind, Histogram>>,
     /// Requests by team; the empty name holds those of teams without a row of their own.
     requests: RefCell<HashMap<(TeamId, Admission), u64>>,
+    /// Requests by team and how they ended: `on_time`, `late`, `failed`, or the code of a refusal.
+    ended: RefCell<HashMap<(TeamId, &'static str), u64>>,
     /// Bodies of endpoints' answers by how they were delimited and how they ended.
     bodies: RefCell<HashMap<(Framing, End), u64>>,
     /// Responses that did not name the request they came for, by whether they named another one and
@@ -93,6 +98,18 @@
         *requests.entry(row).or_default() += 1;
     }
 
+    /// Counts how a request of a team has ended. Without a team nothing is counted.
+    pub fn record_end(&self, team: Option<&str>, end: &'static str) {
+        let Some(team) = team else {
+            return;
+        };
+        let mut ended = self.ended.borrow_mut();
+        let row = (team.to_string(), end);
+        let has_row = ended.contains_key(&row) || ended.len() < MAX_ENDED_ROWS;
+        let row = if has_row { row } else { (TeamId::new(), end) };
+        *ended.entry(row).or_default() += 1;
+    }
+
     /// Counts the body of an endpoint's answer.
     pub fn record_body(&self, framing: Framing, end: End) {
         *self.bodies.borrow_mut().entry((framing, end)).or_default() += 1;
@@ -181,6 +198,10 @@
             let labels = format!("team=\"{team}\",outcome=\"{outcome}\"");
             writeln!(out, "poplarmux_team_requests_total{{{labels}}} {count}")?;
         }
+        for ((team, end), count) in self.ended.borrow().iter() {
+            let labels = format!("team=\"{team}\",end=\"{end}\"");
+            writeln!(out, "poplarmux_team_ended_total{{{labels}}} {count}")?;
+        }
         for ((framing, end), count) in self.bodies.borrow().iter() {
             let (framing, end): (&str, &str) = (framing.into(), end.into());
             let labels = format!("framing=\"{framing}\",end=\"{end}\"");
