--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -139,6 +139,7 @@
         shutdown_start,
         shutdown_start + daemon.settings.grace_period.saturating_sub(SHUTDOWN_MARGIN),
     )));
+    daemon.stopping.notify(usize::MAX);
     peer::send_heartbeat(daemon);
     let announcement = async {
         // Both calls only save other daemons a wait, so their errors are ignored: without them the
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -96,6 +96,8 @@
 /// Retry-after once endpoints have rejected the request: updates of their loads have arrived by
 /// then.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Interval at which waiting requests are checked during a shutdown.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry-after for a caller that has to use another daemon: at once.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -685,7 +687,24 @@
     tried: &[instance::Key],
 ) -> Result<admission::Permit, Refusal> {
     let quarantined = async { Err(quarantine::wait_for_refusal(daemon, &job.content).await) };
-    quarantined.or(admission::find(daemon, job, tried)).await
+    let stopping = async { Err(wait_for_stop(daemon, job).await) };
+    quarantined.or(admission::find(daemon, job, tried)).or(stopping).await
+}
+
+/// Waits until a request that still waits can't be answered before the process ends. Without it a
+/// request whose deadline is later would end with the process, unanswered.
+async fn wait_for_stop(daemon: &Daemon, job: &Job) -> Refusal {
+    loop {
+        let next = daemon.stopping.listen();
+        let Some((began, end)) = daemon.shutdown_period.get() else {
+            next.await;
+            continue;
+        };
+        if !shutdown::accepts(clock::now(), began, end, job.caller.max_tokens) {
+            return Refusal::new("stopping", SHUTDOWN_RETRY_AFTER);
+        }
+        Timer::after(STOP_CHECK_INTERVAL).await;
+    }
 }
 
 /// Returns the final answer of a request that no endpoint has answered successfully.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -165,6 +165,8 @@
     pub open_requests: Cell<usize>,
     /// Notified when callers' idle connections have to be closed.
     pub close_idle: Notifier,
+    /// Notified when the shutdown begins.
+    pub stopping: Notifier,
     /// When waiting requests are dispatched next; none if nothing is scheduled.
     pub next_dispatch: Cell<Option<Duration>>,
     next_number: Cell<u64>,
@@ -226,6 +228,7 @@
             endpoints_listed: Cell::new(false),
             open_requests: Cell::new(0),
             close_idle: Notifier::new(),
+            stopping: Notifier::new(),
             next_dispatch: Cell::new(None),
             next_number: Cell::new(1),
             ex,
