--- a/tests/decide_wait_load.rs
+++ b/tests/decide_wait_load.rs
@@ -296,10 +296,9 @@
         let new = shares(&run(scene), false);
         let old = shares(&run(Scene { is_old_rule: true, ..scene }), false);
         let text = format!("{scene:?}: {old:.3?}, now {new:.3?}");
-        assert!(new.iter().zip(&old).all(|(new, old)| new.0 >= old.0 - 0.005), "{text}");
-        let urgency_is_kept = new[0].0 >= new[2].0 && new[1].0 >= 0.995;
-        assert!(urgency_is_kept && new[0].0 >= old[0].0 && new[2].0 > old[2].0, "{text}");
-        assert!(new.iter().zip(&old).all(|(new, old)| new.1 >= old.1 - 0.025), "{text}");
+        let [urgent, routine, short] = new;
+        assert!(urgent.0 >= 0.995 && routine.0 >= 0.995 && short.0 >= old[2].0 + 0.05, "{text}");
+        assert!(new.iter().zip(&old).all(|(new, old)| new.1 >= old.1 - 0.01), "{text}");
     });
 }
 
