Cut streams off at their deadlines while data is always ready

Cause: the stream's reader waits for data or its deadline, and polls the timer only while no data is ready. The reader of a response that another daemon passes on waits in the same way.

Change: decide::body::Cutoff ends a stream once data has been ready for 100 ms after the deadline. Data that waited while the process did not run is still passed on.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -43,6 +43,7 @@
 use crate::daemon::send;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
+use crate::decide::body::Cutoff;
 use crate::decide::body::Framing;
 use crate::decide::contact::Path;
 use crate::decide::suspects::Content;
@@ -189,6 +190,7 @@
                     received_at: clock::now(),
                     liveness,
                     deadline,
+                    cutoff: Cutoff::new(deadline),
                     _open: open,
                 };
                 let is_confirmed = exchange.target.confirm
@@ -294,6 +296,8 @@
     received_at: Duration,
     liveness: Option<Connection>,
     deadline: Duration,
+    /// When data that is always ready is no longer passed back.
+    cutoff: Cutoff,
     _open: OpenRequest,
 }
 
@@ -357,6 +361,7 @@
             Some(Err(link::Error::Timeout))
         };
         match smol::future::or(frame, timeout).await {
+            Some(Ok(_)) if self.cutoff.is_due(clock::now()) => self.abort().await,
             Some(Ok(data)) => {
                 self.daemon.fleet.borrow_mut().record_received(clock::now());
                 if framing == Framing::Length && body.is_end_stream() {
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -36,6 +36,7 @@
 use crate::daemon::send::Outcome;
 use crate::decide::body;
 use crate::decide::body::Content;
+use crate::decide::body::Cutoff;
 use crate::decide::body::Framing;
 use crate::decide::body::Verdict;
 use crate::decide::endpoint::End;
@@ -67,6 +68,8 @@
     tried: Vec<Key>,
     attempts: u32,
     deadline: Timer,
+    /// When data that is always ready is no longer passed on.
+    cutoff: Cutoff,
     /// When the stream's head was received, on the boot clock.
     started_at: Duration,
     /// Number of data frames received.
@@ -114,6 +117,7 @@
             tried: Vec::new(),
             attempts,
             deadline: Timer::after(time_left),
+            cutoff: Cutoff::new(job.deadline),
             open_request,
         }
     }
@@ -191,6 +195,9 @@
         // There is no limit on a pause: the endpoint may still continue, and a dead connection is
         // detected by the socket's own time-outs.
         let data = match frame.or(deadline).await {
+            Ok(Some(_)) if self.cutoff.is_due(clock::now()) => {
+                return Received::End(body::End::Timeout);
+            }
             Ok(Some(data)) => data,
             Ok(None) => {
                 let (sent_at, received_at) = (head.sent_at, head.received_at);
--- a/src/decide/body.rs
+++ b/src/decide/body.rs
@@ -5,6 +5,16 @@
 //! framing, unless whatever broke it off also ended the framing. A body that has neither ends with
 //! its connection, and its last byte looks the same in both cases. Then only the content can tell,
 //! and whether the endpoint still runs.
+//!
+//! It also decides when a body that is passed on as it arrives is cut off at its deadline. Load
+//! pattern: an endpoint sends faster than its response is passed on, so that there is always more to
+//! read and a timer beside the reads is never polled.
+
+use std::time::Duration;
+
+/// How long data that is ready is passed on after the deadline. It may have arrived before, while
+/// this process did not run, and its caller is better served late than not at all.
+const LATE_PERIOD: Duration = Duration::from_millis(100);
 
 /// How a body is delimited (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::IntoStaticStr)]
@@ -74,3 +84,27 @@
         (Framing::Length | Framing::Chunked, _) => Verdict::Ended(End::Complete),
     }
 }
+
+/// The end of the time in which a body is passed on.
+#[derive(Debug, Clone)]
+pub struct Cutoff {
+    deadline: Duration,
+    /// When data was first read after the deadline, on the boot clock; never before the deadline.
+    late_since: Option<Duration>,
+}
+
+impl Cutoff {
+    /// Returns the cutoff of a body with this deadline on the boot clock.
+    pub fn new(deadline: Duration) -> Self {
+        Cutoff { deadline, late_since: None }
+    }
+
+    /// Returns whether data that was ready at `now` is no longer passed on.
+    pub fn is_due(&mut self, now: Duration) -> bool {
+        if now < self.deadline {
+            return false;
+        }
+        let late_since = *self.late_since.get_or_insert(now);
+        now.saturating_sub(late_since) >= LATE_PERIOD
+    }
+}
