Explain where a request would go, without sending it

Cause: an operator could only see afterwards, from logs, why a request went where it did, waited or was refused.

Change: poplarmux-explain asks a running daemon on the port of its metrics. Fleet::choose is split: fleet::candidate assesses each endpoint (its cost, or what excludes it), and choose selects among them. In the same way admission::evaluate decides without effects, and decide carries it out. The explanation uses both, so that it can't differ from the decision. Ten questions a second, 80 endpoints in an answer; keys and prompts are neither taken nor shown.

The time of an answer beside load was not measured.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -105,9 +105,12 @@
         millicores: daemon.settings.millicores,
     });
     let accept_loop = ex.spawn(front::serve(daemon.clone(), front));
-    for listener in [Some(ready), Some(directory), metrics].into_iter().flatten() {
+    for listener in [ready, directory] {
         ex.spawn(directory::serve(daemon.clone(), listener)).detach();
     }
+    if let Some(listener) = metrics {
+        ex.spawn(directory::serve_operators(daemon.clone(), listener)).detach();
+    }
     ex.spawn(relay::serve(daemon.clone(), relay)).detach();
     ex.spawn(store::config(daemon.clone())).detach();
     ex.spawn(store::instances(daemon.clone())).detach();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub mod daemon;
 pub mod dump;
 pub mod entry;
+pub mod explain;
 pub mod losses;
 pub mod model;
 pub mod placer;
--- a/src/daemon/admission/mod.rs
+++ b/src/daemon/admission/mod.rs
@@ -80,9 +80,9 @@
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Refusal code of a request that is larger than the memory of any engine of its service.
-const TOO_LARGE: &str = "too_large";
+pub const TOO_LARGE: &str = "too_large";
 /// Retry-after of such a request, which only another configuration could change.
-const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
+pub const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// What a request requires of an endpoint.
 #[derive(Debug, Clone, PartialEq)]
@@ -414,7 +414,7 @@
 
 /// Returns the region whose broker grants the use of an endpoint, if that is another region than
 /// this daemon's and its broker is available.
-fn broker_region(daemon: &Daemon, arrival: &Arrival, key: &Key) -> Option<RegionId> {
+pub fn broker_region(daemon: &Daemon, arrival: &Arrival, key: &Key) -> Option<RegionId> {
     if arrival.required_region.is_some() || !arrival.spec.needs_broker() {
         return None;
     }
@@ -451,24 +451,50 @@
     estimate
 }
 
-/// Decides on an arrival, and requests the adapter load or the dispatch that it has to wait for.
-pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
+/// What is to be done with an arrival, before anything is changed.
+pub enum Evaluation {
+    /// It can be sent to this endpoint now.
+    Send(Key),
+    /// It can't be sent now.
+    Hold {
+        /// What the endpoints allow.
+        choice: Choice,
+        /// How many requests wait before it.
+        ahead: usize,
+        /// Why it can't be sent.
+        cause: Cause,
+        /// Whether it waits.
+        verdict: Verdict,
+    },
+}
+
+/// Evaluates an arrival. Only the random number generator is changed.
+pub fn evaluate(daemon: &Daemon, now: Duration, arrival: &Arrival) -> Evaluation {
     let request = arrival.request(daemon);
-    daemon.completions.borrow_mut().record_arrival(now, arrival.spec.class);
     let ahead =
         daemon.queue.borrow().ahead(now, arrival.class(), &arrival.place(daemon, now, &request));
     let choice = match choose(daemon, now, arrival) {
-        Choice::Send(key) if ahead == 0 => {
+        Choice::Send(key) if ahead == 0 => return Evaluation::Send(key),
+        choice => choice,
+    };
+    let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
+    let verdict = wait_policy::decide(now, &request, cause, &mut daemon.rng.borrow_mut());
+    Evaluation::Hold { choice, ahead, cause, verdict }
+}
+
+/// Decides on an arrival, and requests the adapter load or the dispatch that it has to wait for.
+pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
+    daemon.completions.borrow_mut().record_arrival(now, arrival.spec.class);
+    let (choice, ahead, cause, verdict) = match evaluate(daemon, now, arrival) {
+        Evaluation::Send(key) => {
             let Some(region) = broker_region(daemon, arrival, &key) else {
                 return Decision::Send(key);
             };
             daemon.fleet.borrow_mut().expect_grant(&key);
             return Decision::OtherRegion(region);
         }
-        choice => choice,
+        Evaluation::Hold { choice, ahead, cause, verdict } => (choice, ahead, cause, verdict),
     };
-    let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
-    let verdict = wait_policy::decide(now, &request, cause, &mut daemon.rng.borrow_mut());
     if let Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) = choice {
         dispatch_class_at(daemon, arrival.class(), now + span);
     }
@@ -669,7 +695,8 @@
     }
 }
 
-fn refusal_reason(choice: &Choice) -> &'static str {
+/// Returns the code with which an arrival is refused.
+pub fn refusal_reason(choice: &Choice) -> &'static str {
     match choice {
         Choice::Send(_) | Choice::Delay(_) | Choice::Full => "full",
         Choice::LoadAdapter(_) => "adapter_absent",
--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -1,4 +1,5 @@
-//! Serves the addresses of daemons to callers, readiness to the platform, and metrics to operators.
+//! Serves the addresses of daemons to callers, readiness to the platform, and metrics and
+//! explanations to operators.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::daemon::Daemon;
+use crate::daemon::explain;
 use crate::daemon::front::Payload;
 use crate::daemon::front::Truncated;
 use crate::daemon::link;
@@ -41,6 +43,19 @@
     .await;
 }
 
+/// Serves operators as long as the daemon runs: what `serve` does, and explanations.
+pub async fn serve_operators(daemon: Rc<Daemon>, listener: TcpListener) {
+    serve_with(daemon, listener, async |daemon, req| {
+        let (head, _) = req.into_parts();
+        let res = match head.uri.path() {
+            explain::PATH => explain::respond(&daemon, head.uri.query().unwrap_or_default()),
+            _ => respond(&daemon, &head),
+        };
+        Ok(res.map(Payload::Complete))
+    })
+    .await;
+}
+
 /// Answers requests as long as the daemon runs; an error closes the connection.
 pub async fn serve_with(
     daemon: Rc<Daemon>,
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -99,7 +99,7 @@
 /// Interval at which waiting requests are checked during a shutdown.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Retry-after for a caller that has to use another daemon: at once.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Error of an answer that ended before it was complete; the caller's connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 pub mod contact;
 pub mod directory;
 pub mod engine;
+pub mod explain;
 pub mod foreign;
 pub mod forward;
 pub mod front;
@@ -151,6 +152,8 @@
     pub gauges: Gauges,
     /// Random number generator.
     pub rng: RefCell<SmallRng>,
+    /// Bounds the explanations that operators ask for.
+    pub explanations: Cell<explain::Rate>,
     /// What is held for callers that read slowly, and of other bodies.
     pub read_ahead: read_ahead::Table,
     /// Monitor of the event loop's ticks.
@@ -221,6 +224,7 @@
             journal: RefCell::default(),
             gauges: Gauges::default(),
             rng: RefCell::new(rng),
+            explanations: Cell::default(),
             read_ahead: read_ahead::Table::new(settings.memory),
             lag: Cell::default(),
             shutting_down: Cell::new(false),
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -14,6 +14,8 @@
 //!
 //! Failures count as `FAILURE_COST` times their share, since a failed request is lost, not late.
 
+mod candidate;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -23,6 +25,8 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 
+pub use self::candidate::Candidate;
+pub use self::candidate::Obstacle;
 use crate::decide::brittle::Sharing;
 use crate::decide::contact;
 use crate::decide::contact::Evidence;
@@ -372,82 +376,45 @@
         let mut has_resident = false;
         // The shortest pause, and whether it is one that the endpoint asked for.
         let mut shortest_pause: Option<(Duration, bool)> = None;
-        let mut best: Option<(f64, &Endpoint, bool, Duration)> = None;
+        let mut best: Option<(f64, Candidate<'_>)> = None;
         // The best one within its pace, and whether one of those could begin at once.
-        let mut best_paced: Option<(f64, &Endpoint, bool, Duration)> = None;
+        let mut best_paced: Option<(f64, Candidate<'_>)> = None;
         let mut has_alternative = false;
-        for row in self.rows.values() {
-            if row.instance.service != requirements.service || !row.is_usable(now) {
-                continue;
-            }
-            if requirements.required_region.is_some_and(|required| {
-                self.regions.get(&row.instance.data_center) != Some(required)
-            }) {
-                continue;
-            }
-            let software = requirements.software;
-            if software.is_some_and(|required| {
-                self.software(&row.instance.key).is_none_or(|software| software != required)
-            }) {
-                continue;
-            }
-            let Some(backoff) = requirements.remaining_backoff(now, row) else {
-                continue;
-            };
-            has_usable = true;
-            let ready = match requirements.model {
-                None => true,
-                Some(model) if row.is_resident(now, model, requirements.adapter) => true,
-                Some(model) if row.is_resident(now, model, None) => false,
-                Some(_) => continue,
+        for (_, assessment) in self.assess_all(now, requirements, is_engine) {
+            let candidate = match assessment {
+                Ok(candidate) => candidate,
+                Err(obstacle) => {
+                    has_usable |= obstacle.is_usable();
+                    has_resident |= obstacle.is_resident();
+                    let pause = match obstacle {
+                        Obstacle::Limited(pause) => (pause, false),
+                        Obstacle::Backoff(pause) => (pause, true),
+                        _ => continue,
+                    };
+                    shortest_pause = Some(shortest_pause.map_or(pause, |other| other.min(pause)));
+                    continue;
+                }
             };
-            has_resident = true;
-            if requirements.tried.contains(&row.instance.key)
-                || !row.has_room(now, is_engine, self.sharing, &self.growth)
-                || (is_engine && !self.memory.has_room(now, &row.memory_situation(now), tokens))
-            {
-                continue;
-            }
-            let limit_pause = row.remaining_pause(now);
-            let pause = limit_pause.max(backoff);
-            if !pause.is_zero() {
-                let pause = (pause, backoff >= limit_pause);
-                shortest_pause = Some(shortest_pause.map_or(pause, |other| other.min(pause)));
-                continue;
-            }
-            let load_cost = if ready { 0.0 } else { row.adapter_load_cost(now, requirements) };
             let noise = 1.0 + rng.random_range(0.0..NOISE_RATIO);
-            let max_pause = requirements.max_pause.filter(|_| is_engine);
-            let estimate = row.estimate(now, requirements, &self.speeds);
-            let delay = max_pause
-                .map_or(Duration::ZERO, |max_pause| row.prefill_delay(now, max_pause, &estimate));
-            // The daemon of the request has a path of its own.
-            let path_cost = if requirements.excluded.is_none() { row.path_cost() } else { 0.0 };
-            let cost = row.cost(now, is_engine, max_pause, &estimate, &self.growth)
-                + row.delay_cost(delay)
-                + load_cost
-                + path_cost;
-            let cost = cost * noise;
-            if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
-                best = Some((cost, row, ready, delay));
+            let cost = candidate.cost * noise;
+            if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                best = Some((cost, candidate));
             }
-            if row.is_within_pace(now, is_engine, self.sharing, self.seat) {
-                has_alternative |= ready
-                    && delay.is_zero()
-                    && row.distance != Distance::OtherRegion
-                    && row.is_established(now);
-                if best_paced.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
-                    best_paced = Some((cost, row, ready, delay));
+            if candidate.is_within_pace {
+                has_alternative |= candidate.is_alternative(now);
+                if best_paced.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+                    best_paced = Some((cost, candidate));
                 }
             }
         }
         if has_alternative {
             best = best_paced;
         }
-        match best {
-            Some((_, row, false, _)) => Choice::LoadAdapter(row.instance.key.clone()),
-            Some((_, _, true, delay)) if !delay.is_zero() => Choice::Delay(delay),
-            Some((_, row, true, _)) => Choice::Send(row.instance.key.clone()),
+        let key = |candidate: &Candidate<'_>| candidate.row.instance.key.clone();
+        match best.map(|(_, candidate)| candidate) {
+            Some(candidate) if !candidate.is_ready => Choice::LoadAdapter(key(&candidate)),
+            Some(candidate) if !candidate.delay.is_zero() => Choice::Delay(candidate.delay),
+            Some(candidate) => Choice::Send(key(&candidate)),
             None if let Some((pause, true)) = shortest_pause => Choice::Backoff(pause),
             None if let Some((pause, false)) = shortest_pause => Choice::Limited(pause),
             None if has_resident => Choice::Full,
