Keep small frames of slow callers in few allocations

Cause: what is read ahead for a slow caller is kept frame by frame, and the bounds count only the bytes of the frames. A frame of one byte takes an allocation and a place in the list: 8.1 MB of memory for 100,236 bytes held (platform/tests/small_chunks, an engine that sends chunks of one byte). A daemon of 120 MB may hold 30 MB by its bounds, and would be killed long before.

Change: frames are copied into pieces of 4 KB.

--- a/src/daemon/read_ahead.rs
+++ b/src/daemon/read_ahead.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -43,6 +44,9 @@
 /// Bytes of a plain answer that are handed to the server at a time. The server buffers as much, and
 /// copies what it buffers.
 pub const PIECE_BYTES: usize = 64 << 10;
+/// Bytes of a stream that are kept in one allocation. Kept one by one, frames of a byte would take
+/// many times the memory that the bounds count.
+const KEPT_BYTES: usize = 4 << 10;
 /// Bytes that the server holds for a caller that is behind, and that are not counted one by one.
 const SERVER_BUFFER_BYTES: usize = 64 << 10;
 /// Length from which an answer may fill the receive buffer of a caller. Shorter ones are detected as
@@ -214,6 +218,8 @@
     frames: RefCell<Option<Frames>>,
     /// What was read and not taken by the caller.
     pending: RefCell<VecDeque<Bytes>>,
+    /// What was read after `pending`, less than `KEPT_BYTES`.
+    tail: RefCell<BytesMut>,
     pending_bytes: Cell<usize>,
     /// How the answer ended after `pending`; none while there is more.
     end: Cell<Option<Result<(), Truncated>>>,
@@ -261,11 +267,8 @@
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(Ok(frame))) => {
                     let data = frame.into_data().unwrap_or_default();
-                    // The frame refers to a buffer of the connection that is many times as large.
-                    let data = Bytes::copy_from_slice(&data);
-                    self.pending_bytes.set(self.pending_bytes.get() + data.len());
+                    self.keep(&data);
                     table.add(&table.read_ahead, data.len());
-                    self.pending.borrow_mut().push_back(data);
                     if table.held().0 > table.bounds.total {
                         enforce(daemon);
                     }
@@ -278,6 +281,24 @@
         }
     }
 
+    /// Copies bytes that were read ahead: the frame refers to a buffer of the connection that is many
+    /// times as large.
+    fn keep(&self, mut data: &[u8]) {
+        self.pending_bytes.set(self.pending_bytes.get() + data.len());
+        let mut tail = self.tail.borrow_mut();
+        while !data.is_empty() {
+            if tail.is_empty() {
+                tail.reserve(KEPT_BYTES);
+            }
+            let (kept, rest) = data.split_at(data.len().min(KEPT_BYTES - tail.len()));
+            tail.extend_from_slice(kept);
+            data = rest;
+            if tail.len() == KEPT_BYTES {
+                self.pending.borrow_mut().push_back(std::mem::take(&mut *tail).freeze());
+            }
+        }
+    }
+
     fn finish(&self, end: Result<(), Truncated>) {
         self.end.set(Some(end));
         self.frames.take();
@@ -285,7 +306,11 @@
 
     /// Takes bytes that were read ahead.
     fn take_pending(&self, table: &Table) -> Option<Bytes> {
-        let data = self.pending.borrow_mut().pop_front()?;
+        let first = self.pending.borrow_mut().pop_front();
+        let data = first.unwrap_or_else(|| self.tail.take().freeze());
+        if data.is_empty() {
+            return None;
+        }
         self.pending_bytes.set(self.pending_bytes.get() - data.len());
         table.read_ahead.set(table.read_ahead.get() - data.len());
         if self.full_since.get().is_some() && self.pending_bytes.get() < table.bounds.stream {
@@ -302,6 +327,7 @@
         self.reader.take();
         self.frames.take();
         self.pending.take();
+        self.tail.take();
         table.read_ahead.set(table.read_ahead.get() - self.pending_bytes.take());
     }
 }
@@ -364,6 +390,7 @@
             is_ended,
             frames: RefCell::new(frames),
             pending: RefCell::default(),
+            tail: RefCell::default(),
             pending_bytes: Cell::default(),
             end: Cell::default(),
             is_wanted: Cell::default(),
