Subtract what is left of a charge when a request ends

Cause: a team is charged with the expected slot time of a request when it is sent, and the charge halves every 15 s. At the end of the request the difference to the time used was added in full, which is more than what is left of the charge. A team whose requests state many more output tokens than they use gets a sum below zero, for ever within its share, and the mean of all teams falls below zero with it: of two teams that used the same time, one of which stated 100 s for each 15 s, the other one had rank 13 (tests/decide_waiting, team_that_states_too_many_tokens_gains_nothing).

Change: Teams::settle subtracts what the charge has decayed to.

Result: both teams have rank 0. decide_waiting passes. Not run: decide_wait_load, which has its own accounting.

--- a/src/daemon/admission/mod.rs
+++ b/src/daemon/admission/mod.rs
@@ -354,8 +354,8 @@
     end: End,
 ) {
     let slot_time = now.saturating_sub(sent_at);
-    let correction = slot_time.as_secs_f64() - charged.as_secs_f64();
-    daemon.shares.borrow_mut().charge(now, &spec.service, &spec.terms.team, correction);
+    let work = (charged.as_secs_f64(), slot_time.as_secs_f64());
+    daemon.shares.borrow_mut().settle(now, &spec.service, &spec.terms.team, sent_at, work);
     if end == End::Completed {
         let mut completions = daemon.completions.borrow_mut();
         completions.record_slot_time(&spec.service, spec.terms.output_tokens, slot_time);
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -116,6 +116,21 @@
         }
     }
 
+    /// Replaces what a request was charged with at `sent_at` by what it has used.
+    pub fn settle(
+        &mut self,
+        now: Duration,
+        service: &str,
+        team: &Option<TeamId>,
+        sent_at: Duration,
+        (charged, used): (f64, f64),
+    ) {
+        // The charge has decayed since. To subtract all of it would make the sum negative where much
+        // more was charged than used.
+        let charge = Sum { value: charged, updated_s: sent_at.as_secs_f64() };
+        self.charge(now, service, team, used - charge.get(now.as_secs_f64()));
+    }
+
     /// Returns how far a team exceeds its fair share of a service; 0 is within it.
     pub fn rank(&self, now: Duration, service: &str, team: &Option<TeamId>) -> u8 {
         self.services.get(service).map_or(0, |ledger| ledger.rank(now, team))
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -260,3 +260,28 @@
     let slot_time = |tokens| completions.slot_time("llm", tokens).as_millis();
     assert_eq!([slot_time(50), slot_time(0), slot_time(300)], [1_000, 2_000, 6_000]);
 }
+
+/// Two teams use the same slot time, but the requests of one state many more output tokens than they
+/// use, and are charged for them until they end. Guards against a correction that takes back more
+/// than is left of the charge, which has decayed since: that team would have received less than
+/// nothing, and the other one would rank behind it.
+#[test]
+fn team_that_states_too_many_tokens_gains_nothing() {
+    let (large, small) = (Some("large".to_string()), Some("small".to_string()));
+    let mut teams = Teams::default();
+    for second in 0..60_u64 {
+        let now = ms(second * 1_000);
+        teams.charge(now, "llm", &large, 100.0);
+        teams.charge(now, "llm", &small, 15.0);
+        if let Some(sent_s) = second.checked_sub(15) {
+            teams.settle(now, "llm", &large, ms(sent_s * 1_000), (100.0, 15.0));
+            teams.settle(now, "llm", &small, ms(sent_s * 1_000), (15.0, 15.0));
+        }
+    }
+    let now = ms(75_000);
+    for second in 45..60 {
+        teams.settle(now, "llm", &large, ms(second * 1_000), (100.0, 15.0));
+        teams.settle(now, "llm", &small, ms(second * 1_000), (15.0, 15.0));
+    }
+    assert_eq!((teams.rank(now, "llm", &large), teams.rank(now, "llm", &small)), (0, 0));
+}
