Bound the number of classes whose arrivals are counted

Cause: each request is counted by its class, which has the model and adapter that the caller names, also if they do not exist. Above 4,096 classes only those were removed that had not been used for 60 s: 20,000 classes remained after 20,000 requests in one second, and each further one examined all.

Change: the half that was used least recently is removed if none has expired.

Result: at most 4,096 classes, and a class in use keeps its rate (tests/decide_waiting, arrivals_of_any_number_of_classes_take_bounded_memory).

--- a/src/decide/completions.rs
+++ b/src/decide/completions.rs
@@ -63,9 +63,15 @@
         self.class(now, class).completed.add(now, 1.0);
     }
 
+    /// Returns the number of classes that are counted.
+    pub fn class_count(&self) -> usize {
+        self.classes.len()
+    }
+
     fn class(&mut self, now: Duration, class: Class) -> &mut ClassRow {
-        if self.classes.len() >= MAX_CLASSES {
+        if self.classes.len() >= MAX_CLASSES && !self.classes.contains_key(&class) {
             self.classes.retain(|_, row| now < row.last_at + CLASS_RETENTION);
+            self.remove_unused_half();
         }
         let row = self.classes.entry(class).or_insert_with(|| ClassRow {
             completed: Rate::new(now, RATE_WINDOW),
@@ -77,6 +83,19 @@
         row
     }
 
+    /// Removes the half of the classes that was used least recently, if there are too many. Callers
+    /// may name any number of models that do not exist.
+    fn remove_unused_half(&mut self) {
+        if self.classes.len() >= MAX_CLASSES {
+            let mut used: Vec<(Duration, Class)> =
+                self.classes.iter().map(|(class, row)| (row.last_at, *class)).collect();
+            used.sort_unstable();
+            for (_, class) in &used[..used.len() / 2] {
+                self.classes.remove(class);
+            }
+        }
+    }
+
     /// Records for how long a completed request with this maximum number of tokens has occupied a
     /// slot.
     pub fn record_slot_time(&mut self, service: &str, output_tokens: u32, slot_time: Duration) {
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -285,3 +285,16 @@
     }
     assert_eq!((teams.rank(now, "llm", &large), teams.rank(now, "llm", &small)), (0, 0));
 }
+
+/// Callers name models that do not exist, each another one. Guards against memory that grows with
+/// each of them.
+#[test]
+fn arrivals_of_any_number_of_classes_take_bounded_memory() {
+    let mut completions = Completions::default();
+    for class in 0..20_000 {
+        completions.record_arrival(ms(class / 20), class);
+        completions.record_arrival(ms(class / 20), 7);
+    }
+    assert!(completions.class_count() <= 4_096, "{}", completions.class_count());
+    assert!(completions.arrival_rate(ms(1_000), 7) > 1_000.0, "one that is used is kept");
+}
