--- a/src/daemon/admission/mod.rs
+++ b/src/daemon/admission/mod.rs
@@ -204,8 +204,9 @@
     /// events of the stream already, and waits as long for the next one.
     fn first_event_by(&self) -> Option<Duration> {
         let (now, patience) = (clock::now(), self.spec.terms.patience?);
-        let by = self.arrived_at + patience;
-        Some(if now < by { by } else { now + patience })
+        // Another daemon may have stated any time.
+        let by = self.arrived_at.saturating_add(patience);
+        Some(if now < by { by } else { now.saturating_add(patience) })
     }
 
     /// Returns its place in the queue.
@@ -354,8 +355,8 @@
     end: End,
 ) {
     let slot_time = now.saturating_sub(sent_at);
-    let correction = slot_time.as_secs_f64() - charged.as_secs_f64();
-    daemon.shares.borrow_mut().charge(now, &spec.service, &spec.terms.team, correction);
+    let work = (charged.as_secs_f64(), slot_time.as_secs_f64());
+    daemon.shares.borrow_mut().settle(now, &spec.service, &spec.terms.team, sent_at, work);
     if end == End::Completed {
         let mut completions = daemon.completions.borrow_mut();
         completions.record_slot_time(&spec.service, spec.terms.output_tokens, slot_time);
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -8,6 +8,7 @@
 mod server;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,7 @@
 use self::server::Details;
 use self::server::Waiter;
 use crate::daemon::Daemon;
+use crate::daemon::admission;
 use crate::daemon::admission::Arrival;
 use crate::daemon::admission::Refusal;
 use crate::daemon::admission::Spec;
@@ -98,6 +100,9 @@
 #[derive(Default)]
 pub struct Broker {
     suspects: Suspects,
+    /// Brokers that have answered a request with terms since they last did not answer. Those of an
+    /// earlier release can't decode such a request.
+    current: HashSet<SocketAddr>,
     pending: HashMap<Ticket, Sender<Reply>>,
     /// Grants that this daemon holds: the broker, the request class and the engine.
     held: HashMap<Ticket, (SocketAddr, Class, Key)>,
@@ -180,13 +185,27 @@
     let is_remote =
         daemon.nodes.borrow().region_of(to).is_some_and(|region| *region != daemon.settings.region);
     let limit = if is_remote { REMOTE_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
+    // Only the answer to the first message is certainly one to a request with terms.
+    let mut is_first = true;
+    let until_deadline = |span: Duration| span.min(arrival.deadline.saturating_sub(clock::now()));
     while unanswered < MAX_UNANSWERED {
-        send(daemon, to, request_message(daemon, ticket, arrival, unanswered > 0));
-        match receive(&replies, limit).await {
+        // The broker may be gone, or its refusal lost.
+        if clock::now() >= arrival.deadline {
+            return Err(Failure::Refused(admission::timeout_refusal(daemon, arrival, None)));
+        }
+        for message in request_messages(daemon, to, ticket, arrival, unanswered > 0) {
+            send(daemon, to, message);
+        }
+        let reply = receive(&replies, until_deadline(limit)).await;
+        if reply.is_some() && is_first {
+            daemon.broker.borrow_mut().current.insert(to);
+        }
+        is_first = false;
+        match reply {
             Some(Reply::Queued) => {
                 // The next message is the final answer, but that may be lost: so the request is
                 // resent after an interval.
-                match receive(&replies, resend_interval).await {
+                match receive(&replies, until_deadline(resend_interval)).await {
                     Some(Reply::Queued) | None => {}
                     Some(reply) => return resolve(daemon, &mut pending, arrival, reply),
                 }
@@ -197,7 +216,11 @@
             None => unanswered += 1,
         }
     }
-    daemon.broker.borrow_mut().suspects.add(clock::now(), to);
+    {
+        let mut state = daemon.broker.borrow_mut();
+        state.suspects.add(clock::now(), to);
+        state.current.remove(&to);
+    }
     daemon.note(&Event::Broker { address: to.to_string() });
     Err(Failure::Unresponsive)
 }
@@ -241,24 +264,38 @@
     Ok(Answer::Granted(pending.ticket, key, estimate))
 }
 
-/// Returns the message that asks for a grant. The broker is told the endpoints that this daemon
-/// does not call, as it may not know what they have stated. A broker that did not answer may be of an
-/// earlier release, which knows no terms.
-fn request_message(daemon: &Daemon, ticket: Ticket, arrival: &Arrival, is_repeat: bool) -> Message {
+/// Returns the messages that ask for a grant. The broker is told the endpoints that this daemon
+/// does not call, as it may not know what they have stated. A broker that has never answered may be
+/// of an earlier release, which knows no terms, and is then asked in both forms. The form with the
+/// terms comes first: a broker that receives only the other one counts the request without its output.
+fn request_messages(
+    daemon: &Daemon,
+    to: SocketAddr,
+    ticket: Ticket,
+    arrival: &Arrival,
+    is_repeat: bool,
+) -> Vec<Message> {
     let request = Box::new(request(ticket, arrival));
     let now = clock::now();
     let excluded = daemon.fleet.borrow().exclusions(now, &request.service, &request.model);
     let remaining = |until: Duration| millis(until.saturating_sub(now));
     let excluded: Vec<_> =
         excluded.into_iter().map(|row| (row.key, row.until.map(remaining))).collect();
-    match arrival.software.clone() {
-        software if !is_repeat => {
-            Message::Ask { request, excluded, software, terms: arrival.spec.terms.clone() }
-        }
+    let ask = Message::Ask {
+        request: request.clone(),
+        excluded: excluded.clone(),
+        software: arrival.software.clone(),
+        terms: arrival.spec.terms.clone(),
+    };
+    if !is_repeat || daemon.broker.borrow().current.contains(&to) {
+        return vec![ask];
+    }
+    let earlier = match arrival.software.clone() {
         Some(software) => Message::RequestedAt { request, excluded, software },
         None if excluded.is_empty() => Message::Requested(request),
         None => Message::RequestedExcept { request, excluded },
-    }
+    };
+    vec![ask, earlier]
 }
 
 fn request(ticket: Ticket, arrival: &Arrival) -> Request {
@@ -290,7 +327,15 @@
     elapsed: Duration,
     load: Option<Load>,
 ) {
-    send(daemon, broker, Message::Responded { ticket, elapsed_us: micros(elapsed), load });
+    let elapsed_us = micros(elapsed);
+    // An earlier release can't decode the form with all that the engine has reported.
+    let message = if daemon.broker.borrow().current.contains(&broker) {
+        Message::Responded { ticket, elapsed_us, load }
+    } else {
+        let load = load.map(|load| (load.running, load.waiting));
+        Message::FirstByte { ticket, elapsed_us, load }
+    };
+    send(daemon, broker, message);
 }
 
 /// Reports to a broker that a request at an engine has ended.
@@ -331,20 +376,20 @@
 /// Processes a message from another daemon.
 pub fn on_message(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     match message {
-        // Daemons of earlier releases send these three, without the terms.
+        // Daemons of earlier releases send these three.
         Message::Requested(request) => {
-            server::on_request(daemon, from, *request, Vec::new(), None, Terms::default());
+            server::on_request(daemon, from, *request, Vec::new(), None, None);
         }
         Message::RequestedExcept { request, excluded } => {
             let excluded = exclusions(excluded);
-            server::on_request(daemon, from, *request, excluded, None, Terms::default());
+            server::on_request(daemon, from, *request, excluded, None, None);
         }
         Message::RequestedAt { request, excluded, software } => {
             let excluded = exclusions(excluded);
-            server::on_request(daemon, from, *request, excluded, Some(software), Terms::default());
+            server::on_request(daemon, from, *request, excluded, Some(software), None);
         }
         Message::Ask { request, excluded, software, terms } => {
-            server::on_request(daemon, from, *request, exclusions(excluded), software, terms);
+            server::on_request(daemon, from, *request, exclusions(excluded), software, Some(terms));
         }
         Message::Queued(ticket) => on_reply(daemon, from, ticket, Reply::Queued),
         Message::Granted { ticket, key, tokens, own_prefill_us, queued_prefill_us } => {
