Report losses by team and free slots beside refusals

It prints a table of teams (received, in time, late, failed, refused by reason), the slots in use at the end of each second beside the requests refused in it, and for each reason how many refused requests had a free slot at an engine that held their model and at any engine of their service. `seen` lines state `slots`, `refused` lines state `service` and `team`; logs without these fields are printed without the columns.

Requests over a quota (`over_quota` lines) were not counted at all. They count as refused in the tables of routes and teams.

--- a/src/cmd/losses/account.rs
+++ b/src/cmd/losses/account.rs
@@ -6,6 +6,15 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::Deserializer;
+use serde_json::Value;
+
+use super::slots::Engines;
+use super::slots::Refusals;
+use super::slots::Usage;
+use super::team::Sender;
+use super::team::Tally;
+use super::team::is_refusal;
 
 /// An engine is crowded at this many times the mean number of requests per engine.
 const CROWDED_RATIO: usize = 3;
@@ -46,15 +55,29 @@
 /// The fields of log lines that are evaluated; times and durations are in milliseconds.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
-struct Line {
+pub(super) struct Line {
     at: u64,
-    event: String,
+    pub(super) event: String,
     request: String,
     route: String,
-    endpoint: String,
+    pub(super) endpoint: String,
     reason: String,
-    model: Option<String>,
-    outcome: String,
+    error: Option<String>,
+    /// None if the line has no such field, as in earlier releases.
+    #[serde(deserialize_with = "field")]
+    team: Option<Option<String>>,
+    pub(super) service: Option<String>,
+    pub(super) slots: Option<u32>,
+    pub(super) born: u64,
+    pub(super) state: String,
+    /// A flag or a number, depending on the event.
+    pub(super) held: Value,
+    pub(super) model: Option<String>,
+    pub(super) adapter: Option<String>,
+    pub(super) action: String,
+    pub(super) holds: Vec<String>,
+    pub(super) victims: Vec<String>,
+    pub(super) outcome: String,
     object: String,
     op: String,
     status: u16,
@@ -67,10 +90,17 @@
     lines: u64,
 }
 
+/// Deserializes a field that may be null, as opposed to one that is absent.
+fn field<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Option<String>>, D::Error> {
+    Deserialize::deserialize(from).map(Some)
+}
+
 /// A request that was sent to an endpoint and has not ended; durations are in milliseconds.
 #[derive(Debug, Default)]
 struct Request {
     route: String,
+    sender: Sender,
+    model: Option<String>,
     /// Engine that processes it; none for a plain service or between attempts.
     engine: Option<String>,
     waited: u64,
@@ -108,6 +138,11 @@
     occupancy: BTreeMap<u64, Occupancy>,
     calls: BTreeMap<Call, u64>,
     calls_by_window: BTreeMap<u64, BTreeMap<String, u64>>,
+    teams: BTreeMap<Sender, Tally>,
+    /// Refused requests that name a model, by reason.
+    refusals: BTreeMap<String, Refusals>,
+    /// Slots in use by second.
+    usage: BTreeMap<u64, Usage>,
     omitted: u64,
 }
 
@@ -130,16 +165,43 @@
         let first = lines.first().map_or(0, |line| line.at);
         let mut open: HashMap<String, Request> = HashMap::new();
         let mut running: BTreeMap<String, usize> = BTreeMap::new();
-        let mut window = 0;
+        let mut engines = Engines::new(&lines);
+        let (mut window, mut second) = (0, 0);
         for line in &lines {
             let line_window = (line.at - first) / self.window.as_millis().max(1) as u64;
             while window < line_window {
                 self.occupancy.insert(window, occupancy(&running));
                 window += 1;
             }
+            while second < (line.at - first) / 1000 {
+                self.record_usage(second, engines.usage(&running));
+                second += 1;
+            }
+            engines.apply(line);
+            if line.event == "refused" && line.model.is_some() && is_refusal(line.status) {
+                self.usage.entry(second).or_default().refused += 1;
+                if let Some(refusal) = engines.refusal(&running, line) {
+                    self.refusals.entry(line.reason.clone()).or_default().add(refusal);
+                }
+            }
+            if line.event == "failed"
+                && line.error.as_deref() == Some("not_held")
+                && let Some(model) = open.get(&line.request).and_then(|state| state.model.as_ref())
+            {
+                engines.remove_model(&line.endpoint, model);
+            }
             self.apply(line_window, line, &mut open, &mut running);
         }
         self.occupancy.insert(window, occupancy(&running));
+        self.record_usage(second, engines.usage(&running));
+        for state in open.into_values() {
+            self.teams.entry(state.sender).or_default().received += 1;
+        }
+    }
+
+    fn record_usage(&mut self, second: u64, usage: Usage) {
+        let row = self.usage.entry(second).or_default();
+        *row = Usage { refused: row.refused, ..usage };
     }
 
     fn apply(
@@ -160,6 +222,8 @@
                 let state = open.entry(line.request.clone()).or_default();
                 release_engine(state, running);
                 state.route.clone_from(&line.route);
+                state.model.clone_from(&line.model);
+                state.sender = line.team.clone().map_or(Sender::Unknown, Sender::from);
                 (state.waited, state.target_latency, state.max_pause) =
                     (line.waited, line.aim, line.gap);
                 if line.model.is_some() {
@@ -177,13 +241,17 @@
                     state.late_first_byte = state.waited + line.took > state.target_latency;
                 }
             }
-            "answered" | "ended" | "cut" | "left" | "refused" => {
+            "answered" | "ended" | "cut" | "left" | "refused" | "over_quota" => {
                 let mut state = open.remove(&line.request).unwrap_or_default();
                 release_engine(&mut state, running);
                 if state.route.is_empty() {
                     state.route.clone_from(&line.route);
                 }
+                if let Some(team) = &line.team {
+                    state.sender = team.clone().into();
+                }
                 let cause = cause(line, &state);
+                self.teams.entry(state.sender).or_default().add(&cause, line.status);
                 *self.totals.entry((state.route, cause.clone())).or_default() += 1;
                 if cause != Cause::InTime {
                     *self.windows.entry(window_index).or_default().entry(cause).or_default() += 1;
@@ -234,6 +302,23 @@
         self.calls_by_window.iter().map(|(window, row)| (self.window_start(*window), row))
     }
 
+    /// Returns the requests by who sent them; none if no line names a team.
+    pub fn teams(&self) -> impl Iterator<Item = (&Sender, &Tally)> {
+        let is_named = self.teams.keys().any(Sender::is_team);
+        self.teams.iter().filter(move |_| is_named)
+    }
+
+    /// Returns the refused requests that name a model, by reason; none if the log does not state the
+    /// slots of engines.
+    pub fn refusals(&self) -> impl Iterator<Item = (&str, Refusals)> {
+        self.refusals.iter().map(|(reason, row)| (reason.as_str(), *row))
+    }
+
+    /// Returns the slots in use by seconds since the first line.
+    pub fn usage(&self) -> impl Iterator<Item = (u64, Usage)> {
+        self.usage.iter().map(|(second, row)| (*second, *row))
+    }
+
     /// Returns the number of log lines that daemons omitted.
     pub fn omitted(&self) -> u64 {
         self.omitted
@@ -243,6 +328,7 @@
 fn cause(line: &Line, state: &Request) -> Cause {
     match line.event.as_str() {
         "refused" => Cause::Refused(line.reason.clone()),
+        "over_quota" => Cause::Refused("over_quota".to_string()),
         "cut" => Cause::Cut(line.reason.clone()),
         "left" => Cause::Disconnected,
         "answered" if line.status >= 500 => Cause::EndpointFailure,
--- a/src/cmd/losses/mod.rs
+++ b/src/cmd/losses/mod.rs
@@ -1,7 +1,9 @@
-//! `poplarmux-trace losses`: counts failed and late requests by cause, route and time.
+//! `poplarmux-trace losses`: counts failed and late requests by cause, route, team and time.
 
 mod account;
 mod plot;
+mod slots;
+mod team;
 
 use std::fs::File;
 use std::io::BufRead;
@@ -16,6 +18,10 @@
 pub use account::Account;
 pub use account::Cause;
 pub use account::Occupancy;
+pub use slots::Refusals;
+pub use slots::Usage;
+pub use team::Sender;
+pub use team::Tally;
 
 use crate::error::Error;
 
@@ -67,6 +73,7 @@
     for ((route, cause), count) in account.totals() {
         writeln!(out, "  {route:<24} {:<20} {count}", cause.to_string())?;
     }
+    print_teams(account, out)?;
     writeln!(out, "\nrequests not served in time, by seconds since the first line")?;
     for (start, causes) in account.windows() {
         let causes: Vec<String> =
@@ -89,6 +96,7 @@
             row.idle
         )?;
     }
+    print_slots(account, out)?;
     writeln!(out, "\ncalls to the store, by object, kind and outcome")?;
     for ((object, op, outcome), count) in account.calls() {
         writeln!(out, "  {object:<10} {op:<11} {outcome:<9} {count}")?;
@@ -102,3 +110,55 @@
     writeln!(out, "\nlog lines omitted by daemons: {}", account.omitted())?;
     Ok(())
 }
+
+/// Prints the outcomes by team, unless no line names one.
+fn print_teams(account: &Account, out: &mut impl Write) -> std::io::Result<()> {
+    if account.teams().next().is_none() {
+        return Ok(());
+    }
+    writeln!(out, "\nrequests, by team")?;
+    for (sender, row) in account.teams() {
+        write!(
+            out,
+            "  {:<24} received {}, in time {}, late {}, failed {}, caller disconnected {}",
+            sender.to_string(),
+            row.received,
+            row.in_time,
+            row.late,
+            row.failed,
+            row.disconnected
+        )?;
+        for (reason, count) in &row.refused {
+            write!(out, ", refused: {reason} {count}")?;
+        }
+        writeln!(out)?;
+    }
+    Ok(())
+}
+
+/// Prints the slots in use beside the refusals, without the columns that the log does not state.
+fn print_slots(account: &Account, out: &mut impl Write) -> std::io::Result<()> {
+    writeln!(out, "\nengines: slots in use at the end of each second, and requests refused in it")?;
+    for (second, row) in account.usage() {
+        match row.slots {
+            Some(slots) => {
+                let share = row.used as f64 / slots.max(1) as f64;
+                let (used, refused) = (row.used, row.refused);
+                writeln!(out, "  {second:>5} {used} of {slots} ({share:.2}), refused {refused}")?;
+            }
+            None => writeln!(out, "  {second:>5} refused {}", row.refused)?,
+        }
+    }
+    if account.refusals().next().is_none() {
+        return Ok(());
+    }
+    writeln!(out, "\nrefused requests for models, and those with a free slot at an engine")?;
+    for (reason, row) in account.refusals() {
+        writeln!(
+            out,
+            "  {reason:<20} {}, that held the model {}, of the service {}",
+            row.requests, row.free_at_holder, row.free_in_service
+        )?;
+    }
+    Ok(())
+}
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -201,6 +201,8 @@
         Responder {
             caller,
             route,
+            service: Some(&self.spec.service),
+            team: self.team_name(),
             config_version: self.config_version,
             arrived_at: self.arrived_at,
         }
@@ -368,7 +370,14 @@
     arrived_at: Duration,
 ) -> Result<Rc<Job>, Response<Payload>> {
     let Some(config) = daemon.config.borrow().clone() else {
-        let responder = Responder { caller: &caller, route: "", config_version: 0, arrived_at };
+        let responder = Responder {
+            caller: &caller,
+            route: "",
+            service: None,
+            team: None,
+            config_version: 0,
+            arrived_at,
+        };
         return Err(
             responder.refused(daemon, &Refusal::new("no_configuration", STARTUP_RETRY_AFTER))
         );
@@ -385,12 +394,16 @@
     let responder = Responder {
         caller: &caller,
         route: &route.name,
+        service: None,
+        team: None,
         config_version: config.version,
         arrived_at,
     };
     let Ok(team) = config.team(&route, caller.key.as_ref()) else {
         return Err(responder.unknown_key(daemon));
     };
+    let team_name = team.as_ref().map(|team| team.name.as_str());
+    let responder = Responder { team: team_name, ..responder };
     let time_limit = caller.timeout.unwrap_or(route.timeout).min(route.timeout);
     let charge = quota::charge(daemon, team.as_ref(), caller.total_tokens).await;
     let charge = charge.map_err(|err| match err {
@@ -407,7 +420,6 @@
         return Err(responder.refused(daemon, &Refusal::new("stopping", SHUTDOWN_RETRY_AFTER)));
     }
     let deadline = arrived_at + time_limit;
-    let team_name = team.as_ref().map(|team| team.name.as_str());
     let resumed = origin::resolve(daemon, &caller, &route, team_name).await;
     let resumed = resumed.map_err(|refusal| responder.refused(daemon, &refusal))?;
     let admitted = Admitted { caller, team, charge, resumed };
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -80,6 +80,7 @@
         software: String,
         state: &'static str,
         beat: u64,
+        slots: u32,
         models: usize,
         revision: u64,
     },
@@ -324,6 +325,8 @@
     Refused {
         request: String,
         route: String,
+        service: Option<String>,
+        team: Option<String>,
         model: Option<String>,
         adapter: Option<String>,
         status: u16,
--- a/src/daemon/reply.rs
+++ b/src/daemon/reply.rs
@@ -44,6 +44,10 @@
     pub caller: &'a Caller,
     /// Name of its route; empty if none was found.
     pub route: &'a str,
+    /// Its service, once that is chosen.
+    pub service: Option<&'a str>,
+    /// Name of the team that sent it, if known.
+    pub team: Option<&'a str>,
     /// Version of the configuration that was applied; 0 if there is none.
     pub config_version: u64,
     /// When it arrived.
@@ -106,6 +110,8 @@
         daemon.note(&Event::Refused {
             request: self.caller.id.clone(),
             route: self.route.to_string(),
+            service: self.service.map(str::to_string),
+            team: self.team.map(str::to_string),
             model: self.caller.model.clone(),
             adapter: self.caller.adapter.clone(),
             status: status.as_u16(),
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -649,6 +649,7 @@
                     State::Leaving => "leaving",
                 },
                 beat: instance.heartbeat,
+                slots: instance.slots,
                 models: instance.resident.len(),
                 revision: object.revision.number,
             };
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -81,3 +81,70 @@
     assert_eq!(account.calls_by_window().count(), 2);
     assert_eq!(account.omitted(), 7);
 }
+
+/// Engine e1 with one slot holds model m, engine e2 of the same service only model n.
+const ENGINES: [&str; 3] = [
+    r#"{"at":900,"event":"seen","endpoint":"e1","born":1,"service":"s","state":"live","slots":1}"#,
+    r#"{"at":900,"event":"seen","endpoint":"e2","born":1,"service":"s","state":"live","slots":1}"#,
+    r#"{"at":950,"event":"goal","endpoint":"e2","model":"n","holds":["n"],"outcome":"begun"}"#,
+];
+const REFUSED: &str = r#"{"at":1300,"event":"refused","request":"b","route":"r","service":"s","team":"t","model":"m","status":503,"reason":"full"}"#;
+
+fn refusal(lines: &[&str]) -> (u64, u64, u64) {
+    let account = account(&[&ENGINES[..], lines, &[REFUSED]].concat());
+    let (_, row) = account.refusals().next().expect("slots are stated");
+    (row.requests, row.free_at_holder, row.free_in_service)
+}
+
+/// A slot that is taken, or at an engine that has left, restarted or unloaded the model, must not be
+/// taken for one that the refused request could have had.
+#[test]
+fn free_slots_at_refusals_depend_on_load_and_models() {
+    let cut = r#"{"at":1200,"event":"cut","request":"a","endpoint":"e1","reason":"timeout"}"#;
+    assert_eq!(refusal(&[SENT]), (1, 0, 1), "the engine with the model is full");
+    assert_eq!(refusal(&[SENT, cut]), (1, 1, 1), "its request has ended");
+    let leaving = ENGINES[0].replace("900", "1250").replace("live", "leaving");
+    assert_eq!(refusal(&[SENT, cut, &leaving]), (1, 0, 1), "it leaves");
+    let restarted = ENGINES[0].replace("900", "1250").replace(r#""born":1"#, r#""born":2"#);
+    assert_eq!(refusal(&[SENT, cut, &restarted]), (1, 0, 1), "it has restarted empty");
+    let unloaded = r#"{"at":1250,"event":"order","endpoint":"e1","action":"unload","model":"m","adapter":null,"holds":["m"],"outcome":"accepted"}"#;
+    assert_eq!(refusal(&[SENT, cut, unloaded]), (1, 0, 1), "it has unloaded the model");
+    let gone = ENGINES[1].replace("seen", "gone").replace("900", "1250");
+    assert_eq!(refusal(&[SENT, &gone]), (1, 0, 0), "the other engine is gone");
+}
+
+#[test]
+fn slots_in_use_are_counted_by_second_beside_refusals() {
+    let later = r#"{"at":2950,"event":"refused","request":"c","model":"m","reason":"full"}"#;
+    let account = account(&[&ENGINES[..], &[SENT, REFUSED, later]].concat());
+    let rows: Vec<_> =
+        account.usage().map(|(second, row)| (second, row.used, row.slots, row.refused)).collect();
+    assert_eq!(rows, [(0, 1, Some(2), 1), (1, 1, Some(2), 0), (2, 1, Some(2), 1)]);
+}
+
+/// A status that does not promise that the request has not run is a failure, not a refusal.
+#[test]
+fn teams_are_counted_by_outcome() {
+    let sent = SENT.replace(r#""route""#, r#""team":"t","route""#);
+    let left = r#"{"at":1500,"event":"left","request":"a"}"#;
+    let failed = REFUSED.replace("503", "502").replace(r#""b""#, r#""c""#);
+    let over_quota = r#"{"at":1400,"event":"over_quota","request":"d","team":"u"}"#;
+    let open = sent.replace(r#""a""#, r#""e""#);
+    let account = account(&[&sent, left, REFUSED, &failed, over_quota, &open]);
+    let rows: Vec<_> = account.teams().map(|(sender, row)| (sender.to_string(), row)).collect();
+    let [(first, t), (second, u)] = &rows[..] else { panic!("two teams: {rows:?}") };
+    assert_eq!((first.as_str(), second.as_str()), ("t", "u"));
+    assert_eq!((t.received, t.disconnected, t.failed, t.refused["full"]), (4, 1, 1, 1));
+    assert_eq!((u.received, u.refused["over_quota"]), (1, 1));
+}
+
+/// Logs of earlier releases name neither teams in refusals nor slots.
+#[test]
+fn earlier_logs_have_no_teams_or_slots() {
+    let seen = ENGINES[0].replace(r#","slots":1"#, "");
+    let refused = REFUSED.replace(r#""service":"s","team":"t","#, "");
+    let account = account(&[&seen, SENT, &refused]);
+    assert_eq!((account.teams().count(), account.refusals().count()), (0, 0));
+    let rows: Vec<_> = account.usage().map(|(_, row)| (row.slots, row.refused)).collect();
+    assert_eq!(rows, [(None, 1)]);
+}
