Pass work times on to brokers of other regions

Brokers tell each other the loads of their engines without how long work takes there, so the estimate for a request that is passed on to another region assumed the usual speed.

A broker sends each figure that an engine of its region has stated once, with its age, in the new last variant `broker::Message::WorkTimes`. The receiver takes half the round trip to the engine off as well and records it as one of the engine's own figures. `Loads` is sent as before, so brokers of earlier releases lose nothing; they note the new message as a skipped datagram. Without stated figures nothing more is sent.

The effect on callers was not measured.

--- a/src/daemon/broker/message.rs
+++ b/src/daemon/broker/message.rs
@@ -120,6 +120,20 @@
         /// The engine's load.
         load: Option<Load>,
     },
+    /// How long work takes at engines of a broker that have stated it since the last such message.
+    /// Sent beside `Loads`, which all releases understand, and not at all where no engine states it.
+    WorkTimes(Vec<WorkTime>),
+}
+
+/// How long work takes at an engine, as it has stated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkTime {
+    /// The engine.
+    pub key: Key,
+    /// Percentage of the usual time.
+    pub percent: u16,
+    /// Time since it was stated, in milliseconds.
+    pub age_ms: u16,
 }
 
 /// What decides on a request's place among those that wait, and on the memory that it needs.
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -22,6 +22,7 @@
 pub use message::Reason;
 pub use message::Request;
 pub use message::Terms;
+pub use message::WorkTime;
 pub use server::grant;
 pub use server::redirect;
 pub use server::refuse;
@@ -365,6 +366,13 @@
                 fleet.on_load_report(now, &key, Load { running, ..Load::default() });
             }
         }
+        Message::WorkTimes(rows) => {
+            let (now, mut fleet) = (clock::now(), daemon.fleet.borrow_mut());
+            for WorkTime { key, percent, age_ms } in rows {
+                let age = Duration::from_millis(age_ms.into());
+                fleet.on_work_time(now, &key, age, percent.into());
+            }
+        }
         Message::Refused { ticket, reason, retry_after_ms, shortage } => {
             let retry_after = Duration::from_millis(retry_after_ms.into());
             let refusal = Refusal { reason: reason.into(), retry_after, shortage };
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -12,6 +12,7 @@
 use super::Reason;
 use super::Request;
 use super::Terms;
+use super::WorkTime;
 use super::address;
 use super::is_needed;
 use super::message::micros;
@@ -75,15 +76,21 @@
 /// Sends the load of this region's engines to the brokers of other regions, for as long as the
 /// daemon runs.
 pub async fn send_loads(daemon: Rc<Daemon>) {
+    // When the figure of each engine's work time that was sent last had been stated.
+    let mut sent: HashMap<Key, Duration> = HashMap::new();
     loop {
         Timer::after(LOAD_INTERVAL).await;
         let config = daemon.config.borrow().clone();
+        {
+            let fleet = daemon.fleet.borrow();
+            sent.retain(|key, _| fleet.get(key).is_some());
+        }
         for (service, _) in config.iter().flat_map(|config| config.engines()) {
             // Only the service's broker sends its load.
             let other_is_broker =
                 address(&daemon, &service.name, &daemon.settings.region).is_some();
             if is_needed(&daemon) && !other_is_broker && daemon.ready() {
-                send_service_loads(&daemon, &service.name);
+                send_service_loads(&daemon, &service.name, &mut sent);
             } else {
                 Timer::after(SKIPPED_SERVICE_DELAY).await;
             }
@@ -91,23 +98,42 @@
     }
 }
 
-fn send_service_loads(daemon: &Rc<Daemon>, service: &str) {
+fn send_service_loads(daemon: &Rc<Daemon>, service: &str, sent: &mut HashMap<Key, Duration>) {
     let (now, own) = (clock::now(), &daemon.settings.region);
     let regions: BTreeSet<&RegionId> = daemon.settings.data_centers.values().collect();
     let others = regions.into_iter().filter(|region| *region != own);
     let to: Vec<SocketAddr> =
         others.filter_map(|region| address(daemon, service, region)).collect();
-    let rows: Vec<(Key, u32)> = {
-        let fleet = daemon.fleet.borrow();
-        let local = fleet.rows().filter(|row| {
-            row.instance.service == service && fleet.region_of(&row.instance.data_center) == *own
-        });
-        local.map(|row| (row.instance.key.clone(), row.load(now))).collect()
-    };
+    let (mut rows, mut work_times) = (Vec::new(), Vec::new());
+    let fleet = daemon.fleet.borrow();
+    let local = fleet.rows().filter(|row| {
+        row.instance.service == service && fleet.region_of(&row.instance.data_center) == *own
+    });
+    for row in local {
+        let key = row.instance.key.clone();
+        rows.push((key.clone(), row.load(now)));
+        if let Some((percent, stated_at)) = row.stated_work_time()
+            && sent.insert(key.clone(), stated_at) != Some(stated_at)
+        {
+            work_times.push(work_time(key, percent, now.saturating_sub(stated_at)));
+        }
+    }
     for rows in rows.chunks(MAX_LOADS_PER_MESSAGE) {
         let message = Message::Loads(rows.to_vec());
         peer::spawn_send(daemon, to.clone(), peer::Message::Broker(message));
     }
+    for rows in work_times.chunks(MAX_LOADS_PER_MESSAGE) {
+        let message = Message::WorkTimes(rows.to_vec());
+        peer::spawn_send(daemon, to.clone(), peer::Message::Broker(message));
+    }
+}
+
+fn work_time(key: Key, percent: u32, age: Duration) -> WorkTime {
+    WorkTime {
+        key,
+        percent: u16::try_from(percent).unwrap_or(u16::MAX),
+        age_ms: u16::try_from(age.as_millis()).unwrap_or(u16::MAX),
+    }
 }
 
 /// Releases the grants of daemons that are gone, and removes queued requests that are no longer
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -728,6 +728,12 @@
         self.work_time.is_stated().then_some((expected * 100.0).round() as u32)
     }
 
+    /// Returns the percentage of the usual time that work takes as the endpoint stated it last, and
+    /// when that was.
+    pub fn stated_work_time(&self) -> Option<(u32, Duration)> {
+        self.work_time.newest()
+    }
+
     /// Returns the cost of loading the required adapter here, in milliseconds.
     pub fn adapter_load_cost(&self, now: Duration, requirements: &Requirements<'_>) -> f64 {
         let resident_adapters: usize =
@@ -1015,8 +1021,16 @@
         self.waiting = load.waiting;
         self.reported_at = Some(now);
         if let Some(percent) = load.work_time.percent() {
-            // Stated half a round trip ago.
-            self.work_time.record(now.saturating_sub(self.round_trip() / 2), percent);
+            self.on_work_time(now, Duration::ZERO, percent);
+        }
+    }
+
+    /// Records how long work takes, as it stated `age` before half a round trip to it. A broker of
+    /// its region that passes the figure on is as far away as the endpoint.
+    pub fn on_work_time(&mut self, now: Duration, age: Duration, percent: u32) {
+        // No endpoint states 0, but a damaged message may.
+        if percent > 0 {
+            self.work_time.record(now.saturating_sub(age + self.round_trip() / 2), percent);
         }
     }
 
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -746,6 +746,13 @@
         }
     }
 
+    /// Records how long work takes at an endpoint, as it stated `age` ago to the broker of its region.
+    pub fn on_work_time(&mut self, now: Duration, key: &Key, age: Duration, percent: u32) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.on_work_time(now, age, percent);
+        }
+    }
+
     /// Records whether an endpoint's response states how long work takes, and returns what is wrong
     /// with it unless that was returned before. Only a service with an endpoint that has stated a
     /// figure is expected to.
--- a/src/decide/work_time.rs
+++ b/src/decide/work_time.rs
@@ -78,6 +78,11 @@
         self.newest.is_some()
     }
 
+    /// Returns the newest figure, and when it was stated.
+    pub fn newest(&self) -> Option<(u32, Duration)> {
+        self.newest.map(|(value, at)| ((value * USUAL_PERCENT).round() as u32, at))
+    }
+
     /// Returns the mean time that work takes, relative to the usual time.
     pub fn mean(&self, now: Duration) -> f64 {
         self.newest.map_or(1.0, |(_, at)| {
--- a/tests/decide_work_time.rs
+++ b/tests/decide_work_time.rs
@@ -8,6 +8,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use poplarmux::daemon::broker;
+use poplarmux::daemon::peer;
 use poplarmux::decide::endpoint::Requirements;
 use poplarmux::decide::fleet::Choice;
 use poplarmux::decide::fleet::Fleet;
@@ -302,6 +304,39 @@
     assert!(work_time.expected(ms(30_000), ms(10)) < 1.01);
 }
 
+/// Without the figures that another broker passes on, an engine of another region that has become
+/// slow is expected to read a prompt as fast as ever; an old or a damaged one must not count.
+#[test]
+fn figure_that_is_passed_on_counts_by_its_age() {
+    let estimate = |figures: &[(u64, u32)]| {
+        let mut fleet = fleet(1);
+        for (age, percent) in figures {
+            fleet.on_work_time(ms(60_000), &key(0), ms(*age), *percent);
+        }
+        fleet.estimate(ms(60_000), &key(0), &REQUIREMENTS).own_prefill.as_secs_f64()
+    };
+    let usual = estimate(&[]);
+    assert!(estimate(&[(0, 300)]) > 2.0 * usual);
+    assert!(estimate(&[(20_000, 300)]) < 1.01 * usual);
+    assert_eq!(estimate(&[(10, 300), (200, 100)]), estimate(&[(10, 300)]), "came late");
+    assert_eq!(estimate(&[(0, 0)]), usual);
+}
+
+/// The new message must fit in a datagram, and must not renumber those of earlier releases.
+#[test]
+fn message_of_passed_on_figures_is_bounded() {
+    let rows = (0..40).map(|number| broker::WorkTime {
+        key: Key { id: format!("i-9d3b0ec2{number:02}"), born: 1_800_000_000_000 },
+        percent: u16::MAX,
+        age_ms: u16::MAX,
+    });
+    let encode = |message| postcard::to_stdvec(&peer::Message::Broker(message)).expect("a message");
+    let bytes = encode(broker::Message::WorkTimes(rows.collect()));
+    assert!(bytes.len() <= 1_003, "{}", bytes.len());
+    assert_eq!(encode(broker::Message::Loads(Vec::new()))[1..], [7, 0]);
+    assert_eq!(bytes[1], 13);
+}
+
 /// Figures that change between any two responses don't tell what the next one will be: believing
 /// the last would send all requests to whichever engine happened to look fast.
 #[test]
