--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -453,3 +453,13 @@
     assert_eq!(sole(&fleet, 79_000), None, "its streams may be taken up");
     assert_eq!(sole(&fleet, 80_000).as_deref(), Some("v1"));
 }
+
+/// A shutdown takes less time than callers need to learn of it. Guards against a request that is
+/// accepted, or still waits, until the process ends, and that gets no answer.
+#[test]
+fn brief_shutdown_accepts_no_request_that_would_be_cut() {
+    let end = ms(2_000);
+    assert!(shutdown::accepts(ms(1_000), ms(0), end, 48));
+    assert!(!shutdown::accepts(ms(1_950), ms(0), end, 48));
+    assert!(!shutdown::accepts(ms(2_000), ms(0), end, 0));
+}
