Add the numbers of load reports without overflow

Cause: the numbers of running and waiting requests are added as an endpoint reports them, and to the requests known here. Huge ones panic in a debug build and wrap around in a release build, where the endpoint counts as idle.

Change: the sums saturate.

Result: tests/decide_fleet, huge_load_report_counts_as_a_full_endpoint panics before ("attempt to add with overflow") and passes.

--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -571,9 +571,8 @@
 
     /// Returns the number of requests at the endpoint, as far as known.
     pub fn load(&self, now: Duration) -> u32 {
-        self.running
-            + self.granted
-            + if self.has_recent_load(now) { self.other_requests } else { 0 }
+        let others = if self.has_recent_load(now) { self.other_requests } else { 0 };
+        (self.running + self.granted).saturating_add(others)
     }
 
     /// Returns whether the last load report is recent enough to be used.
@@ -963,7 +962,7 @@
         self.event_interval.record(pause);
         if self.work_time.is_stated() {
             // A load report that is too old to choose by is still the best that is known.
-            let load = f64::from(self.running + self.granted + self.other_requests);
+            let load = f64::from(self.running + self.granted) + f64::from(self.other_requests);
             let load = load / f64::from(self.instance.slots.max(1));
             self.pauses.record(growth, pause, load, self.work_time.expected(now, pause));
         }
@@ -1011,7 +1010,7 @@
     /// Records the endpoint's load report.
     pub fn on_load_report(&mut self, now: Duration, load: Load) {
         self.other_requests =
-            (load.running + load.waiting).saturating_sub(self.running + self.granted);
+            load.running.saturating_add(load.waiting).saturating_sub(self.running + self.granted);
         self.waiting = load.waiting;
         self.reported_at = Some(now);
         if let Some(percent) = load.work_time.percent() {
@@ -1023,7 +1022,7 @@
     /// Records that another broker is about to grant a request here, which the next load report
     /// will include.
     pub fn expect_grant(&mut self) {
-        self.other_requests += 1;
+        self.other_requests = self.other_requests.saturating_add(1);
     }
 
     /// Returns whether first bytes depend more on other requests here than on the engine's speed:
--- a/src/decide/pause.rs
+++ b/src/decide/pause.rs
@@ -117,6 +117,6 @@
 /// that one, and those of the running ones that its steps delay. `late_ratio` is the share of late
 /// streams by number of requests.
 pub fn added_late(load: u32, late_ratio: impl Fn(u32) -> f64) -> f64 {
-    let after = late_ratio(load + 1);
+    let after = late_ratio(load.saturating_add(1));
     after + f64::from(load) * (after - late_ratio(load)).max(0.0)
 }
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -463,3 +463,17 @@
     assert!(!shutdown::accepts(ms(1_950), ms(0), end, 48));
     assert!(!shutdown::accepts(ms(2_000), ms(0), end, 0));
 }
+
+/// An endpoint reports numbers that no endpoint reaches. Guards against a sum that overflows: the
+/// daemon would panic, or take the endpoint for idle.
+#[test]
+fn huge_load_report_counts_as_a_full_endpoint() {
+    let mut fleet = fleet(&[instance("i-1", 1, "a1", &[("m", &[])])]);
+    let huge = Load { running: u32::MAX, waiting: u32::MAX, ..Load::default() };
+    fleet.on_load_report(ms(10), &key("i-1", 1), huge);
+    fleet.expect_grant(&key("i-1", 1));
+    fleet.start_request(ms(10), &key("i-1", 1), &[], Duration::ZERO);
+    fleet.record_event(ms(10), &key("i-1", 1), ms(10));
+    let row = fleet.get(&key("i-1", 1)).expect("an endpoint");
+    assert_eq!(row.load(ms(20)), u32::MAX);
+}
