--- a/src/daemon/admission/mod.rs
+++ b/src/daemon/admission/mod.rs
@@ -204,8 +204,9 @@
     /// events of the stream already, and waits as long for the next one.
     fn first_event_by(&self) -> Option<Duration> {
         let (now, patience) = (clock::now(), self.spec.terms.patience?);
-        let by = self.arrived_at + patience;
-        Some(if now < by { by } else { now + patience })
+        // Another daemon may have stated any time.
+        let by = self.arrived_at.saturating_add(patience);
+        Some(if now < by { by } else { now.saturating_add(patience) })
     }
 
     /// Returns its place in the queue.
