Answer a request by its deadline if its broker is gone

Cause: a request in the queue of a broker asks again after up to a second, then waits twice for an answer, and then asks the next broker. None of that looked at its deadline. A request whose broker is killed shortly before the deadline, or whose refusal is lost, was answered up to two seconds late: 4.16 s at a deadline of 2.1 s (platform/tests/broker, request_in_the_queue_of_a_killed_broker_is_answered_by_its_deadline).

--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -32,6 +32,7 @@
 use self::server::Details;
 use self::server::Waiter;
 use crate::daemon::Daemon;
+use crate::daemon::admission;
 use crate::daemon::admission::Arrival;
 use crate::daemon::admission::Refusal;
 use crate::daemon::admission::Spec;
@@ -180,13 +181,18 @@
     let is_remote =
         daemon.nodes.borrow().region_of(to).is_some_and(|region| *region != daemon.settings.region);
     let limit = if is_remote { REMOTE_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
+    let until_deadline = |span: Duration| span.min(arrival.deadline.saturating_sub(clock::now()));
     while unanswered < MAX_UNANSWERED {
+        // The broker may be gone, or its refusal lost.
+        if clock::now() >= arrival.deadline {
+            return Err(Failure::Refused(admission::timeout_refusal(daemon, arrival, None)));
+        }
         send(daemon, to, request_message(daemon, ticket, arrival, unanswered > 0));
-        match receive(&replies, limit).await {
+        match receive(&replies, until_deadline(limit)).await {
             Some(Reply::Queued) => {
                 // The next message is the final answer, but that may be lost: so the request is
                 // resent after an interval.
-                match receive(&replies, resend_interval).await {
+                match receive(&replies, until_deadline(resend_interval)).await {
                     Some(Reply::Queued) | None => {}
                     Some(reply) => return resolve(daemon, &mut pending, arrival, reply),
                 }
