Refuse requests of an earlier release with a reason that it knows

Cause: Reason::TooLarge is a new variant in a message that daemons of an earlier release decode. They skip the refusal, take the broker for unresponsive, and choose engines by themselves for 2 s, without regard to the memory of engines.

Change: a request without terms is refused with NoEndpoint instead.

--- a/src/daemon/admission/mod.rs
+++ b/src/daemon/admission/mod.rs
@@ -80,7 +80,7 @@
 const WAIT_TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Refusal code of a request that is larger than the memory of any engine of its service.
-const TOO_LARGE: &str = "too_large";
+pub const TOO_LARGE: &str = "too_large";
 /// Retry-after of such a request, which only another configuration could change.
 const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -337,20 +337,20 @@
 /// Processes a message from another daemon.
 pub fn on_message(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     match message {
-        // Daemons of earlier releases send these three, without the terms.
+        // Daemons of earlier releases send these three.
         Message::Requested(request) => {
-            server::on_request(daemon, from, *request, Vec::new(), None, Terms::default());
+            server::on_request(daemon, from, *request, Vec::new(), None, None);
         }
         Message::RequestedExcept { request, excluded } => {
             let excluded = exclusions(excluded);
-            server::on_request(daemon, from, *request, excluded, None, Terms::default());
+            server::on_request(daemon, from, *request, excluded, None, None);
         }
         Message::RequestedAt { request, excluded, software } => {
             let excluded = exclusions(excluded);
-            server::on_request(daemon, from, *request, excluded, Some(software), Terms::default());
+            server::on_request(daemon, from, *request, excluded, Some(software), None);
         }
         Message::Ask { request, excluded, software, terms } => {
-            server::on_request(daemon, from, *request, exclusions(excluded), software, terms);
+            server::on_request(daemon, from, *request, exclusions(excluded), software, Some(terms));
         }
         Message::Queued(ticket) => on_reply(daemon, from, ticket, Reply::Queued),
         Message::Granted { ticket, key, tokens, own_prefill_us, queued_prefill_us } => {
--- a/src/daemon/broker/server.rs
+++ b/src/daemon/broker/server.rs
@@ -154,17 +154,19 @@
     daemon.fleet.borrow_mut().set_granted(&sums);
 }
 
-/// Handles a daemon's request for a grant.
+/// Handles a daemon's request for a grant. Daemons of earlier releases state no terms.
 pub(super) fn on_request(
     daemon: &Rc<Daemon>,
     from: SocketAddr,
     request: Request,
     excluded: Vec<Exclusion>,
     software: Option<SoftwareVersion>,
-    terms: Terms,
+    terms: Option<Terms>,
 ) {
     let now = clock::now();
     let ticket = request.ticket;
+    let has_terms = terms.is_some();
+    let terms = terms.unwrap_or_default();
     daemon.fleet.borrow_mut().memory.on_asked(now);
     {
         let mut state = daemon.broker.borrow_mut();
@@ -186,6 +188,10 @@
     match admission::decide(daemon, now, &arrival) {
         Decision::Send(key) => grant(daemon, now, from, ticket, &arrival, key),
         Decision::OtherRegion(region) => redirect(daemon, from, ticket, region),
+        // A daemon of an earlier release can't decode the reason.
+        Decision::Refuse(refusal) if !has_terms && refusal.reason == admission::TOO_LARGE => {
+            refuse(daemon, from, ticket, &Refusal { reason: Reason::NoEndpoint.into(), ..refusal });
+        }
         Decision::Refuse(refusal) => refuse(daemon, from, ticket, &refusal),
         Decision::Wait(until, cause, _) => {
             enqueue(daemon, from, ticket, &arrival, until, cause.shortage());
