State the output tokens when a request for a grant is repeated

Cause: if the first message that asks for a grant is lost, the request was repeated in the form of earlier releases, without its terms. The broker then counts the request with its prompt only, and grants more than the engine's memory holds; nor does it know the team. A share of requests as large as that of lost datagrams is concerned.

Change: a broker that has answered a request with terms is sent the same form again. Another one may be of an earlier release and is sent both forms, the one with the terms first; it answers the second one with what it has granted or queued. It no longer counts as current once it does not answer.

--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -8,6 +8,7 @@
 mod server;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -99,6 +100,9 @@
 #[derive(Default)]
 pub struct Broker {
     suspects: Suspects,
+    /// Brokers that have answered a request with terms since they last did not answer. Those of an
+    /// earlier release can't decode such a request.
+    current: HashSet<SocketAddr>,
     pending: HashMap<Ticket, Sender<Reply>>,
     /// Grants that this daemon holds: the broker, the request class and the engine.
     held: HashMap<Ticket, (SocketAddr, Class, Key)>,
@@ -181,14 +185,23 @@
     let is_remote =
         daemon.nodes.borrow().region_of(to).is_some_and(|region| *region != daemon.settings.region);
     let limit = if is_remote { REMOTE_REPLY_TIMEOUT } else { REPLY_TIMEOUT };
+    // Only the answer to the first message is certainly one to a request with terms.
+    let mut is_first = true;
     let until_deadline = |span: Duration| span.min(arrival.deadline.saturating_sub(clock::now()));
     while unanswered < MAX_UNANSWERED {
         // The broker may be gone, or its refusal lost.
         if clock::now() >= arrival.deadline {
             return Err(Failure::Refused(admission::timeout_refusal(daemon, arrival, None)));
         }
-        send(daemon, to, request_message(daemon, ticket, arrival, unanswered > 0));
-        match receive(&replies, until_deadline(limit)).await {
+        for message in request_messages(daemon, to, ticket, arrival, unanswered > 0) {
+            send(daemon, to, message);
+        }
+        let reply = receive(&replies, until_deadline(limit)).await;
+        if reply.is_some() && is_first {
+            daemon.broker.borrow_mut().current.insert(to);
+        }
+        is_first = false;
+        match reply {
             Some(Reply::Queued) => {
                 // The next message is the final answer, but that may be lost: so the request is
                 // resent after an interval.
@@ -203,7 +216,11 @@
             None => unanswered += 1,
         }
     }
-    daemon.broker.borrow_mut().suspects.add(clock::now(), to);
+    {
+        let mut state = daemon.broker.borrow_mut();
+        state.suspects.add(clock::now(), to);
+        state.current.remove(&to);
+    }
     daemon.note(&Event::Broker { address: to.to_string() });
     Err(Failure::Unresponsive)
 }
@@ -247,24 +264,38 @@
     Ok(Answer::Granted(pending.ticket, key, estimate))
 }
 
-/// Returns the message that asks for a grant. The broker is told the endpoints that this daemon
-/// does not call, as it may not know what they have stated. A broker that did not answer may be of an
-/// earlier release, which knows no terms.
-fn request_message(daemon: &Daemon, ticket: Ticket, arrival: &Arrival, is_repeat: bool) -> Message {
+/// Returns the messages that ask for a grant. The broker is told the endpoints that this daemon
+/// does not call, as it may not know what they have stated. A broker that has never answered may be
+/// of an earlier release, which knows no terms, and is then asked in both forms. The form with the
+/// terms comes first: a broker that receives only the other one counts the request without its output.
+fn request_messages(
+    daemon: &Daemon,
+    to: SocketAddr,
+    ticket: Ticket,
+    arrival: &Arrival,
+    is_repeat: bool,
+) -> Vec<Message> {
     let request = Box::new(request(ticket, arrival));
     let now = clock::now();
     let excluded = daemon.fleet.borrow().exclusions(now, &request.service, &request.model);
     let remaining = |until: Duration| millis(until.saturating_sub(now));
     let excluded: Vec<_> =
         excluded.into_iter().map(|row| (row.key, row.until.map(remaining))).collect();
-    match arrival.software.clone() {
-        software if !is_repeat => {
-            Message::Ask { request, excluded, software, terms: arrival.spec.terms.clone() }
-        }
+    let ask = Message::Ask {
+        request: request.clone(),
+        excluded: excluded.clone(),
+        software: arrival.software.clone(),
+        terms: arrival.spec.terms.clone(),
+    };
+    if !is_repeat || daemon.broker.borrow().current.contains(&to) {
+        return vec![ask];
+    }
+    let earlier = match arrival.software.clone() {
         Some(software) => Message::RequestedAt { request, excluded, software },
         None if excluded.is_empty() => Message::Requested(request),
         None => Message::RequestedExcept { request, excluded },
-    }
+    };
+    vec![ask, earlier]
 }
 
 fn request(ticket: Ticket, arrival: &Arrival) -> Request {
