Report first bytes to brokers of an earlier release in their form

Cause: Message::Responded took the place of FirstByte. A broker of an earlier release skips it, and learns neither the speed nor the load of its engines from daemons that have been updated.

Change: brokers that have not answered a request with terms are sent FirstByte.

Result: platform/tests/broker, first_byte_is_reported_to_an_earlier_release_in_its_form fails before and passes.

--- a/src/daemon/broker/mod.rs
+++ b/src/daemon/broker/mod.rs
@@ -327,7 +327,15 @@
     elapsed: Duration,
     load: Option<Load>,
 ) {
-    send(daemon, broker, Message::Responded { ticket, elapsed_us: micros(elapsed), load });
+    let elapsed_us = micros(elapsed);
+    // An earlier release can't decode the form with all that the engine has reported.
+    let message = if daemon.broker.borrow().current.contains(&broker) {
+        Message::Responded { ticket, elapsed_us, load }
+    } else {
+        let load = load.map(|load| (load.running, load.waiting));
+        Message::FirstByte { ticket, elapsed_us, load }
+    };
+    send(daemon, broker, message);
 }
 
 /// Reports to a broker that a request at an engine has ended.
