Let other tasks run while datagrams arrive without a pause

Cause: the loop that receives datagrams waits only when the socket has none. While they arrive faster than they are handled, no other task of the daemon runs: timers, streams, requests and the renewal of its lease wait. A timer was 1.99 s late in a flood of 2 s (platform/tests/datagrams, endless_datagrams_leave_time_for_other_tasks, lists of 24 grants).

Change: other tasks get their turn after 5 ms. What does not fit into the receive buffer meanwhile is lost, as before.

--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -51,6 +51,9 @@
 /// datagram of 40 bytes for each request and daemon. With more daemons, brokers grant slots
 /// instead.
 pub const MAX_BROADCAST_PEERS: usize = 8;
+/// Longest time for which datagrams are handled before other tasks get their turn: short beside the
+/// shortest pause that a route allows, and long beside the handling of one datagram.
+const MAX_RECEIVE_TURN: Duration = Duration::from_millis(5);
 /// Interval after which an adapter is requested again: the round trip to the placer, the order and
 /// the load of the adapter.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(180);
@@ -369,14 +372,22 @@
 /// Receives the datagrams of other daemons for as long as the daemon runs.
 pub async fn receive_loop(daemon: Rc<Daemon>) {
     let mut buf = vec![0_u8; 2 * MAX_DATAGRAM_BYTES];
+    let mut turn_ends_at = clock::now() + MAX_RECEIVE_TURN;
     loop {
+        if clock::now() >= turn_ends_at {
+            // The socket may always have a datagram ready, and then never waits.
+            smol::future::yield_now().await;
+            turn_ends_at = clock::now() + MAX_RECEIVE_TURN;
+        }
         let received = {
             let mut received = std::pin::pin!(daemon.peers.socket.recv_from(&mut buf));
             match future::poll_once(received.as_mut()).await {
                 Some(received) => received,
                 None => {
                     daemon.nodes.borrow_mut().on_buffer_empty(clock::now());
-                    received.await
+                    let received = received.await;
+                    turn_ends_at = clock::now() + MAX_RECEIVE_TURN;
+                    received
                 }
             }
         };
