List that daemons without a broker may overcommit an idle engine

Cause: Memory::has_room lets a daemon fill an engine that it takes for idle, without regard to the other daemons that have no broker either. Two that choose it within one one-way delay exceed its memory together.

Strict parts would refuse every request larger than a part; that was not weighed to its end.

--- a/tests/decide_memory.rs
+++ b/tests/decide_memory.rs
@@ -256,3 +256,19 @@
     }
     assert_eq!(choose(&fleet, ms(0), 500, rng), Choice::Full);
 }
+
+/// Two daemons without a broker choose an idle engine within the same round trip. Guards against
+/// requests of both that exceed its memory together.
+#[test]
+fn daemons_without_a_broker_stay_within_their_parts_of_an_idle_engine() {
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let mut sum = 0;
+    for _ in 0..2 {
+        let mut fleet = fleet(1);
+        fleet.memory.set_daemons(2, 1.0, false);
+        if let Choice::Send(_) = choose(&fleet, ms(0), 15_000, rng) {
+            sum += 15_100;
+        }
+    }
+    assert!(sum <= CAPACITY, "{sum} tokens");
+}
