Compare models by index while planning a placement

Cause: one plan compares the names of models for each model and engine, and adds up the demand of all models for each of these.

Change: names are resolved once for each plan, and the even load is computed once. The decisions are the same.

--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -197,12 +197,26 @@
     Turn,
 }
 
+/// The models of a host, as indexes. Models without a requirement are left out.
+#[derive(Debug, Clone)]
+struct Stock {
+    resident: Vec<usize>,
+    unloading: Vec<usize>,
+    cached: Vec<usize>,
+    /// Whether it carries out an order or is to do so by the plan.
+    busy: bool,
+    /// Memory that no model takes, in MB.
+    free_mb: f64,
+}
+
 /// The plan in progress.
 struct Planner<'a> {
     rows: Vec<Row<'a>>,
-    /// Index of each model in `rows`.
-    index: HashMap<&'a str, usize>,
-    hosts: Vec<Host>,
+    hosts: &'a [Host],
+    /// The models of each host, as indexes of `rows`: a plan compares them for each model and host.
+    stocks: Vec<Stock>,
+    /// Load of each engine if demand were divided evenly.
+    even_load: f64,
     /// Load of each host, in concurrent requests.
     loads: Vec<f64>,
     /// Number of hosts that wait for a load elsewhere before they evict a model.
@@ -281,7 +295,7 @@
     cold_loads: u32,
 ) -> BTreeMap<ModelId, BTreeMap<Obstacle, usize>> {
     let planner = Planner::new(requirements, hosts);
-    let even_load = planner.even_load();
+    let even_load = planner.even_load;
     let is_lacking = |model: &usize| {
         let row = &planner.rows[*model];
         match row.cause() {
@@ -303,7 +317,7 @@
 impl<'a> Planner<'a> {
     /// Returns what keeps a model from being loaded on a host.
     fn obstacle(&self, model: usize, host: usize, cold_loads: u32) -> Obstacle {
-        let (even_load, missing) = (self.even_load(), self.rows[model].cause() == Cause::Missing);
+        let (even_load, missing) = (self.even_load, self.rows[model].cause() == Cause::Missing);
         if !missing && !self.is_pressed(model, even_load) {
             return Obstacle::Pressure;
         }
@@ -328,33 +342,44 @@
         even_load >= MIN_EVEN_LOAD && self.rows[model].hosts.iter().any(is_loaded)
     }
 
-    fn new(requirements: &'a [Requirement], hosts: &[Host]) -> Self {
+    fn new(requirements: &'a [Requirement], hosts: &'a [Host]) -> Self {
         let row = |requirement| Row { requirement, hosts: Vec::new(), is_loading: false };
-        let rows: Vec<Row<'a>> = requirements.iter().map(row).collect();
-        let index = requirements
-            .iter()
-            .enumerate()
-            .map(|(i, requirement)| (requirement.model.as_str(), i))
-            .collect();
+        let mut rows: Vec<Row<'a>> = requirements.iter().map(row).collect();
+        let names = requirements.iter().enumerate();
+        let index: HashMap<&str, usize> =
+            names.map(|(i, requirement)| (requirement.model.as_str(), i)).collect();
+        let indexes = |models: &[ModelId]| -> Vec<usize> {
+            models.iter().filter_map(|model| index.get(model.as_str()).copied()).collect()
+        };
+        let stock = |host: &Host| {
+            let resident = indexes(&host.resident);
+            let used: f64 = resident.iter().map(|row| requirements[*row].weights_mb).sum();
+            Stock {
+                resident,
+                unloading: indexes(&host.unloading),
+                cached: indexes(&host.cached),
+                busy: host.busy,
+                free_mb: host.weight_capacity_mb - used,
+            }
+        };
+        let stocks: Vec<Stock> = hosts.iter().map(stock).collect();
+        for (i, (host, stock)) in hosts.iter().zip(&stocks).enumerate() {
+            for row in stock.resident.iter().filter(|row| !stock.unloading.contains(row)) {
+                rows[*row].hosts.push(i);
+            }
+            if let Some(row) = host.loading.as_ref().and_then(|model| index.get(model.as_str())) {
+                rows[*row].is_loading = true;
+            }
+        }
+        let total: f64 = requirements.iter().map(|requirement| requirement.demand).sum();
         let mut planner = Planner {
             rows,
-            index,
-            hosts: hosts.to_vec(),
+            hosts,
+            stocks,
+            even_load: total / hosts.len().max(1) as f64,
             loads: vec![0.0; hosts.len()],
             waiting_hosts: 0,
         };
-        for (i, host) in hosts.iter().enumerate() {
-            for model in host.resident.iter().filter(|model| !host.unloading.contains(model)) {
-                if let Some(row) = planner.index.get(model.as_str()) {
-                    planner.rows[*row].hosts.push(i);
-                }
-            }
-            if let Some(row) =
-                host.loading.as_ref().and_then(|model| planner.index.get(model.as_str()))
-            {
-                planner.rows[*row].is_loading = true;
-            }
-        }
         for row in &planner.rows {
             for host in &row.hosts {
                 planner.loads[*host] += row.load_per_replica();
@@ -387,7 +412,7 @@
 
     /// Returns the step with the highest gain for a cause, if it reaches the minimum.
     fn best_step(&self, cause: Cause, cold_loads: u32) -> Option<Step> {
-        let even_load = self.even_load();
+        let even_load = self.even_load;
         let missing = cause != Cause::Short;
         let mut best_step: Option<(f64, Step)> = None;
         // The same few models block many engines, so that their relocations are computed once.
@@ -431,9 +456,8 @@
     /// Returns whether a load from the store takes a place where another model with too few
     /// replicas would load faster.
     fn displaces_cached(&self, step: &Step, even_load: f64) -> bool {
-        let engine = &self.hosts[step.host];
-        let others = engine.cached.iter().filter(|model| !engine.resident.contains(model));
-        let others = others.filter_map(|model| self.index.get(model.as_str()));
+        let stock = &self.stocks[step.host];
+        let others = stock.cached.iter().filter(|row| !stock.resident.contains(row));
         let mut others = others.filter(|row| **row != step.model);
         let is_short =
             |row: &usize| self.rows[*row].load_per_replica() > even_load * SHORTAGE_RATIO;
@@ -442,16 +466,16 @@
 
     /// Returns the best step that loads a model on a host.
     fn best_host_step(&self, model: usize, host: usize, missing: bool) -> Result<Step, Obstacle> {
-        let (row, engine) = (&self.rows[model], &self.hosts[host]);
-        if engine.resident.contains(&row.requirement.model) {
+        let (row, stock) = (&self.rows[model], &self.stocks[host]);
+        if stock.resident.contains(&model) {
             return Err(Obstacle::Resident);
         }
-        if engine.busy {
+        if stock.busy {
             return Err(Obstacle::Busy);
         }
         let mut evicted = Vec::new();
         let mut blocked = None;
-        let mut free_mb = self.free_mb(host);
+        let mut free_mb = stock.free_mb;
         while free_mb < row.requirement.weights_mb {
             let missing_mb = row.requirement.weights_mb - free_mb;
             let mut evicted_model = self.pick_evicted(host, &evicted, missing_mb, 2);
@@ -470,13 +494,13 @@
         if (!missing || is_waiting) && self.stops_adapters(model, host, &evicted) {
             return Err(Obstacle::Adapters);
         }
-        let max_evicted = row.requirement.demand.max(MAX_MISSING_EVICTED_RATIO * self.even_load());
+        let max_evicted = row.requirement.demand.max(MAX_MISSING_EVICTED_RATIO * self.even_load);
         if missing && is_waiting && self.evicted_load(&evicted) > max_evicted {
             return Err(Obstacle::Demand);
         }
-        let cold = !engine.cached.contains(&row.requirement.model);
+        let cold = !stock.cached.contains(&model);
         let mut gain = self.gain(model, host, &evicted);
-        let is_same_region = |other: &usize| self.hosts[*other].region == engine.region;
+        let is_same_region = |other: &usize| self.hosts[*other].region == self.hosts[host].region;
         if !row.hosts.iter().any(is_same_region) {
             gain += REGION_GAIN_RATIO * row.load_per_replica() * row.load_per_replica();
         }
@@ -486,7 +510,7 @@
             // Its callers are refused until the load is done.
             let slow_parts =
                 f64::from(u8::from(cold)) + 2.0 * f64::from(u8::from(blocked.is_some()));
-            gain -= slow_parts * self.even_load().max(MIN_EVEN_LOAD);
+            gain -= slow_parts * self.even_load.max(MIN_EVEN_LOAD);
         }
         Ok(Step { model, host, evicted, gain, cold, blocked })
     }
@@ -499,17 +523,16 @@
     /// Returns whether a step keeps requested adapters of a model with more demand from being
     /// loaded: the host is the only one that can load them, or one of too few that hold the model.
     fn stops_adapters(&self, model: usize, host: usize, evicted: &[usize]) -> bool {
-        let resident =
-            self.hosts[host].resident.iter().filter_map(|other| self.index.get(other.as_str()));
+        let mut resident = self.stocks[host].resident.iter();
         let is_stopped = |other: &usize| {
             let row = &self.rows[*other];
-            let is_free = |other: &&usize| **other != host && !self.hosts[**other].busy;
+            let is_free = |other: &&usize| **other != host && !self.stocks[**other].busy;
             let has_demand = row.requirement.demand > self.rows[model].requirement.demand;
             row.requirement.missing_adapters > 0
                 && has_demand
                 && (evicted.contains(other) || !row.hosts.iter().any(|host| is_free(&host)))
         };
-        resident.copied().any(|other| is_stopped(&other))
+        resident.any(is_stopped)
     }
 
     /// Returns the step with the gain of its relocation, if the loads from the store are allowed.
@@ -546,7 +569,7 @@
             (0..self.hosts.len()).filter_map(|host| self.best_host_step(model, host, false).ok());
         let steps = steps.filter(|step| step.blocked.is_none());
         let steps = steps.filter(|step| cold_loads > 0 || !step.cold);
-        let max_evicted = self.even_load() * MAX_RELOCATION_EVICTED_RATIO;
+        let max_evicted = self.even_load * MAX_RELOCATION_EVICTED_RATIO;
         // Models with demand are not evicted to make way for models without.
         let steps = steps.filter(|step| self.evicted_load(&step.evicted) <= max_evicted);
         let cost = |step: &Step| {
@@ -562,12 +585,11 @@
 
     /// Counts the engines that wait for another replica of a model before they unload it.
     fn count_waiting_hosts(&self) -> usize {
-        let waits = |host: &&Host| {
-            let rows = host.unloading.iter().filter_map(|model| self.index.get(model.as_str()));
-            let mut rows = rows.map(|row| &self.rows[*row]);
+        let waits = |stock: &&Stock| {
+            let mut rows = stock.unloading.iter().map(|row| &self.rows[*row]);
             rows.any(|row| row.is_loading && row.hosts.len() == 1)
         };
-        self.hosts.iter().filter(waits).count()
+        self.stocks.iter().filter(waits).count()
     }
 
     /// Counts the engines that load a model which no other engine holds.
@@ -580,27 +602,10 @@
         evicted.iter().map(|row| self.rows[*row].load_per_replica()).sum()
     }
 
-    /// Returns the load of each engine if demand were divided evenly.
-    fn even_load(&self) -> f64 {
-        let total: f64 = self.rows.iter().map(|row| row.requirement.demand).sum();
-        total / self.hosts.len().max(1) as f64
-    }
-
-    fn free_mb(&self, host: usize) -> f64 {
-        let engine = &self.hosts[host];
-        let used: f64 = engine.resident.iter().filter_map(|model| self.weights_mb(model)).sum();
-        engine.weight_capacity_mb - used
-    }
-
-    fn weights_mb(&self, model: &str) -> Option<f64> {
-        self.index.get(model).map(|i| self.rows[*i].requirement.weights_mb)
-    }
-
     /// Returns whether a model may lose its last replica, which is on a host: no caller requests it,
     /// and a load there is fast.
     fn is_dispensable(&self, model: usize, host: usize) -> bool {
-        let requirement = self.rows[model].requirement;
-        requirement.idle && self.hosts[host].cached.contains(&requirement.model)
+        self.rows[model].requirement.idle && self.stocks[host].cached.contains(&model)
     }
 
     /// Returns the model whose eviction from a host costs the least: it has at least `min_replicas`
@@ -613,9 +618,8 @@
         missing_mb: f64,
         min_replicas: usize,
     ) -> Option<usize> {
-        let engine = &self.hosts[host];
-        let evictable = engine.resident.iter().filter(|model| !engine.unloading.contains(model));
-        let evictable = evictable.filter_map(|model| self.index.get(model.as_str()).copied());
+        let stock = &self.stocks[host];
+        let evictable = stock.resident.iter().filter(|row| !stock.unloading.contains(row)).copied();
         let evictable = evictable.filter(|row| !chosen.contains(row));
         let evictable = evictable.filter(|row| {
             self.rows[*row].hosts.len() >= min_replicas || self.is_dispensable(*row, host)
@@ -678,11 +682,11 @@
         self.rows[step.model].hosts.push(step.host);
         self.rows[step.model].is_loading = true;
         self.add_load(step.model, 1.0);
-        let names = step.evicted.iter().map(|row| self.rows[*row].requirement.model.clone());
-        let host = &mut self.hosts[step.host];
-        host.unloading.extend(names);
-        host.busy = true;
-        host.resident.push(self.rows[step.model].requirement.model.clone());
+        let stock = &mut self.stocks[step.host];
+        stock.unloading.extend(&step.evicted);
+        stock.busy = true;
+        stock.resident.push(step.model);
+        stock.free_mb -= self.rows[step.model].requirement.weights_mb;
         self.waiting_hosts = self.count_waiting_hosts();
     }
 
