Order waiting requests across daemons that have no broker

Cause: a daemon without a broker knew only its own requests: each slot that became free there went to its own next one, other daemons did not learn of the slot, and a team's work elsewhere was not counted in its share.

Change: daemons state in each gossip round which requests wait (a sample of places by class), and what they have charged teams with, while requests wait anywhere. The messages are a new variant at the end of peer::Message. tests/decide_wait_load.rs models the exchange with rounds of 250 ms and a delay of 30 ms; wait_policy::displaced and Completions::rate have a parameter more for what waits at others.

--- a/src/daemon/admission/mod.rs
+++ b/src/daemon/admission/mod.rs
@@ -26,15 +26,19 @@
 pub use self::queue::dispatch;
 pub use self::queue::dispatch_at;
 use self::queue::dispatch_class_at;
+pub use self::queue::dispatch_own_at;
 pub use self::queue::enqueue;
 use self::queue::expected_slots;
+pub use self::queue::pool;
 use self::queue::record_wait;
 pub use self::queue::refuse_hopeless;
+pub use self::queue::summaries;
 use crate::daemon::Daemon;
 use crate::daemon::broker;
 use crate::daemon::broker::Failure;
 use crate::daemon::broker::Terms;
 use crate::daemon::clock;
+use crate::daemon::exchange;
 use crate::daemon::front::Job;
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
@@ -314,6 +318,7 @@
         let (now, end) = (clock::now(), self.end.get());
         record_slot_time(&self.daemon, now, &self.spec, self.issued_at, self.charged, end);
         dispatch_at(&self.daemon, &self.key);
+        exchange::offer_unused(&self.daemon, &self.key, &self.spec);
     }
 }
 
@@ -455,18 +460,25 @@
 pub fn decide(daemon: &Rc<Daemon>, now: Duration, arrival: &Arrival) -> Decision {
     let request = arrival.request(daemon);
     daemon.completions.borrow_mut().record_arrival(now, arrival.spec.class);
-    let ahead =
-        daemon.queue.borrow().ahead(now, arrival.class(), &arrival.place(daemon, now, &request));
-    let choice = match choose(daemon, now, arrival) {
-        Choice::Send(key) if ahead == 0 => {
-            let Some(region) = broker_region(daemon, arrival, &key) else {
-                return Decision::Send(key);
-            };
-            daemon.fleet.borrow_mut().expect_grant(&key);
-            return Decision::OtherRegion(region);
+    let place = arrival.place(daemon, now, &request);
+    let own_ahead = daemon.queue.borrow().ahead(now, arrival.class(), &place);
+    let choice = loop {
+        match choose(daemon, now, arrival) {
+            Choice::Send(key) if own_ahead == 0 => {
+                if exchange::offer_before(daemon, now, &arrival.spec, &place, &key) {
+                    continue;
+                }
+                let Some(region) = broker_region(daemon, arrival, &key) else {
+                    return Decision::Send(key);
+                };
+                daemon.fleet.borrow_mut().expect_grant(&key);
+                return Decision::OtherRegion(region);
+            }
+            choice => break choice,
         }
-        choice => choice,
     };
+    let class = arrival.class();
+    let ahead = own_ahead + exchange::ahead(daemon, now, &arrival.spec, class, &place);
     let cause = refusal_cause(daemon, now, arrival, &choice, ahead);
     let verdict = wait_policy::decide(now, &request, cause, &mut daemon.rng.borrow_mut());
     if let Choice::Delay(span) | Choice::Limited(span) | Choice::Backoff(span) = choice {
@@ -691,16 +703,20 @@
     let spec = &arrival.spec;
     match choice {
         Choice::Send(_) | Choice::Full => {
-            let slots = expected_slots(daemon, now, spec);
+            let class = arrival.class();
+            let total = exchange::total(daemon, now, spec, class);
+            let slots = expected_slots(daemon, now, spec, &total);
             let queue = daemon.queue.borrow();
             let request = arrival.request(daemon);
             let place = Place { late_from: now, ..arrival.place(daemon, now, &request) };
+            let others = exchange::ahead(daemon, now, spec, class, &place);
+            let arrivals = daemon.completions.borrow().arrival_rate(now, spec.class);
             Cause::Full {
                 ahead,
-                ahead_if_late: queue.ahead(now, arrival.class(), &place),
-                queued: queue.count(arrival.class()),
-                rate: completion_rate(daemon, now, spec, slots),
-                arrivals: daemon.completions.borrow().arrival_rate(now, spec.class),
+                ahead_if_late: queue.ahead(now, class, &place) + others,
+                queued: queue.count(class) + total.count,
+                rate: completion_rate(daemon, now, spec, slots, &total),
+                arrivals: arrivals + total.arrivals,
             }
         }
         Choice::Delay(wait) => Cause::Paced(*wait),
--- a/src/daemon/admission/queue.rs
+++ b/src/daemon/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The wait queue of a daemon: requests of its callers, and of other daemons that it is the broker
 //! for.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,15 +23,19 @@
 use crate::daemon::Daemon;
 use crate::daemon::broker;
 use crate::daemon::clock;
+use crate::daemon::exchange;
 use crate::daemon::journal::Event;
 use crate::daemon::peer;
 use crate::decide::broker::Ticket;
+use crate::decide::exchange::Summary;
+use crate::decide::exchange::Total;
 use crate::decide::fleet::Choice;
 use crate::decide::speed::Estimate;
 use crate::decide::wait_policy;
 use crate::decide::wait_policy::Request;
 use crate::decide::wait_policy::Shortage;
 use crate::decide::wait_queue::Class;
+use crate::decide::wait_queue::Place;
 use crate::decide::wait_queue::Pool;
 use crate::table::RegionId;
 use crate::table::instance::Key;
@@ -38,6 +43,18 @@
 /// Interval between two dispatches of classes that are due at about the same time.
 const MIN_DISPATCH_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Classes in the statement of one gossip round, more than fit into its datagrams.
+const MAX_SUMMARIES: usize = 128;
+
+/// Whose requests a free slot may go to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// Those of all daemons, in their order.
+    All,
+    /// Those of this daemon.
+    Own,
+}
+
 /// Who receives the endpoint that a waiting request is assigned.
 #[derive(Clone)]
 pub enum Recipient {
@@ -168,17 +185,19 @@
             let Some((_, first)) = queue.first(class) else {
                 continue;
             };
-            let slots = expected_slots(daemon, now, &first.arrival.spec);
+            let spec = &first.arrival.spec;
+            let total = exchange::total(daemon, now, spec, class);
+            let slots = expected_slots(daemon, now, spec, &total);
             // Requests that wait for a load or an adapter have their own time limit.
-            let rate = completion_rate(daemon, now, &first.arrival.spec, slots);
-            let arrivals = daemon.completions.borrow().arrival_rate(now, class);
-            let mut ahead = 0;
-            for (_, waiter) in queue.rows(class) {
+            let rate = completion_rate(daemon, now, spec, slots, &total);
+            let arrivals = daemon.completions.borrow().arrival_rate(now, class) + total.arrivals;
+            let queued = queue.count(class) + total.count;
+            let mut own_ahead = 0;
+            for (_, place, waiter) in queue.places(class) {
+                let ahead = own_ahead + exchange::ahead(daemon, now, spec, class, place);
                 let wait = match waiter.request.late_from() <= now {
                     false => Some(wait_policy::expected_wait(ahead, rate)),
-                    true => {
-                        wait_policy::expected_late_wait(ahead, queue.count(class), rate, arrivals)
-                    }
+                    true => wait_policy::expected_late_wait(ahead, queued, rate, arrivals),
                 };
                 let waits_for_slot = slots > 0.0 && waiter.waits_for_slot();
                 let has_time = wait.is_some_and(|wait| waiter.request.has_time(now, wait));
@@ -188,7 +207,7 @@
                 } else if !waits_for_slot && now >= waiter.until {
                     WaitEnd::Expired
                 } else {
-                    ahead += 1;
+                    own_ahead += 1;
                     continue;
                 };
                 let wait = if waits_for_slot { wait } else { WAIT_TIMEOUT_RETRY_AFTER };
@@ -204,17 +223,19 @@
 /// Refuses the last requests of a class that can't be served by their deadlines any more, as another
 /// one has been queued before them. They have not been sent.
 fn refuse_displaced(daemon: &Rc<Daemon>, now: Duration, class: Class, spec: &Spec) {
-    let slots = expected_slots(daemon, now, spec);
-    let rate = completion_rate(daemon, now, spec, slots);
+    let total = exchange::total(daemon, now, spec, class);
+    let slots = expected_slots(daemon, now, spec, &total);
+    let rate = completion_rate(daemon, now, spec, slots, &total);
     // Requests that wait for a load or an adapter have their own time limit.
     if slots <= 0.0 {
         return;
     }
+    let others = |place: &Place| exchange::ahead(daemon, now, spec, class, place);
     let request = |waiter: &Waiter| waiter.waits_for_slot().then_some(waiter.request);
     loop {
         let displaced = {
             let queue = daemon.queue.borrow();
-            let last = wait_policy::displaced(now, &queue, class, rate, request);
+            let last = wait_policy::displaced(now, &queue, class, rate, others, request);
             last.map(|(waiter, wait)| (waiter.clone(), wait))
         };
         let Some((waiter, wait)) = displaced else {
@@ -263,39 +284,57 @@
             shared.next_dispatch.set(None);
         }
         let classes = shared.queue.borrow_mut().take_due(clock::now());
-        dispatch_classes(&shared, classes);
+        dispatch_classes(&shared, classes, Scope::All);
         start_timer(&shared);
     };
     daemon.ex.spawn(task).detach();
 }
 
 /// Returns the slots that requests like this one can expect of the endpoints that serve them. Without
-/// a broker, they are divided between all daemons.
-pub(super) fn expected_slots(daemon: &Daemon, now: Duration, spec: &Spec) -> f64 {
+/// a broker, they are divided between all daemons; those at which such requests wait, `total`, share
+/// theirs.
+pub(super) fn expected_slots(daemon: &Daemon, now: Duration, spec: &Spec, total: &Total) -> f64 {
     let fleet = daemon.fleet.borrow();
     let slots = fleet.expected_slots(now, &spec.service, spec.model.as_deref());
     let has_broker = spec.needs_broker() && fleet.sharing.has_brokers;
-    if has_broker { slots } else { slots / fleet.sharing.daemons.max(1) as f64 }
+    let (daemons, sharing) = (fleet.sharing.daemons.max(1), 1 + total.daemons);
+    if has_broker { slots } else { slots * (sharing as f64 / daemons as f64).min(1.0) }
 }
 
 /// Returns the rate at which requests like this one complete. Those of other adapters of the model
 /// that wait share the slots.
-pub(super) fn completion_rate(daemon: &Daemon, now: Duration, spec: &Spec, slots: f64) -> f64 {
+pub(super) fn completion_rate(
+    daemon: &Daemon,
+    now: Duration,
+    spec: &Spec,
+    slots: f64,
+    total: &Total,
+) -> f64 {
     let pool = pool(&spec.service, spec.model.as_deref());
     let sharing = daemon.queue.borrow().classes_of(pool).count().max(1);
     let slots = slots / sharing as f64;
-    daemon.completions.borrow().rate(now, spec.class, &spec.service, slots)
+    daemon.completions.borrow().rate(now, spec.class, &spec.service, slots, total.completions)
 }
 
 /// Assigns endpoints to the waiting requests, in their order.
 pub fn dispatch(daemon: &Rc<Daemon>) {
     let classes: Vec<Class> = daemon.queue.borrow().classes().collect();
-    dispatch_classes(daemon, classes);
+    dispatch_classes(daemon, classes, Scope::All);
 }
 
 /// Assigns endpoints to the waiting requests that an endpoint can serve, at which a slot has become
 /// free or whose residents have changed.
 pub fn dispatch_at(daemon: &Rc<Daemon>, key: &Key) {
+    dispatch_key(daemon, key, Scope::All);
+}
+
+/// Assigns endpoints to the waiting requests of this daemon that an endpoint can serve, at which it
+/// may use a slot whatever waits at other daemons.
+pub fn dispatch_own_at(daemon: &Rc<Daemon>, key: &Key) {
+    dispatch_key(daemon, key, Scope::Own);
+}
+
+fn dispatch_key(daemon: &Rc<Daemon>, key: &Key, scope: Scope) {
     let classes: Vec<Class> = {
         let (fleet, queue) = (daemon.fleet.borrow(), daemon.queue.borrow());
         let Some(row) = fleet.get(key).filter(|_| !queue.is_empty()) else {
@@ -306,15 +345,31 @@
         let pools = models.chain([None]).map(|model| pool(service, model));
         pools.flat_map(|pool| queue.classes_of(pool)).collect()
     };
-    dispatch_classes(daemon, classes);
+    dispatch_classes(daemon, classes, scope);
+}
+
+/// Returns what other daemons are told of the requests that wait here, most of them first.
+pub fn summaries(daemon: &Daemon, now: Duration) -> Vec<Summary> {
+    let mut classes: Vec<(Class, Class)> = {
+        let queue = daemon.queue.borrow();
+        let row = |class| {
+            let spec = &queue.first(class)?.1.arrival.spec;
+            spec.needs_broker().then_some((class, spec.class))
+        };
+        let mut classes: Vec<_> = queue.classes().filter_map(row).collect();
+        classes.sort_by_key(|(class, _)| (Reverse(queue.count(*class)), *class));
+        classes
+    };
+    classes.truncate(MAX_SUMMARIES);
+    exchange::summaries(daemon, now, &classes)
 }
 
 /// Returns the pool of the requests for a model, or for a service without models.
-fn pool(service: &str, model: Option<&str>) -> Pool {
+pub fn pool(service: &str, model: Option<&str>) -> Pool {
     class_hasher(service, model, None).digest()
 }
 
-fn dispatch_classes(daemon: &Rc<Daemon>, classes: Vec<Class>) {
+fn dispatch_classes(daemon: &Rc<Daemon>, classes: Vec<Class>, scope: Scope) {
     let now = clock::now();
     daemon.queue.borrow_mut().advance(now);
     // The first request of each class; one that gets no endpoint holds up its class only.
@@ -330,7 +385,14 @@
         };
         match choose(daemon, now, &waiter.arrival) {
             Choice::Send(key) => {
-                assign(daemon, now, &waiter, key);
+                let place = daemon.queue.borrow().place(class, 0).copied();
+                let is_offered = scope == Scope::All
+                    && place.is_some_and(|place| {
+                        exchange::offer_before(daemon, now, &waiter.arrival.spec, &place, &key)
+                    });
+                if !is_offered {
+                    assign(daemon, now, &waiter, key);
+                }
                 candidates
                     .extend(daemon.queue.borrow().first(class).map(|(rank, _)| (rank, class)));
             }
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -240,6 +240,9 @@
             writeln!(out, "poplarmux_waits_total{{{labels}}} {count}")?;
             writeln!(out, "poplarmux_wait_ms_total{{{labels}}} {ms}")?;
         }
+        for (outcome, count) in daemon.exchange.borrow().outcomes() {
+            writeln!(out, "poplarmux_slot_offers_total{{outcome=\"{outcome}\"}} {count}")?;
+        }
         for (outcome, count) in daemon.retries.borrow().iter() {
             let outcome: &str = outcome.into();
             writeln!(out, "poplarmux_retries_total{{outcome=\"{outcome}\"}} {count}")?;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 pub mod contact;
 pub mod directory;
 pub mod engine;
+pub mod exchange;
 pub mod foreign;
 pub mod forward;
 pub mod front;
@@ -107,6 +108,8 @@
     pub waits: RefCell<admission::Waits>,
     /// Slot time that teams have received.
     pub shares: RefCell<Teams>,
+    /// What waits at other daemons, where no broker decides.
+    pub exchange: RefCell<exchange::State>,
     /// Requests to brokers, and the grants that this daemon has given to others.
     pub broker: RefCell<broker::Broker>,
     /// Quotas of teams.
@@ -199,6 +202,7 @@
             completions: RefCell::default(),
             waits: RefCell::default(),
             shares: RefCell::default(),
+            exchange: RefCell::default(),
             broker: RefCell::default(),
             quotas: RefCell::new(quota::Quotas::new(clock::now())),
             limits: RefCell::default(),
@@ -313,6 +317,7 @@
         for (key, bound) in pace_changes {
             daemon.note(&Event::Pace { endpoint: key.id, bound });
         }
+        exchange::tick(&daemon, now);
         if !daemon.queue.borrow().is_empty() && now >= next_pass {
             admission::refuse_hopeless(&daemon, now);
             admission::dispatch(&daemon);
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -25,6 +25,7 @@
 use crate::daemon::broker;
 use crate::daemon::clock;
 use crate::daemon::contact;
+use crate::daemon::exchange;
 use crate::daemon::journal::Event;
 use crate::daemon::limit;
 use crate::daemon::origin;
@@ -143,6 +144,8 @@
     Restarted(Vec<(Key, u32)>),
     /// A message about where streams began.
     Origin(origin::Message),
+    /// A message about requests that wait where no broker decides.
+    Exchange(exchange::Message),
 }
 
 /// Demand of this daemon's callers.
@@ -301,6 +304,7 @@
         send_heartbeat(&daemon);
         limit::announce(&daemon);
         quarantine::announce(&daemon);
+        exchange::announce(&daemon);
         contact::announce_round(&daemon);
         announce_restarts(&daemon);
         let Some(leader) = daemon.placer.borrow().leader() else {
@@ -417,6 +421,9 @@
         Message::PromptSent { key, prefill_us } => {
             let prefill = Duration::from_micros(prefill_us.into());
             daemon.fleet.borrow_mut().record_remote_prompt(now, &key, prefill);
+            if let Some(from) = from {
+                exchange::on_sent(daemon, from, &key);
+            }
         }
         Message::Broker(message) => {
             if let Some(from) = from {
@@ -439,6 +446,11 @@
                 origin::on_message(daemon, message, from);
             }
         }
+        Message::Exchange(message) => {
+            if let Some(from) = from {
+                exchange::on_message(daemon, message, from);
+            }
+        }
         Message::Isolated(isolated) => {
             if let Some(from) = from {
                 daemon.nodes.borrow_mut().on_isolation(now, from, isolated);
--- a/src/decide/completions.rs
+++ b/src/decide/completions.rs
@@ -112,10 +112,16 @@
         }
     }
 
-    /// Returns the requests of a class that complete per second, if `slots` serve it.
-    pub fn rate(&self, now: Duration, class: Class, service: &str, slots: f64) -> f64 {
+    /// Returns the requests of a class that complete per second, if `slots` serve it. `others` are
+    /// those that complete at other daemons, as these state.
+    pub fn rate(&self, now: Duration, class: Class, service: &str, slots: f64, others: f64) -> f64 {
         let expected = slots / self.mean_slot_time(service).as_secs_f64();
-        self.per_second(now, class, |row| &row.completed).max(expected)
+        (self.completion_rate(now, class) + others).max(expected)
+    }
+
+    /// Returns the requests of a class that have completed here per second.
+    pub fn completion_rate(&self, now: Duration, class: Class) -> f64 {
+        self.per_second(now, class, |row| &row.completed)
     }
 
     /// Returns the requests of a class that arrive per second.
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -222,6 +222,8 @@
     pub running: u32,
     /// Requests of other daemons that this daemon granted.
     pub granted: u32,
+    /// Slots offered to other daemons that these have neither used nor declined yet.
+    offered: u32,
     /// Other requests in the last load report, beyond those known here.
     other_requests: u32,
     /// Requests of the last load report that waited for a slot.
@@ -315,6 +317,7 @@
             distance,
             running: 0,
             granted: 0,
+            offered: 0,
             other_requests: 0,
             waiting: 0,
             reported_at: None,
@@ -573,6 +576,7 @@
     pub fn load(&self, now: Duration) -> u32 {
         self.running
             + self.granted
+            + self.offered
             + if self.has_recent_load(now) { self.other_requests } else { 0 }
     }
 
@@ -1026,6 +1030,25 @@
         self.other_requests += 1;
     }
 
+    /// Records that a slot is kept free for another daemon.
+    pub fn offer_slot(&mut self) {
+        self.offered += 1;
+    }
+
+    /// Records that a slot is no longer kept free for another daemon, as that has used it or not.
+    pub fn end_offer(&mut self, is_used: bool) {
+        self.offered = self.offered.saturating_sub(1);
+        self.other_requests += u32::from(is_used);
+    }
+
+    /// Records that a request of another daemon has ended here, which offers its slot. Returns
+    /// whether that request was known.
+    pub fn accept_offer(&mut self) -> bool {
+        let is_known = self.other_requests > 0;
+        self.other_requests -= u32::from(is_known);
+        is_known
+    }
+
     /// Returns whether first bytes depend more on other requests here than on the engine's speed:
     /// requests wait for a slot, or so many run that prefill alternates with their decoding steps.
     fn is_overloaded(&self, now: Duration) -> bool {
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -563,6 +563,32 @@
         }
     }
 
+    /// Records that a slot of an endpoint is kept free for another daemon.
+    pub fn offer_slot(&mut self, key: &Key) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.offer_slot();
+        }
+    }
+
+    /// Records that a slot is no longer kept free for another daemon, as that has used it or not.
+    pub fn end_offer(&mut self, key: &Key, is_used: bool) {
+        if let Some(row) = self.rows.get_mut(key) {
+            row.end_offer(is_used);
+        }
+    }
+
+    /// Records that a request of another daemon has ended at an endpoint, which offers its slot.
+    /// Returns whether that request was known.
+    pub fn accept_offer(&mut self, key: &Key) -> bool {
+        self.rows.get_mut(key).is_some_and(|row| row.accept_offer())
+    }
+
+    /// Returns whether an endpoint is usable and has room for another request of this daemon.
+    pub fn has_room(&self, now: Duration, key: &Key, is_engine: bool) -> bool {
+        let row = self.rows.get(key).filter(|row| row.is_usable(now));
+        row.is_some_and(|row| row.has_room(now, is_engine, self.sharing, &self.growth))
+    }
+
     /// Records a grant of another daemon that was not known here.
     pub fn adopt_grant(&mut self, key: &Key) {
         if let Some(row) = self.rows.get_mut(key) {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,6 +20,7 @@
 pub mod duplicate;
 pub mod endpoint;
 pub mod event;
+pub mod exchange;
 pub mod fleet;
 pub mod flow;
 pub mod handover;
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -17,10 +17,12 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::hash::Hash;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::config::service::Class;
 use crate::decide::event::Job;
+use crate::decide::exchange::Stamp;
 use crate::table::CallerId;
 use crate::table::ServiceId;
 use crate::table::TeamId;
@@ -33,6 +35,9 @@
 const MIN_WORK: f64 = 0.02;
 /// Maximum number of parties of a ledger; beyond it those with the least received work are removed.
 const MAX_PARTIES: usize = 4096;
+/// Upper bound of the work of a team that another daemon is believed to have charged: a thousand
+/// slots in use for many half-lives.
+const MAX_STATED_WORK: f64 = 100_000.0;
 
 /// Sum with exponential decay.
 #[derive(Debug, Clone, Copy, Default)]
@@ -99,31 +104,123 @@
     }
 }
 
+/// Work that each team of a service has received.
+#[derive(Debug, Clone, Default)]
+struct TeamRow {
+    /// Charged by this daemon.
+    own: Ledger<Option<TeamId>>,
+    /// Charged by all daemons, as far as known.
+    all: Ledger<Option<TeamId>>,
+}
+
+/// Work charged by another daemon, as it was last stated.
+#[derive(Debug, Clone, Default)]
+struct Stated {
+    incarnation: u64,
+    /// Newest message about each service and team, and the work.
+    rows: HashMap<ServiceId, HashMap<Option<TeamId>, (u32, Sum)>>,
+}
+
 /// Work received by the teams of each service. Slots of different services are different goods.
+///
+/// Daemons without a broker state to each other what they have charged (`decide::exchange`). A
+/// statement replaces the earlier one of its daemon: only the difference is added, so that a
+/// repeated or late datagram counts nothing twice. What a daemon that is gone has charged remains and
+/// decays.
 #[derive(Debug, Clone, Default)]
 pub struct Teams {
-    services: HashMap<ServiceId, Ledger<Option<TeamId>>>,
+    services: HashMap<ServiceId, TeamRow>,
+    stated: HashMap<SocketAddr, Stated>,
 }
 
 impl Teams {
     /// Adds `work` to what a team, or the requests without one, have received of a service.
     pub fn charge(&mut self, now: Duration, service: &str, team: &Option<TeamId>, work: f64) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_string(), Ledger::default());
-        }
-        if let Some(ledger) = self.services.get_mut(service) {
-            ledger.charge(now, team, work);
+        let row = self.service(service);
+        row.own.charge(now, team, work);
+        row.all.charge(now, team, work);
+    }
+
+    fn service(&mut self, name: &str) -> &mut TeamRow {
+        if !self.services.contains_key(name) {
+            self.services.insert(name.to_string(), TeamRow::default());
         }
+        self.services.get_mut(name).expect("inserted above")
     }
 
     /// Returns how far a team exceeds its fair share of a service; 0 is within it.
     pub fn rank(&self, now: Duration, service: &str, team: &Option<TeamId>) -> u8 {
-        self.services.get(service).map_or(0, |ledger| ledger.rank(now, team))
+        self.services.get(service).map_or(0, |row| row.all.rank(now, team))
+    }
+
+    /// Returns the services of which teams have received work from this daemon.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let has_team = |row: &TeamRow| row.own.rows.keys().any(Option::is_some);
+        self.services.iter().filter(move |(_, row)| has_team(row)).map(|(name, _)| name)
+    }
+
+    /// Returns the work that this daemon has charged the teams of a service with, in slot-seconds,
+    /// at most `max_rows` teams with the most.
+    pub fn charged(
+        &self,
+        now: Duration,
+        service: &str,
+        max_rows: usize,
+    ) -> Vec<(Option<TeamId>, f64)> {
+        let now = now.as_secs_f64();
+        let rows = self.services.get(service).into_iter().flat_map(|row| &row.own.rows);
+        let mut rows: Vec<_> = rows.map(|(team, sum)| (team.clone(), sum.get(now))).collect();
+        rows.sort_by(|left, right| right.1.total_cmp(&left.1));
+        rows.truncate(max_rows);
+        rows
+    }
+
+    /// Records what another daemon has charged teams of a service with, by its own statement.
+    pub fn on_charged(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        stamp: Stamp,
+        service: &str,
+        rows: Vec<(Option<TeamId>, f64)>,
+    ) {
+        let stated = self.stated.entry(from).or_default();
+        if stamp.incarnation < stated.incarnation {
+            return;
+        }
+        if stamp.incarnation > stated.incarnation {
+            *stated = Stated { incarnation: stamp.incarnation, rows: HashMap::new() };
+        }
+        let known = stated.rows.entry(service.to_string()).or_default();
+        let mut changes = Vec::new();
+        for (team, work) in rows {
+            if !(0.0..=MAX_STATED_WORK).contains(&work)
+                || (known.len() >= MAX_PARTIES && !known.contains_key(&team))
+            {
+                continue;
+            }
+            let (number, sum) = known.entry(team.clone()).or_default();
+            if *number < stamp.number {
+                changes.push((team, work - sum.get(now.as_secs_f64())));
+                (*number, *sum) = (stamp.number, Sum { value: work, updated_s: now.as_secs_f64() });
+            }
+        }
+        let all = &mut self.service(service).all;
+        changes.iter().for_each(|(team, work)| all.charge(now, team, *work));
     }
 
     /// Removes teams without recent work.
     pub fn tick(&mut self, now: Duration) {
-        self.services.values_mut().for_each(|ledger| ledger.tick(now));
+        for row in self.services.values_mut() {
+            row.own.tick(now);
+            row.all.tick(now);
+        }
+        for services in self.stated.values_mut() {
+            for rows in services.rows.values_mut() {
+                rows.retain(|_, (_, sum)| sum.get(now.as_secs_f64()) > MIN_WORK);
+            }
+            services.rows.retain(|_, rows| !rows.is_empty());
+        }
     }
 }
 
--- a/src/decide/wait_policy.rs
+++ b/src/decide/wait_policy.rs
@@ -22,6 +22,7 @@
 use serde::Serialize;
 
 use crate::decide::wait_queue::Class;
+use crate::decide::wait_queue::Place;
 use crate::decide::wait_queue::Queue;
 
 /// Part of the target latency that may pass before a request is sent that is to be on time.
@@ -183,17 +184,20 @@
 }
 
 /// Returns the last waiting request of a class and its expected wait, if it can't be served by its
-/// deadline any more, as another one has been queued before it. `request` returns what a value of the
-/// queue states, if it waits for a slot.
+/// deadline any more, as another one has been queued before it. `others` returns how many requests of
+/// other daemons precede a place, `request` what a value of the queue states, if it waits for a slot.
 pub fn displaced<T>(
     now: Duration,
     queue: &Queue<T>,
     class: Class,
     rate: f64,
+    others: impl Fn(&Place) -> usize,
     request: impl Fn(&T) -> Option<Request>,
 ) -> Option<(&T, Duration)> {
     let last = queue.last(class)?;
-    let wait = expected_wait(queue.count(class).saturating_sub(1), rate);
+    let own = queue.count(class).saturating_sub(1);
+    let ahead = own + queue.place(class, own).map_or(0, others);
+    let wait = expected_wait(ahead, rate);
     (!request(last)?.has_time(now, wait)).then_some((last, wait))
 }
 
--- a/src/decide/wait_queue.rs
+++ b/src/decide/wait_queue.rs
@@ -51,6 +51,18 @@
     pub arrived_at: Duration,
 }
 
+impl Place {
+    /// Returns its sort key.
+    pub fn rank(&self, now: Duration, id: RequestId) -> Rank {
+        Rank::new(now, self, id)
+    }
+
+    /// Returns whether it precedes the place of a request of another daemon.
+    pub fn precedes(&self, now: Duration, other: &Self) -> bool {
+        self.rank(now, 0) < other.rank(now, 0)
+    }
+}
+
 /// Sort key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
@@ -197,6 +209,17 @@
         Some((*rank, &self.rows.get(&rank.id)?.value))
     }
 
+    /// Returns the place of the request of a class at this position.
+    pub fn place(&self, class: Class, position: usize) -> Option<&Place> {
+        let rank = self.classes.get(&class)?.ranks.get_index(position)?;
+        Some(&self.rows.get(&rank.id)?.place)
+    }
+
+    /// Returns the pool of a class of which requests wait.
+    pub fn pool(&self, class: Class) -> Option<Pool> {
+        self.classes.get(&class).map(|row| row.pool)
+    }
+
     /// Returns the last request of a class.
     pub fn last(&self, class: Class) -> Option<&T> {
         let rank = self.classes.get(&class)?.ranks.last()?;
@@ -220,8 +243,14 @@
 
     /// Returns the requests of a class in order.
     pub fn rows(&self, class: Class) -> impl Iterator<Item = (RequestId, &T)> {
+        self.places(class).map(|(id, _, value)| (id, value))
+    }
+
+    /// Returns the requests of a class in order, with their places.
+    pub fn places(&self, class: Class) -> impl Iterator<Item = (RequestId, &Place, &T)> {
         let ranks = self.classes.get(&class).into_iter().flat_map(|row| row.ranks.iter());
-        ranks.filter_map(|rank| Some((rank.id, &self.rows.get(&rank.id)?.value)))
+        let row = |id| self.rows.get(&id).map(|row| (id, &row.place, &row.value));
+        ranks.filter_map(move |rank| row(rank.id))
     }
 
     /// Records that the first request of a class may be sent at `due`, unless an earlier time is
--- a/tests/decide_wait_load.rs
+++ b/tests/decide_wait_load.rs
@@ -1,6 +1,7 @@
 //! Replays the load of deployment A's heaviest day in virtual time against the rules of waiting:
 //! urgent requests beside ones that can wait and short ones, at engines that are overloaded for 4 s.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
@@ -8,6 +9,11 @@
 use rand::rngs::SmallRng;
 
 use poplarmux::decide::completions::Completions;
+use poplarmux::decide::exchange;
+use poplarmux::decide::exchange::Exchange;
+use poplarmux::decide::exchange::Stamp;
+use poplarmux::decide::exchange::Summary;
+use poplarmux::decide::exchange::Total;
 use poplarmux::decide::share::Teams;
 use poplarmux::decide::wait_policy;
 use poplarmux::decide::wait_policy::Cause;
@@ -24,6 +30,9 @@
 const CAPACITY: f64 = 162.0;
 const TEAMS: usize = 16;
 const STEP: u64 = 5;
+/// Interval of gossip rounds, and the delay of a message between regions.
+const ROUND: u64 = 250;
+const DELAY: u64 = 30;
 
 #[derive(Clone, Copy)]
 struct Request {
@@ -66,6 +75,17 @@
     queue: Queue<(Request, wait_policy::Request, Duration)>,
     completions: Completions,
     teams: Teams,
+    exchange: Exchange<usize, usize>,
+}
+
+/// A message between the two daemons that have no broker.
+enum Message {
+    Waiting(Stamp, Vec<Summary>),
+    Charged(Stamp, Vec<(Option<String>, f64)>),
+    /// A slot of a class, by the number of the offer.
+    Offered(usize, u32),
+    Used(usize),
+    Declined(u32),
 }
 
 impl Broker {
@@ -97,10 +117,11 @@
             arrived_at: request.arrived_at,
         };
         let class = row.class as u64;
-        let ahead = self.queue.ahead(ms(now), class, &place);
-        let slots = if scene.is_old_rule { 0.0 } else { self.slots(scene) };
-        let rate = self.completions.rate(ms(now), class, "llm", slots);
-        let verdict = if is_free && ahead == 0 {
+        let ahead = self.ahead(now, class, &place);
+        let rate = self.rate(now, class, scene);
+        let is_first = self.queue.ahead(ms(now), class, &place) == 0
+            && self.exchange.first(ms(now), class, Some(&place)).is_none();
+        let verdict = if is_free && is_first {
             Verdict::Wait(request.deadline)
         } else if scene.is_old_rule {
             let until = request.arrived_at + ms(target).mul_f64(0.7);
@@ -111,10 +132,9 @@
                 false => Verdict::Refuse(wait_policy::retry_after(left, wait, rng)),
             }
         } else {
-            let (queued, arrivals) =
-                (self.queue.count(class), self.completions.arrival_rate(ms(now), class));
+            let (queued, arrivals) = self.load(now, class);
             let late = Place { late_from: ms(now), ..place };
-            let ahead_if_late = self.queue.ahead(ms(now), class, &late);
+            let ahead_if_late = self.ahead(now, class, &late);
             let cause = Cause::Full { ahead, ahead_if_late, queued, rate, arrivals };
             wait_policy::decide(ms(now), &request, cause, rng)
         };
@@ -127,8 +147,74 @@
         None
     }
 
-    fn slots(&self, scene: &Scene) -> f64 {
-        SLOTS as f64 / if scene.daemons == 2 { 2.0 } else { 1.0 }
+    fn total(&self, now: u64, class: u64) -> Total {
+        self.exchange.total(ms(now), class)
+    }
+
+    /// Returns the number of requests of both daemons that precede one with this place.
+    fn ahead(&self, now: u64, class: u64, place: &Place) -> usize {
+        self.queue.ahead(ms(now), class, place) + self.exchange.ahead(ms(now), class, place)
+    }
+
+    /// Returns the number of waiting requests of a class, and of those that arrive per second.
+    fn load(&self, now: u64, class: u64) -> (usize, f64) {
+        let total = self.total(now, class);
+        let arrivals = self.completions.arrival_rate(ms(now), class) + total.arrivals;
+        (self.queue.count(class) + total.count, arrivals)
+    }
+
+    /// Returns the rate at which the requests of a class complete.
+    fn rate(&self, now: u64, class: u64, scene: &Scene) -> f64 {
+        let total = self.total(now, class);
+        let daemons = if scene.daemons == 2 { 2.0 } else { 1.0 };
+        let slots = match scene.is_old_rule {
+            true => 0.0,
+            false => SLOTS as f64 * (1.0 + total.daemons as f64) / daemons,
+        };
+        self.completions.rate(ms(now), class, "llm", slots, total.completions)
+    }
+
+    /// Returns the messages of a gossip round.
+    fn announce(&mut self, now: u64) -> Vec<Message> {
+        let has_waiting = !self.queue.is_empty() || self.exchange.has_waiting(ms(now));
+        let mut messages = Vec::new();
+        if !self.queue.is_empty() {
+            let rows = (0..CLASSES as u64).filter_map(|class| {
+                let completions = self.completions.completion_rate(ms(now), class);
+                let arrivals = self.completions.arrival_rate(ms(now), class);
+                exchange::summary(ms(now), &self.queue, class, completions, arrivals)
+            });
+            let rows = rows.collect();
+            messages.push(Message::Waiting(self.stamp(), rows));
+        }
+        if has_waiting {
+            let rows = self.teams.charged(ms(now), "llm", 64);
+            messages.push(Message::Charged(self.stamp(), rows));
+        }
+        messages
+    }
+
+    /// Removes and returns the first request of a class.
+    fn pop(&mut self, class: usize) -> Option<Request> {
+        let id = self.queue.rows(class as u64).next()?.0;
+        self.queue.remove(id).map(|(row, ..)| row)
+    }
+
+    /// Sends a request, and returns when it ends.
+    fn send(&mut self, now: u64, row: Request, counts: &mut Counts) -> (u64, Request) {
+        let (target, deadline, slot_time, ..) = KINDS[row.kind];
+        let end = now + slot_time;
+        let work = slot_time as f64 / 1_000.0;
+        self.teams.charge(ms(now), "llm", &Some(row.team.to_string()), work);
+        let count = &mut counts[row.kind][usize::from(row.team == 0)];
+        let is_awaited = now + 100 <= row.sent_at + patience(row.kind);
+        count[1] += f64::from(u8::from(is_awaited && end <= row.arrived_at + deadline));
+        count[2] += f64::from(u8::from(now + 100 <= row.arrived_at + target));
+        (end, row)
+    }
+
+    fn stamp(&mut self) -> Stamp {
+        Stamp { incarnation: 1, number: self.exchange.take_number() }
     }
 
     /// Removes and returns the requests that have no time left.
@@ -136,20 +222,18 @@
         self.queue.advance(ms(now));
         let mut hopeless = Vec::new();
         for class in 0..CLASSES as u64 {
-            let rate = self.completions.rate(ms(now), class, "llm", self.slots(scene));
-            let arrivals = self.completions.arrival_rate(ms(now), class);
-            let mut ahead = 0;
-            for (id, (row, request, until)) in self.queue.rows(class) {
+            let rate = self.rate(now, class, scene);
+            let (queued, arrivals) = self.load(now, class);
+            let mut own = 0;
+            for (id, place, (row, request, until)) in self.queue.places(class) {
+                let ahead = own + self.exchange.ahead(ms(now), class, place);
                 let wait = match request.late_from() <= ms(now) {
                     false => Some(wait_policy::expected_wait(ahead, rate)),
-                    true => {
-                        let queued = self.queue.count(class);
-                        wait_policy::expected_late_wait(ahead, queued, rate, arrivals)
-                    }
+                    true => wait_policy::expected_late_wait(ahead, queued, rate, arrivals),
                 };
                 let has_time = wait.is_some_and(|wait| request.has_time(ms(now), wait));
                 if ms(now) < *until && (has_time || scene.is_old_rule) {
-                    ahead += 1;
+                    own += 1;
                 } else {
                     hopeless.push((id, *row));
                 }
@@ -169,6 +253,8 @@
     brokers.truncate(if scene.daemons == 2 { 2 } else { 1 });
     let mut free = [SLOTS; CLASSES];
     let (mut running, mut returning, mut id) = (Vec::new(), Vec::<(u64, Request)>::new(), 0);
+    // Messages, with when they arrive and their recipient.
+    let mut messages: Vec<(u64, usize, Message)> = Vec::new();
     for now in (0..40_000).step_by(STEP as usize) {
         let load = if now >= 20_000 {
             0.0
@@ -232,26 +318,68 @@
         }
         let turn = (now / STEP) as usize;
         let count = brokers.len();
+        if count == 2 && !scene.is_old_rule {
+            for (index, broker) in brokers.iter_mut().enumerate() {
+                for class in broker.exchange.take_expired(ms(now)) {
+                    free[class.endpoint] += 1;
+                }
+                if now % ROUND == index as u64 * ROUND / 2 {
+                    let round = broker.announce(now).into_iter();
+                    messages.extend(round.map(|message| (now + DELAY, 1 - index, message)));
+                }
+            }
+            let (due, later): (Vec<_>, Vec<_>) =
+                messages.into_iter().partition(|(at, ..)| *at <= now);
+            messages = later;
+            for (_, to, message) in due {
+                let (broker, from) = (&mut brokers[to], 1 - to);
+                match message {
+                    Message::Waiting(stamp, rows) => {
+                        broker.exchange.on_summaries(ms(now), from, stamp, rows);
+                    }
+                    Message::Charged(stamp, rows) => {
+                        let from = SocketAddr::from(([127, 0, 0, 1], from as u16));
+                        broker.teams.on_charged(ms(now), from, stamp, "llm", rows);
+                    }
+                    Message::Offered(class, number) => {
+                        broker.queue.advance(ms(now));
+                        let answer = match broker.pop(class) {
+                            Some(row) => {
+                                running.push(broker.send(now, row, &mut counts));
+                                Message::Used(class)
+                            }
+                            None => Message::Declined(number),
+                        };
+                        messages.push((now + DELAY, from, answer));
+                    }
+                    Message::Used(class) => {
+                        assert!(broker.exchange.on_used(&from, &class), "not offered");
+                    }
+                    Message::Declined(number) => {
+                        if let Some(class) = broker.exchange.on_declined(&from, number) {
+                            free[class] += 1;
+                        }
+                    }
+                }
+            }
+        }
         for index in 0..count {
-            let broker = &mut brokers[(index + turn) % count];
+            let index = (index + turn) % count;
+            let broker = &mut brokers[index];
             broker.queue.advance(ms(now));
             for (class, free) in free.iter_mut().enumerate() {
                 while *free > 0
-                    && let Some((_, first)) = broker.queue.first(class as u64)
+                    && let Some(place) = broker.queue.place(class as u64, 0)
                 {
-                    let row = first.0;
-                    let id = broker.queue.rows(class as u64).next().expect("a row").0;
-                    broker.queue.remove(id);
                     *free -= 1;
-                    let (target, deadline, slot_time, ..) = KINDS[row.kind];
-                    let end = now + slot_time;
-                    running.push((end, row));
-                    let work = slot_time as f64 / 1_000.0;
-                    broker.teams.charge(ms(now), "llm", &Some(row.team.to_string()), work);
-                    let count = &mut counts[row.kind][usize::from(row.team == 0)];
-                    let is_awaited = now + 100 <= row.sent_at + patience(row.kind);
-                    count[1] += f64::from(u8::from(is_awaited && end <= row.arrived_at + deadline));
-                    count[2] += f64::from(u8::from(now + 100 <= row.arrived_at + target));
+                    if let Some((to, _)) = broker.exchange.first(ms(now), class as u64, Some(place))
+                    {
+                        let number = broker.exchange.offer(ms(now), to, class as u64, class);
+                        messages.push((now + DELAY, to, Message::Offered(class, number)));
+                        continue;
+                    }
+                    let row = broker.pop(class).expect("a row");
+                    running.push(broker.send(now, row, &mut counts));
                 }
             }
             if now % 50 == 0 {
--- a/tests/decide_waiting.rs
+++ b/tests/decide_waiting.rs
@@ -165,7 +165,7 @@
     queue.push(ms(0), 1, (1, 9), place(1, 0, 400, 1), request(600));
     queue.push(ms(0), 2, (1, 9), place(1, 0, 400, 2), request(600));
     let displaced = |queue: &Queue<Request>, waits: bool| {
-        let last = wait_policy::displaced(ms(0), queue, 9, 4.0, |row| waits.then_some(*row));
+        let last = wait_policy::displaced(ms(0), queue, 9, 4.0, |_| 0, |row| waits.then_some(*row));
         last.map(|(row, wait)| (row.deadline, wait))
     };
     assert_eq!(displaced(&queue, true), None);
@@ -249,12 +249,12 @@
 #[test]
 fn completion_rate_covers_new_classes_and_new_copies() {
     let mut completions = Completions::default();
-    assert_eq!(completions.rate(ms(0), 9, "llm", 6.0), 10.0);
+    assert_eq!(completions.rate(ms(0), 9, "llm", 6.0, 0.0), 10.0);
     for index in 0..400 {
         completions.record(ms(index * 50), 9);
         completions.record_slot_time("llm", 100, ms(2_000));
     }
-    let rate = |slots| completions.rate(ms(20_000), 9, "llm", slots);
+    let rate = |slots| completions.rate(ms(20_000), 9, "llm", slots, 0.0);
     assert!((rate(12.0) - 20.0).abs() < 1.0, "{}", rate(12.0));
     assert!((rate(60.0) - 30.0).abs() < 1.0, "{}", rate(60.0));
     let slot_time = |tokens| completions.slot_time("llm", tokens).as_millis();
