--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -65,6 +65,8 @@
         stamp: Stamp,
         /// The endpoint.
         key: Key,
+        /// Requests that the sender knows there, apart from this slot.
+        load: u32,
     },
     /// The sender has no use for an offered slot. A slot that is used is announced with the prompt.
     Declined {
@@ -173,9 +175,10 @@
 
 fn offer(daemon: &Rc<Daemon>, now: Duration, to: SocketAddr, class: Class, key: &Key) {
     let number = daemon.exchange.borrow_mut().exchange.offer(now, to, class, key.clone());
+    let load = daemon.fleet.borrow().get(key).map_or(0, |row| row.load(now));
     daemon.fleet.borrow_mut().offer_slot(key);
     let stamp = Stamp { incarnation: daemon.started_at, number };
-    send(daemon, vec![to], Message::Offered { stamp, key: key.clone() });
+    send(daemon, vec![to], Message::Offered { stamp, key: key.clone(), load });
 }
 
 fn send(daemon: &Rc<Daemon>, to: Vec<SocketAddr>, message: Message) {
@@ -268,25 +271,33 @@
             let rows = rows.collect();
             daemon.shares.borrow_mut().on_charged(now, from, stamp, &service, rows);
         }
-        Message::Offered { stamp, key } => on_offered(daemon, now, from, stamp, &key),
+        Message::Offered { stamp, key, load } => on_offered(daemon, now, from, stamp, &key, load),
         Message::Declined { number } => {
             let key = daemon.exchange.borrow_mut().exchange.on_declined(&from, number);
             if let Some(key) = key {
                 daemon.exchange.borrow_mut().count(Outcome::Declined);
                 daemon.fleet.borrow_mut().end_offer(&key, false);
-                admission::dispatch_at(daemon, &key);
+                // As in `tick`: the slot has been kept free once.
+                admission::dispatch_own_at(daemon, &key);
             }
         }
     }
 }
 
 /// Sends a waiting request to an endpoint of which another daemon has offered a slot, or declines.
-fn on_offered(daemon: &Rc<Daemon>, now: Duration, from: SocketAddr, stamp: Stamp, key: &Key) {
+fn on_offered(
+    daemon: &Rc<Daemon>,
+    now: Duration,
+    from: SocketAddr,
+    stamp: Stamp,
+    key: &Key,
+    load_there: u32,
+) {
     if !daemon.exchange.borrow_mut().exchange.on_offer(from, stamp) {
         return;
     }
     let load = || daemon.fleet.borrow().get(key).map(|row| row.load(now));
-    let is_known = daemon.fleet.borrow_mut().accept_offer(key);
+    let is_known = daemon.fleet.borrow_mut().accept_offer(key, load_there);
     let before = load();
     admission::dispatch_own_at(daemon, key);
     if load() <= before {
--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -1041,12 +1041,13 @@
         self.other_requests += u32::from(is_used);
     }
 
-    /// Records that a request of another daemon has ended here, which offers its slot. Returns
-    /// whether that request was known.
-    pub fn accept_offer(&mut self) -> bool {
-        let is_known = self.other_requests > 0;
-        self.other_requests -= u32::from(is_known);
-        is_known
+    /// Records that another daemon offers a slot here. `load` are the requests that it knows here, apart
+    /// from the offered slot: what this daemon was last told may be seconds old. Returns whether a
+    /// request less is known now.
+    pub fn accept_offer(&mut self, load: u32) -> bool {
+        let previous = self.other_requests;
+        self.other_requests = previous.saturating_sub(1).min(load);
+        self.other_requests < previous
     }
 
     /// Returns whether first bytes depend more on other requests here than on the engine's speed:
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -577,10 +577,10 @@
         }
     }
 
-    /// Records that a request of another daemon has ended at an endpoint, which offers its slot.
-    /// Returns whether that request was known.
-    pub fn accept_offer(&mut self, key: &Key) -> bool {
-        self.rows.get_mut(key).is_some_and(|row| row.accept_offer())
+    /// Records that another daemon, which knows of `load` further requests there, offers a slot of an
+    /// endpoint. Returns whether a request less is known now.
+    pub fn accept_offer(&mut self, key: &Key, load: u32) -> bool {
+        self.rows.get_mut(key).is_some_and(|row| row.accept_offer(load))
     }
 
     /// Returns whether an endpoint is usable and has room for another request of this daemon.
