State only waiting requests that a slot helps

Cause: classes that wait for prefill or an adapter were stated too, so that other daemons would offer them slots, which they decline: each such offer delays a request there by a round trip.

--- a/src/daemon/admission/queue.rs
+++ b/src/daemon/admission/queue.rs
@@ -348,13 +348,15 @@
     dispatch_classes(daemon, classes, scope);
 }
 
-/// Returns what other daemons are told of the requests that wait here, most of them first.
+/// Returns what other daemons are told of the requests that wait here, most of them first. Classes that
+/// wait for prefill or an adapter have no use for a slot.
 pub fn summaries(daemon: &Daemon, now: Duration) -> Vec<Summary> {
     let mut classes: Vec<(Class, Class)> = {
         let queue = daemon.queue.borrow();
         let row = |class| {
-            let spec = &queue.first(class)?.1.arrival.spec;
-            spec.needs_broker().then_some((class, spec.class))
+            let waiter = queue.first(class)?.1;
+            let spec = &waiter.arrival.spec;
+            (spec.needs_broker() && waiter.waits_for_slot()).then_some((class, spec.class))
         };
         let mut classes: Vec<_> = queue.classes().filter_map(row).collect();
         classes.sort_by_key(|(class, _)| (Reverse(queue.count(*class)), *class));
