Bound requests of entries at new endpoints with decide::pace

Cause: the entry had its own slow start, four requests at a new endpoint and a limit that grew again from one after an ejection. It followed only the entry's own requests and did not compare first bytes with those of other endpoints, so that eight entries sent a slow new endpoint four requests each.

Limit::probe is gone, and a new endpoint takes the median limit of its service. An endpoint that failed is still tried with one request before it is used; one ejected as slow is not. Health::eject has a cause.

--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -9,6 +9,7 @@
 //! * `Limit` bounds the requests that this entry keeps at one endpoint. Load reports lag and
 //!   several entries share an endpoint, so the limit follows what this entry observes: it grows
 //!   while answers start without delay and shrinks when the endpoint reports waiting requests.
+//!   An endpoint that is new or back from an ejection is bounded by `decide::pace` instead.
 //!   Requests should wait in the entry, where they can still be reordered or refused. The
 //!   endpoint's own queue should hold only about `MAX_WAITING_RATIO` of its running requests, which
 //!   is enough to refill a free slot within the one round trip that the entry needs.
@@ -25,7 +26,7 @@
 
 use crate::table::ServiceId;
 
-/// Initial limit for an endpoint without observations.
+/// Initial limit for an endpoint without observations, if none of its service's endpoints has any.
 const INITIAL_LIMIT: f64 = 4.0;
 /// A larger limit for one entry at one endpoint indicates a fault, not load.
 const MAX_LIMIT: f64 = 256.0;
@@ -70,11 +71,6 @@
 }
 
 impl Limit {
-    /// Returns a limit of one request, for an endpoint that is tried again.
-    pub fn probe() -> Self {
-        Limit { value: 1.0, ..Limit::default() }
-    }
-
     /// Returns the number of requests that may run there at the same time.
     pub fn slots(&self) -> u32 {
         self.value as u32
@@ -148,10 +144,14 @@
         old + weight * (new - old)
     }
 
+    /// Returns the seconds to the first byte.
+    pub fn first_byte_seconds(&self, prompt: f64) -> f64 {
+        (prompt + FIXED_PROMPT_TOKENS) * self.seconds_per_prompt_token
+    }
+
     /// Returns the seconds for which a request runs at the endpoint.
     pub fn run_seconds(&self, prompt: f64, tokens: f64) -> f64 {
-        (prompt + FIXED_PROMPT_TOKENS) * self.seconds_per_prompt_token
-            + tokens * self.seconds_per_token
+        self.first_byte_seconds(prompt) + tokens * self.seconds_per_token
     }
 }
 
--- a/src/decide/dump.rs
+++ b/src/decide/dump.rs
@@ -33,6 +33,7 @@
                 "running": row.running,
                 "load": row.load(),
                 "limit": row.slots(self.now),
+                "pace": row.pace(self.now).map(|pace| pace.bound()),
                 "token_ms": row.timing.seconds_per_token * 1e3,
                 "targets": row.targets.len(),
             })
--- a/src/decide/flow.rs
+++ b/src/decide/flow.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::config::service::Class;
 use crate::config::snapshot::Snapshot;
@@ -112,7 +113,7 @@
     /// Returns a flow without endpoints and requests.
     pub fn new(home: Location, seed: u64) -> Self {
         Flow {
-            pool: Pool::new(home),
+            pool: Pool::new(home, xxh3_64(&seed.to_le_bytes())),
             requests: BTreeMap::new(),
             queue: Queue::default(),
             shares: Shares::default(),
@@ -164,7 +165,7 @@
                 self.refresh_queue(now, &mut actions);
             }
             Event::Listed(instances) => {
-                self.pool.on_instances(instances);
+                self.pool.on_instances(now, instances);
                 self.recount();
                 self.refresh_queue(now, &mut actions);
             }
@@ -193,6 +194,7 @@
             self.shares.tick(now);
             self.quarantine.tick(now);
             self.pool.eject_slow(now);
+            self.pool.forget_speeds(now);
         }
         if !self.queue.is_empty() && now >= self.queue_checked + QUEUE_CHECK_INTERVAL {
             self.queue_checked = now;
@@ -392,7 +394,7 @@
         open.attempt = Some(Attempt { endpoint, sent_at: now, last_delivery: None, suspect });
         self.prefix.on_stored(endpoint, &open.job.prefix_hashes);
         if let Some(row) = self.pool.get_mut(&endpoint) {
-            row.running += 1;
+            row.on_sent(now);
             row.suspects += u32::from(suspect);
         }
         actions.push(Action::Dispatch(id, endpoint));
--- a/src/decide/outlier.rs
+++ b/src/decide/outlier.rs
@@ -7,7 +7,10 @@
 //! After `MAX_CONSECUTIVE_FAILURES` consecutive failures, or one broken connection, an endpoint is
 //! ejected for `MIN_EJECTION`, doubled each time up to `MAX_EJECTION`. An endpoint is also ejected
 //! if its times between tokens or to the first byte exceed `SLOW_RATIO` times the median. After the
-//! ejection it receives one request, and after a successful answer its limit grows from one again.
+//! ejection an endpoint that failed receives one request, whose outcome decides whether it is used.
+//! With more than one, the requests that wait for it would all fail if it is still down. One that
+//! was slow is known to answer and is used at once. `decide::pace` then bounds the requests at
+//! either until its answers are in time.
 //! Slow and failing endpoints together are never more than `MAX_EJECTED_RATIO` of all: beyond that
 //! the fault is a common one, and the others would collapse under the load of the ejected ones.
 //! Unreachable endpoints can't be used and don't count towards the cap. If all endpoints that have
@@ -32,6 +35,17 @@
 /// Observations before an endpoint's speed is compared.
 pub const MIN_SAMPLES: u32 = 8;
 
+/// Why an endpoint is ejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// It can't be reached, or broke a connection.
+    Unreachable,
+    /// It failed requests.
+    Failing,
+    /// It is much slower than the others.
+    Slow,
+}
+
 /// State of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -47,6 +61,8 @@
 #[derive(Debug, Clone)]
 pub struct Health {
     state: State,
+    /// Whether one request decides after the ejection.
+    is_probed: bool,
     consecutive_failures: u32,
     /// Ejections since the last hundred successful answers.
     ejections: u32,
@@ -55,7 +71,13 @@
 
 impl Default for Health {
     fn default() -> Self {
-        Health { state: State::In, consecutive_failures: 0, ejections: 0, successes: 0 }
+        Health {
+            state: State::In,
+            is_probed: false,
+            consecutive_failures: 0,
+            ejections: 0,
+            successes: 0,
+        }
     }
 }
 
@@ -63,7 +85,8 @@
     /// Returns the state at `now`.
     pub fn state(&self, now: Duration) -> State {
         match self.state {
-            State::Out(until) if until <= now => State::Probe,
+            State::Out(until) if until <= now && self.is_probed => State::Probe,
+            State::Out(until) if until <= now => State::In,
             state => state,
         }
     }
@@ -88,16 +111,23 @@
         self.consecutive_failures >= MAX_CONSECUTIVE_FAILURES || self.state(now) == State::Probe
     }
 
-    /// Ejects the endpoint.
-    pub fn eject(&mut self, now: Duration) {
+    /// Returns whether more than one request in a row has failed.
+    pub fn is_failing(&self) -> bool {
+        self.consecutive_failures > 1
+    }
+
+    /// Ejects the endpoint. Returns the end of the ejection, or none if it is ejected already.
+    pub fn eject(&mut self, now: Duration, cause: Cause) -> Option<Duration> {
         if matches!(self.state(now), State::Out(_)) {
-            return;
+            return None;
         }
         let duration = MIN_EJECTION.saturating_mul(1 << self.ejections.min(6)).min(MAX_EJECTION);
         self.state = State::Out(now + duration);
+        self.is_probed = cause != Cause::Slow;
         self.ejections += 1;
         self.successes = 0;
         self.consecutive_failures = 0;
+        Some(now + duration)
     }
 }
 
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -24,6 +24,8 @@
 //! Where no broker grants the slots, each daemon has a part of the bound. Of more daemons than the
 //! bound, each sends one request at a time, in turns: first at a random time, and then at an interval
 //! that keeps all of them near the bound.
+//!
+//! The entries use the same bound (`decide::pool`), each as a daemon without a broker.
 
 use std::time::Duration;
 
--- a/src/decide/response.rs
+++ b/src/decide/response.rs
@@ -5,11 +5,11 @@
 
 use std::time::Duration;
 
-use crate::decide::admit::Limit;
 use crate::decide::event::Action;
 use crate::decide::event::Refusal;
 use crate::decide::event::Target;
 use crate::decide::flow::Flow;
+use crate::decide::outlier::Cause;
 use crate::decide::quarantine;
 use crate::decide::quarantine::Run;
 use crate::decide::retry::Verdict;
@@ -33,15 +33,13 @@
         let Some(run) = &mut open.attempt else {
             return;
         };
-        let Some(row) = self.pool.get_mut(&run.endpoint) else {
-            return;
-        };
         match run.last_delivery.replace(now) {
-            Some(last) => row.timing.on_tokens(tokens, now - last),
-            None => {
-                let in_time = row.timing.on_first_byte(open.job.prompt_tokens, now - run.sent_at);
-                if in_time { row.limit.increase(row.running) } else { row.limit.decrease(now) }
+            Some(last) => {
+                if let Some(row) = self.pool.get_mut(&run.endpoint) {
+                    row.on_tokens(now, tokens, now - last);
+                }
             }
+            None => self.pool.on_first_byte(now, &run.endpoint, &open.job, now - run.sent_at),
         }
     }
 
@@ -57,11 +55,7 @@
         };
         self.lengths.record(&open.job.service, open.job.max_tokens, open.delivered);
         self.quarantine.clear(now, open.job.fingerprint);
-        if let Some(row) = self.pool.get_mut(&run.endpoint)
-            && row.health.on_success(now)
-        {
-            row.limit = Limit::probe();
-        }
+        self.pool.on_success(now, &run.endpoint);
         self.dispatch_waiting(now, &run.endpoint, out);
     }
 
@@ -128,7 +122,7 @@
                 return;
             }
             Error::Connect | Error::Broken => {
-                self.pool.eject(now, endpoint, false);
+                self.pool.eject(now, endpoint, Cause::Unreachable);
                 return;
             }
             Error::Refused(..)
@@ -136,13 +130,12 @@
             | Error::Timeout
             | Error::Truncated
             | Error::Foreign
-            | Error::Protocol(_) => self.pool.get_mut(endpoint).is_some_and(|row| {
-                row.limit.decrease(now);
-                row.health.on_failure(now)
-            }),
+            | Error::Protocol(_) => {
+                self.pool.get_mut(endpoint).is_some_and(|row| row.on_failure(now))
+            }
         };
         if ejected {
-            self.pool.eject(now, endpoint, true);
+            self.pool.eject(now, endpoint, Cause::Failing);
         }
     }
 }
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -7,7 +7,8 @@
 //! The candidates are the endpoints that have the target and a free slot for this entry. Of these,
 //! two drawn at random and those that have the prompt's prefix cached are compared by expected
 //! seconds. Drawing two keeps entries with the same outdated load from choosing alike; drawing more
-//! would make them choose alike again.
+//! would make them choose alike again. An endpoint beyond its pace (`decide::pace`) is a candidate only
+//! if no established one in its region has a free slot.
 //!
 //! A request goes to another region only if its chance of being late in this region exceeds
 //! `SPILL_START_CHANCE` plus the cost of the bytes on the paid link. Requests then continue to go
@@ -18,6 +19,7 @@
 //! request. `BYTES_PER_LATE_ANSWER`: the users rate a late draft above any cost; one draft's 4 kB
 //! of prompt and 50 kB of stream events count as 2.7 % of a lapsed deadline.
 
+use std::cell::LazyCell;
 use std::time::Duration;
 
 use rand::Rng;
@@ -198,10 +200,18 @@
     if positions.is_empty() {
         return None;
     }
-    let available = |position: usize| {
+    let has_slot = |position: usize| {
         let row = pool.row(position);
         requirements.is_eligible(row) && row.usable(now) && requirements.has_slot(now, row)
     };
+    let has_alternative = LazyCell::new(|| {
+        let is_alternative =
+            |position: &usize| pool.row(*position).is_established(now) && has_slot(*position);
+        positions.iter().any(is_alternative)
+    });
+    let available = |position: usize| {
+        has_slot(position) && (pool.is_within_pace(now, position) || !*has_alternative)
+    };
     let mut draw = || {
         let start = rng.random_range(0..positions.len());
         let (tail, head) = (&positions[start..], &positions[..start]);
