Lower the limit, not an ended bound, after a failure

Cause: found by reading, not seen in a run: a bound that had ended by its age was dropped only at the next first byte, so that failures before it did not lower the limit.

Change: Row::on_failure drops a bound that has ended.

Result: decide_entry_pace, decide_flow and decide_load pass.

--- a/src/decide/pool.rs
+++ b/src/decide/pool.rs
@@ -126,6 +126,7 @@
 
     /// Records a failed call. Returns true if the endpoint should be ejected, subject to the cap.
     pub fn on_failure(&mut self, now: Duration) -> bool {
+        self.pace = self.pace(now);
         match &mut self.pace {
             Some(pace) if self.health.state(now) == State::In => pace.on_failure(now),
             _ => self.limit.decrease(now),
