Exchange what waits only where a configuration has teams

Cause: daemons without a broker exchanged their waiting requests on every deployment.

Change: exchange::is_enabled also asks for teams in the configuration.

Result: platform/tests/exchange.rs passes with teams.

--- a/src/daemon/exchange.rs
+++ b/src/daemon/exchange.rs
@@ -1,7 +1,8 @@
 //! Order of waiting requests between daemons that have no broker.
 //!
-//! The decisions are those of `decide::exchange`. It concerns requests to model engines while there
-//! are so few daemons that each send is announced to all of them (`peer::MAX_BROADCAST_PEERS`). In
+//! The decisions are those of `decide::exchange`. It concerns requests to model engines where the
+//! configuration has teams, while there are so few daemons that each send is announced to all of them
+//! (`peer::MAX_BROADCAST_PEERS`). In
 //! each gossip round a daemon states which requests wait here, and while requests wait anywhere,
 //! what it has charged teams with. Without waiting requests nothing is sent.
 
@@ -105,9 +106,16 @@
     }
 }
 
-/// Returns whether requests wait in an order of all daemons.
+/// Returns whether daemons order their waiting requests together: the configuration has teams whose
+/// shares of the endpoints are to be fair, and there is no broker that knows all requests.
+fn is_enabled(daemon: &Daemon) -> bool {
+    let has_teams = daemon.config.borrow().as_ref().is_some_and(|config| config.teams.is_some());
+    has_teams && !broker::is_needed(daemon)
+}
+
+/// Returns whether requests like this one wait in an order of all daemons.
 fn is_shared(daemon: &Daemon, spec: &Spec) -> bool {
-    spec.needs_broker() && !broker::is_needed(daemon)
+    spec.needs_broker() && is_enabled(daemon)
 }
 
 fn stamp(daemon: &Daemon) -> Stamp {
@@ -202,7 +210,7 @@
     let to = daemon.nodes.borrow().peers();
     let has_own = !daemon.queue.borrow().is_empty();
     let has_waiting = has_own || daemon.exchange.borrow().exchange.has_waiting(now);
-    if broker::is_needed(daemon) || to.is_empty() || !has_waiting {
+    if !is_enabled(daemon) || to.is_empty() || !has_waiting {
         return;
     }
     if has_own {
@@ -259,7 +267,7 @@
 /// Handles a message of another daemon.
 pub fn on_message(daemon: &Rc<Daemon>, message: Message, from: SocketAddr) {
     let now = clock::now();
-    if broker::is_needed(daemon) || daemon.nodes.borrow().region_of(from).is_none() {
+    if !is_enabled(daemon) || daemon.nodes.borrow().region_of(from).is_none() {
         return;
     }
     match message {
