--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -333,6 +333,29 @@
     true
 }
 
+/// Objects of one page of a list.
+const PAGE_ITEMS: usize = 500;
+
+/// Decodes the `%xx` of a value in a query.
+fn percent_decoded(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        let hex = tail.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
+            Some(byte) if first == b'%' => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            _ => {
+                bytes.push(first);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// First of the characters that stand for the bytes from 128 on, as they are.
 pub const RAW_BYTE: u32 = 0xf780;
 
@@ -402,13 +425,15 @@
                     state = changed.wait_timeout(state, left).unwrap().0;
                 }
             }
-            let after = call.query("after").unwrap_or_default();
+            let after = percent_decoded(&call.query("after").unwrap_or_default());
             let objects = state.kinds.get(&kind).cloned().unwrap_or_default();
             let items = objects.iter().filter(|(name, _)| **name > after);
+            let more = items.clone().count() > PAGE_ITEMS;
+            let items = items.take(PAGE_ITEMS);
             let items = items.map(|(name, object)| object_json(name, object)).collect();
             let mut value = Value::object();
             value.set("items", Value::Array(items));
-            value.set("morePages", Value::Bool(false));
+            value.set("morePages", Value::Bool(more));
             value.set("currentRev", state.revision.into());
             json(200, value)
         }
