Keep the cases of the earlier review apart

Moves the five cases that were in review/ to review/earlier/, with their paths, so that the folders 1 to 5 hold those of this review.

--- a/review/1/main.rs
+++ b/review/earlier/1/main.rs
@@ -1,7 +1,7 @@
 //! Another writer adds an entry of kind `servers` with bytes that can't be read. Later an engine
 //! drains and leaves.
 
-#[path = "../standin/lib.rs"]
+#[path = "../../standin/lib.rs"]
 #[allow(dead_code)]
 mod lib;
 
--- a/review/2/main.rs
+++ b/review/earlier/2/main.rs
@@ -1,7 +1,7 @@
 //! Clients with a cached answer of the directory send streams to a daemon that has got SIGTERM three
 //! seconds before.
 
-#[path = "../standin/lib.rs"]
+#[path = "../../standin/lib.rs"]
 #[allow(dead_code)]
 mod lib;
 
--- a/review/3/main.rs
+++ b/review/earlier/3/main.rs
@@ -1,6 +1,6 @@
 //! A client reads a long answer slowly while its daemon is stopped with SIGTERM.
 
-#[path = "../standin/lib.rs"]
+#[path = "../../standin/lib.rs"]
 #[allow(dead_code)]
 mod lib;
 
--- a/review/4/main.rs
+++ b/review/earlier/4/main.rs
@@ -1,7 +1,7 @@
 //! Another writer has entries of kind `servers` whose names have spaces, over more than one page of
 //! the list, when the system starts.
 
-#[path = "../standin/lib.rs"]
+#[path = "../../standin/lib.rs"]
 #[allow(dead_code)]
 mod lib;
 
--- a/review/5/main.rs
+++ b/review/earlier/5/main.rs
@@ -1,7 +1,7 @@
 //! A request that crashes each engine which begins to run it comes again every few seconds, from a
 //! client that repeats at once.
 
-#[path = "../standin/lib.rs"]
+#[path = "../../standin/lib.rs"]
 #[allow(dead_code)]
 mod lib;
 
