Cut the times that other processes state

Adding durations panics on overflow, which ends the process. The product's own client of the platform ended in the same way with a Retry-After near 2^64 (tests/platform.rs, failed before).

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,3 +11,4 @@
 pub mod peer;
 pub mod platform;
 pub mod response_filter;
+pub mod time;
--- a/src/edge/platform/http.rs
+++ b/src/edge/platform/http.rs
@@ -36,6 +36,7 @@
 use crate::edge::platform::Platform;
 use crate::edge::platform::Update;
 use crate::edge::platform::Version;
+use crate::edge::time;
 use crate::metric::Counter;
 use crate::metric::Metrics;
 
@@ -412,6 +413,5 @@
 }
 
 fn parse_seconds(retry_after: &str) -> Option<Duration> {
-    let secs = retry_after.parse::<f64>().ok()?;
-    Duration::try_from_secs_f64(secs).ok()
+    time::from_secs(retry_after.parse().ok()?)
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -258,6 +258,18 @@
     assert_eq!(scene.metrics.get(Counter::PlatformRefused), 1);
 }
 
+/// Guards against a client that ends as the platform states a Retry-After beyond its clock.
+#[test]
+fn client_survives_a_retry_after_beyond_its_clock() {
+    let scene = scene([respond(429, "retry-after: 18446744073709549568\r\n", "")], long_timeout());
+    smol::block_on(async {
+        for _ in 0..2 {
+            let limited = scene.client.put("k", "x", None, &json!(1)).await;
+            assert!(matches!(limited, Err(Error::RateLimited(_))), "{limited:?}");
+        }
+    });
+}
+
 #[test]
 fn breaker_opens_when_the_platform_hangs() {
     // The platform hangs. Each call would occupy its request for a full timeout, for as long as the
