Ask the store before an unnamed stream goes on

Now the daemon reads what has changed since the revision of its list, and refuses the stream if another version is among it or the store does not answer in half a second. Streams that are taken up at once share one read (20 at once: 2 reads at the most). The daemon records up to which revision it has applied records, read from the store or through a reader.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -45,6 +45,7 @@
 pub mod tally;
 pub mod transfer;
 pub mod updates;
+pub mod versions;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -121,6 +122,8 @@
     pub quarantine: RefCell<quarantine::Observer>,
     /// Where streams began.
     pub origins: RefCell<origin::Origins>,
+    /// Reads of the versions that serve.
+    pub version_reads: versions::Reads,
     /// Connections that show whether endpoints still run.
     pub liveness: RefCell<liveness::Connections>,
     /// Which endpoints this daemon reaches.
@@ -210,6 +213,7 @@
             quotas: RefCell::new(quota::Quotas::new(clock::now())),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
+            version_reads: versions::Reads::default(),
             origins: RefCell::default(),
             liveness: RefCell::default(),
             contact: contact::Observer::default(),
--- a/src/daemon/origin.rs
+++ b/src/daemon/origin.rs
@@ -25,6 +25,7 @@
 use crate::daemon::incarnation;
 use crate::daemon::journal::Event;
 use crate::daemon::peer;
+use crate::daemon::versions;
 use crate::decide::origin;
 use crate::decide::origin::Origin;
 use crate::decide::origin::Table;
@@ -157,8 +158,10 @@
     let (mut source, origin) = match &caller.resumes {
         Some(attempt) => find(daemon, stream_id(team, route, attempt)).await,
         None => match sole(daemon, route) {
-            Some(origin) => (Source::Sole, Some(origin)),
-            None => (Source::Unknown, None),
+            Some(origin) if versions::is_sole(daemon, &origin).await => {
+                (Source::Sole, Some(origin))
+            }
+            Some(_) | None => (Source::Unknown, None),
         },
     };
     let is_selected =
--- a/src/daemon/relay/client.rs
+++ b/src/daemon/relay/client.rs
@@ -86,6 +86,7 @@
             Some(objects) => on_snapshot(objects),
             None => update.changes.into_iter().for_each(&mut *on_change),
         }
+        daemon.store.record_applied(kind, *known);
     }
 }
 
--- a/src/daemon/store.rs
+++ b/src/daemon/store.rs
@@ -132,7 +132,7 @@
 impl Lane {
     fn new(kind: Kind, op: Op) -> Self {
         let follows = match op {
-            Op::List | Op::ListStale | Op::Watch => true,
+            Op::List | Op::ListStale | Op::Watch | Op::Changes => true,
             Op::Get | Op::GetStale | Op::Create | Op::Replace | Op::Remove => false,
         };
         Lane { kind, follows }
@@ -157,6 +157,8 @@
     nodes_answered_at: Cell<Duration>,
     /// When the store last answered a read of endpoints' records, directly or through a reader.
     instances_answered_at: Cell<Duration>,
+    /// Revision of the store that the fleet reflects.
+    instances_revision: Cell<Revision>,
     /// Era of the store; `None` before its first answer.
     era: Cell<Option<u64>>,
     /// When this daemon found that the store had been restored from a backup.
@@ -178,6 +180,7 @@
             recovered: Notifier::new(),
             nodes_answered_at: Cell::new(Duration::ZERO),
             instances_answered_at: Cell::new(Duration::ZERO),
+            instances_revision: Cell::default(),
             era: Cell::new(None),
             restored_at: Cell::new(None),
             tally: Tally::default(),
@@ -233,6 +236,18 @@
         self.instances_answered_at.get()
     }
 
+    /// Returns the revision of the store up to which endpoints' records have been applied.
+    pub fn instances_revision(&self) -> Revision {
+        self.instances_revision.get()
+    }
+
+    /// Records that the objects of a kind have been applied up to a revision.
+    pub fn record_applied(&self, kind: Kind, revision: Revision) {
+        if kind == Kind::Instances {
+            self.instances_revision.set(revision);
+        }
+    }
+
     /// Returns the last known era of the store.
     pub fn era(&self) -> u64 {
         self.era.get().unwrap_or(0)
@@ -253,12 +268,12 @@
         &self.tally
     }
 
-    /// Returns a connection for a call. A list begins on a new one: objects that it lacks count as
-    /// removed.
+    /// Returns a connection for a call. A list begins on a new one, as objects that it lacks count as
+    /// removed, and so does a read of changes, as what it lacks counts as unchanged.
     async fn connect(&self, lane: Lane, op: Op) -> Result<Link, link::Error> {
         let idle_link = self.idle.borrow_mut().remove(&lane);
-        let is_list = matches!(op, Op::List | Op::ListStale);
-        match idle_link.filter(|link| !is_list && link.is_ready()) {
+        let is_fresh = matches!(op, Op::List | Op::ListStale | Op::Changes);
+        match idle_link.filter(|link| !is_fresh && link.is_ready()) {
             Some(link) => Ok(link),
             None => link::dial(&self.ex, self.addr, CONNECT_TIMEOUT).await,
         }
@@ -489,6 +504,7 @@
             daemon.relay.reset(kind, &objects, revision);
             record_answer(daemon, kind);
             on_list(objects);
+            daemon.store.record_applied(kind, revision);
             revision
         }
         Err(_) => return wait_for_retry(daemon).await,
@@ -503,6 +519,7 @@
                 let has_changes = !changes.is_empty();
                 changes.into_iter().for_each(&mut *on_change);
                 since = since.max(revision);
+                daemon.store.record_applied(kind, since);
                 if has_changes {
                     delay_watch(kind).await;
                 }
@@ -557,6 +574,16 @@
     }
 }
 
+/// Reads what has changed of a kind since a revision.
+pub async fn changes(daemon: &Daemon, kind: Kind, since: Revision) -> Result<Vec<Change>, Error> {
+    let req = daemon.dialect.watch(kind, since, Duration::ZERO)?;
+    let res = short_call(daemon, kind, Op::Changes, req).await?;
+    match daemon.dialect.parse_changes(&res)? {
+        WatchResult::Changes(changes, revision) if revision.era == since.era => Ok(changes),
+        WatchResult::Changes(..) | WatchResult::Compacted => Err(Error::Outdated),
+    }
+}
+
 /// Follows the configuration and adopts newer versions.
 pub async fn config(daemon: Rc<Daemon>) {
     let on_list = |objects: Vec<Object>| objects.iter().for_each(|object| adopt(&daemon, object));
--- a/src/daemon/tally.rs
+++ b/src/daemon/tally.rs
@@ -29,6 +29,8 @@
     GetStale,
     /// Waits for changes.
     Watch,
+    /// Reads changes without waiting for any.
+    Changes,
     /// Creates an object.
     Create,
     /// Replaces an object.
