Decode the store's entries one by one

edge::text splits a document into raw entries, which looks at brackets and quotes alone, and decodes each by itself. An entry whose contents can't be read, or could not be passed on to other daemons, keeps its name and revision, so that its removal is followed and lists go on after it.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,4 +11,5 @@
 pub mod peer;
 pub mod platform;
 pub mod response_filter;
+pub mod text;
 pub mod time;
--- a/src/edge/platform/http.rs
+++ b/src/edge/platform/http.rs
@@ -19,6 +19,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use smol::future::FutureExt;
 
 use crate::decide::breaker;
@@ -36,6 +37,7 @@
 use crate::edge::platform::Platform;
 use crate::edge::platform::Update;
 use crate::edge::platform::Version;
+use crate::edge::text::Document;
 use crate::edge::time;
 use crate::metric::Counter;
 use crate::metric::Metrics;
@@ -106,15 +108,33 @@
     body: Vec<u8>,
 }
 
+/// An object of a list, or a change, which may be of another writer.
 #[derive(Deserialize)]
-struct List {
+struct Entry<'a> {
+    name: String,
     version: Version,
-    objects: Vec<Object>,
+    #[serde(borrow)]
+    value: Option<&'a RawValue>,
+}
+
+impl Entry<'_> {
+    /// Returns the value, null if it can't be read; none if there is none.
+    fn value(&self, document: &Document<'_>) -> Option<Value> {
+        self.value.map(|value| document.value(value).unwrap_or_default())
+    }
+}
+
+#[derive(Deserialize)]
+struct List<'a> {
+    version: Version,
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
-struct Changes {
-    changes: Vec<Change>,
+struct Changes<'a> {
+    #[serde(borrow)]
+    changes: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -322,8 +342,13 @@
         let mut req = self.request(Method::Get, &["objects", kind])?;
         req.set_query(&Prefix { prefix }).map_err(|_| Error::Protocol(0))?;
         let reply = self.read(Counter::PlatformLists, &req, MAX_LIST_BYTES).await?;
-        let list: List = parse(&reply)?;
-        Ok((list.version, list.objects))
+        let document = Document::new(success(&reply)?);
+        let list: List<'_> = document.parse().map_err(|_| protocol(&reply))?;
+        let object = |entry: Entry<'_>| {
+            let value = entry.value(&document).unwrap_or_default();
+            Object { name: entry.name, version: entry.version, value }
+        };
+        Ok((list.version, readable(list.objects).map(object).collect()))
     }
 
     async fn watch(
@@ -343,14 +368,21 @@
         let result = call.send(req, MAX_LIST_BYTES, limit).await;
         let reply = call.record(result).map_err(read_error)?;
         check_status(&reply)?;
-        let changes: Changes = parse(&reply)?;
-        Ok(changes.changes)
+        let document = Document::new(success(&reply)?);
+        let list: Changes<'_> = document.parse().map_err(|_| protocol(&reply))?;
+        let change = |entry: Entry<'_>| {
+            let value = entry.value(&document);
+            Change { name: entry.name, version: entry.version, value }
+        };
+        Ok(readable(list.changes).map(change).collect())
     }
 
     async fn instances(&self) -> Result<Vec<Instance>, Error> {
         let req = self.request(Method::Get, &["instances"])?;
         let reply = self.read(Counter::PlatformInstances, &req, MAX_LIST_BYTES).await?;
-        parse(&reply)
+        let document = Document::new(success(&reply)?);
+        let list: Vec<&RawValue> = document.parse().map_err(|_| protocol(&reply))?;
+        Ok(readable(list).collect())
     }
 }
 
@@ -389,11 +421,24 @@
 }
 
 fn parse<T: for<'de> Deserialize<'de>>(reply: &Reply) -> Result<T, Error> {
-    let status = u16::from(reply.status);
-    if !reply.status.is_success() {
-        return Err(Error::Protocol(status));
-    }
-    serde_json::from_slice(&reply.body).map_err(|_| Error::Protocol(status))
+    serde_json::from_slice(success(reply)?).map_err(|_| protocol(reply))
+}
+
+/// Returns the body of a response; an error unless its status is a success.
+fn success(reply: &Reply) -> Result<&[u8], Error> {
+    if reply.status.is_success() { Ok(&reply.body) } else { Err(protocol(reply)) }
+}
+
+fn protocol(reply: &Reply) -> Error {
+    Error::Protocol(reply.status.into())
+}
+
+/// Decodes the entries of a list one by one, and leaves out those that can't be decoded.
+fn readable<'a, T: Deserialize<'a>>(entries: Vec<&'a RawValue>) -> impl Iterator<Item = T> {
+    entries.into_iter().filter_map(|entry| {
+        let decoded = serde_json::from_str(entry.get());
+        decoded.inspect_err(|error| tracing::warn!(%error, "skipping an unreadable entry")).ok()
+    })
 }
 
 fn read_error(err: http::Error) -> Error {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -258,6 +258,37 @@
     assert_eq!(scene.metrics.get(Counter::PlatformRefused), 1);
 }
 
+/// Guards against a client that sees no object, change or instance as one of another writer can't
+/// be read.
+#[test]
+fn unreadable_entry_hides_no_other() {
+    let nested = ["[".repeat(200), "]".repeat(200)].concat();
+    for text in [r#""\ud83d""#, "1e999", &nested] {
+        let entry =
+            |name: &str, value: &str| format!(r#"{{"name":"{name}","version":1,"value":{value}}}"#);
+        let both = format!("[{},{}]", entry("odd", text), entry("sound", "7"));
+        let instance = r#"{"address":"127.0.0.1:1","region":"r","data_center":"z",
+            "role":"engine","state":"live","incarnation":1}"#;
+        let odd_port = instance.replace(":1\"", ":70000\"");
+        let odd_role = instance.replace("\"engine\"", text);
+        let steps = [
+            respond(200, "", format!(r#"{{"version":3,"objects":{both}}}"#)),
+            respond(200, "", format!(r#"{{"changes":{both}}}"#)),
+            respond(200, "", format!("[{odd_port},{odd_role},{instance}]")),
+        ];
+        let scene = scene(steps, long_timeout());
+        smol::block_on(async {
+            let (_, objects) = scene.client.list("k", "").await.expect("a list");
+            assert_eq!(objects.last().map(|row| &row.value), Some(&json!(7)), "{text}");
+            let changes = scene.client.watch("k", 1, TIMEOUT).await.expect("changes");
+            assert_eq!(changes.last().and_then(|row| row.value.clone()), Some(json!(7)), "{text}");
+            // Not taken for one that was removed.
+            assert!(changes.iter().all(|row| row.value.is_some()), "{text}");
+            assert_eq!(scene.client.instances().await.expect("instances").len(), 1, "{text}");
+        });
+    }
+}
+
 /// Guards against a client that ends as the platform states a Retry-After beyond its clock.
 #[test]
 fn client_survives_a_retry_after_beyond_its_clock() {
