Test responses that end inside their heads

Operators of a similar system saw clients get 200 with an empty or short body as an engine stopped in the middle of the head of its response.

The product's own client returns an error for a cut after each byte.

--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -132,3 +132,28 @@
         }
     }
 }
+
+/// Guards against a response that counts as whole although the connection was closed inside its head.
+#[test]
+fn response_closed_inside_its_head_is_an_error() {
+    for framing in ["Content-Length: 0", "Transfer-Encoding: chunked", "Server: a"] {
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n");
+        for len in 0..head.len() {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let part = head[..len].to_string();
+            let server = thread::spawn(move || {
+                // The request may be sent again on a new connection.
+                for stream in listener.incoming().take(2) {
+                    let mut stream = stream.expect("a connection");
+                    request::read(&mut stream);
+                    stream.write_all(part.as_bytes()).expect("a reader");
+                }
+            });
+            let pool = Pool::new(TIMEOUT, TIMEOUT);
+            let sent = smol::block_on(send(&pool, addr, Method::Get));
+            assert!(sent.is_err(), "{framing}, cut after {len} bytes: {sent:?}");
+            drop(server);
+        }
+    }
+}
