Count answers within which an endpoint ends as announced as cut

Callers took streams for complete that had half of their events: an endpoint that was removed at short notice had stated the time that remained, and ended within them when it was over.

Cause: the check whether the endpoint has crashed leaves out endpoints that are leaving, as one that drains ends after its last answer. One with a stated end does not drain. cut.rs shows it (failed before).

Such an answer is now complete only if the endpoint still runs after it: it accepts a connection that stays open for 100 ms, and the one kept from before is open. No request is suspected.

Looked at besides: records removed by then (tested), answers passed on for other daemons and answers read ahead (the same check), endpoints that drain without a stated time (unchanged, tested). With NOTICE=entry, without any notice, the case is listed.

--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -7,10 +7,12 @@
 //! crashed if that is refused. As it may listen again by then, an engine is also asked when it
 //! started, and of other endpoints it counts whether a connection from before has been closed. An
 //! endpoint that can't be reached at all may have been cut off, and one that is leaving ends
-//! without a crash.
+//! without a crash: after its last answer, or within its answers if it has stated when it ends. No
+//! request is suspected for that.
 
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -41,6 +43,8 @@
 
 /// Time limit of the connection that shows whether an endpoint still runs.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time within which a process that ends closes all of its sockets.
+const END_PERIOD: Duration = Duration::from_millis(100);
 /// Longest time for which a retry waits until it is known whether the last endpoint crashed.
 const MAX_SETTLE_TIME: Duration = Duration::from_millis(300);
 
@@ -165,8 +169,8 @@
 }
 
 /// Returns whether an endpoint has crashed that has just closed a request's connection, and if so
-/// records the request as one that ran there. `liveness` is a connection from before that. Waits for
-/// the result for at most `limit`.
+/// records the request as one that ran there, or whether it has ended as it had stated. `liveness` is
+/// a connection from before that. Waits for the result for at most `limit`.
 pub async fn has_crashed_after(
     daemon: &Rc<Daemon>,
     key: &Key,
@@ -174,7 +178,11 @@
     liveness: Option<Connection>,
     limit: Duration,
 ) -> bool {
+    let ending = daemon.fleet.borrow().ending(key);
     let result = async {
+        if let Some(addr) = ending {
+            return has_ended(daemon, addr, liveness).await;
+        }
         loop {
             let is_joined = daemon.quarantine.borrow().checks.contains_key(key);
             let Some(crashed) = check(daemon, key, run, liveness.clone()) else {
@@ -193,6 +201,17 @@
     result.or(timeout).await
 }
 
+/// Returns whether an endpoint has ended that had stated when.
+async fn has_ended(daemon: &Daemon, addr: SocketAddr, liveness: Option<Connection>) -> bool {
+    let Ok(link) = link::dial(&daemon.ex, addr, CHECK_TIMEOUT).await else {
+        return true;
+    };
+    daemon.gauges.record_connection();
+    // A process that ends may close its listener last.
+    Timer::after(END_PERIOD).await;
+    !link.is_open() || liveness.and_then(|row| row.shows_crash(clock::now())) == Some(true)
+}
+
 /// Waits for the result of a check, and returns it.
 async fn wait_for(daemon: &Daemon, crashed: &Cell<Option<bool>>) -> bool {
     let changed = daemon.quarantine.borrow().changed.clone();
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -19,6 +19,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::Rng;
@@ -96,6 +97,8 @@
     state: State,
     /// Until when the endpoint wants no calls from this daemon.
     backoff_until: Duration,
+    /// Its address if it had stated when it ends.
+    ending: Option<SocketAddr>,
 }
 
 /// Endpoints known to a daemon.
@@ -168,6 +171,14 @@
         self.rows.values()
     }
 
+    /// Returns the address of an endpoint that has stated when it ends, also after its removal.
+    pub fn ending(&self, key: &Key) -> Option<SocketAddr> {
+        match self.rows.get(key) {
+            Some(row) => row.instance.ending(),
+            None => self.removed.get(key)?.ending,
+        }
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, key: &Key) -> Option<&Endpoint> {
         self.rows.get(key)
@@ -882,6 +893,7 @@
                 heartbeat: row.instance.heartbeat,
                 state: row.instance.state,
                 backoff_until: row.backoff_until,
+                ending: row.instance.ending(),
             };
             self.removed.insert(key.clone(), removed);
         }
