Bound the changes that a reader keeps by their size

Changes are now dropped, the oldest first, when they use more memory than all objects of the kind, and at least 1 MB. A daemon that is further behind gets all objects, which are smaller then.

Looked at besides: compressed responses, kept configurations, the log.

--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -14,6 +14,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde_json::Value;
+
 use crate::decide::rendezvous;
 use crate::edge::dialect::Change;
 use crate::edge::dialect::Object;
@@ -26,6 +28,9 @@
 pub const MAX_AGE: Duration = Duration::from_millis(2_300);
 /// Maximum number of change batches that a reader keeps: several seconds of them.
 const MAX_BATCHES: usize = 64;
+/// Memory that kept changes may use in any case, in bytes. Beyond it they use no more than all
+/// objects, which are sent instead of them.
+const MIN_LOG_BYTES: usize = 1 << 20;
 /// Maximum number of readers in a region: two, so that the loss of one does not send the others to
 /// the store.
 const MAX_READERS: usize = 2;
@@ -57,16 +62,50 @@
     Changes(Vec<Change>),
 }
 
+/// Changes that the store returned at once.
+#[derive(Debug)]
+struct Batch {
+    /// The revision before them.
+    from: Revision,
+    changes: Vec<Change>,
+    /// The memory that they use.
+    bytes: usize,
+}
+
+/// Returns about how much memory a value uses, in bytes.
+fn memory(value: &Value) -> usize {
+    let own = size_of::<Value>();
+    match value {
+        Value::Null | Value::Bool(_) | Value::Number(_) => own,
+        Value::String(text) => own + text.len(),
+        Value::Array(items) => own + items.iter().map(memory).sum::<usize>(),
+        Value::Object(fields) => {
+            let field =
+                |(name, value): (&String, _)| size_of::<String>() + name.len() + memory(value);
+            own + fields.iter().map(field).sum::<usize>()
+        }
+    }
+}
+
+/// Returns about how much memory an object uses, in bytes.
+fn object_memory(object: &Object) -> usize {
+    size_of::<Object>() + object.name.len() + memory(&object.spec)
+}
+
 /// The objects of one kind as a reader has them.
 #[derive(Debug, Default)]
 pub struct Feed {
     /// Whether this daemon follows the store for this kind.
     following: bool,
     objects: BTreeMap<String, Object>,
+    /// The memory that `objects` use.
+    object_bytes: usize,
     /// The revision of the store that `objects` reflects.
     revision: Revision,
-    /// Batches of changes, each with the revision before it; the last one ends at `revision`.
-    log: VecDeque<(Revision, Vec<Change>)>,
+    /// Changes; the last batch ends at `revision`.
+    log: VecDeque<Batch>,
+    /// The memory that `log` uses.
+    log_bytes: usize,
     /// When the store last answered.
     answered_at: Duration,
 }
@@ -75,7 +114,9 @@
     /// Replaces the contents after a full read.
     pub fn reset(&mut self, now: Duration, objects: &[Object], revision: Revision) {
         self.objects = objects.iter().map(|row| (row.name.clone(), row.clone())).collect();
+        self.object_bytes = self.objects.values().map(object_memory).sum();
         self.log.clear();
+        self.log_bytes = 0;
         (self.following, self.revision, self.answered_at) = (true, revision, now);
     }
 
@@ -87,16 +128,24 @@
         }
         for change in changes {
             let object = &change.object;
-            if change.removed {
-                self.objects.remove(&object.name);
+            let previous = if change.removed {
+                self.objects.remove(&object.name)
             } else {
-                self.objects.insert(object.name.clone(), object.clone());
-            }
+                self.object_bytes += object_memory(object);
+                self.objects.insert(object.name.clone(), object.clone())
+            };
+            self.object_bytes -= previous.as_ref().map_or(0, object_memory);
         }
-        self.log.push_back((self.revision, changes.to_vec()));
+        let bytes = changes.iter().map(|change| object_memory(&change.object)).sum();
+        self.log.push_back(Batch { from: self.revision, changes: changes.to_vec(), bytes });
+        self.log_bytes += bytes;
         self.revision = self.revision.max(revision);
-        while self.log.len() > MAX_BATCHES {
-            self.log.pop_front();
+        let max_bytes = self.object_bytes.max(MIN_LOG_BYTES);
+        while self.log.len() > MAX_BATCHES || self.log_bytes > max_bytes {
+            let Some(oldest) = self.log.pop_front() else {
+                break;
+            };
+            self.log_bytes -= oldest.bytes;
         }
     }
 
@@ -125,10 +174,10 @@
         if revision == self.revision {
             return Delta::Changes(Vec::new());
         }
-        let Some(start) = self.log.iter().position(|(before, _)| *before == revision) else {
+        let Some(start) = self.log.iter().position(|batch| batch.from == revision) else {
             return all();
         };
-        let batches = self.log.range(start..).flat_map(|(_, changes)| changes);
+        let batches = self.log.range(start..).flat_map(|batch| &batch.changes);
         Delta::Changes(batches.cloned().collect())
     }
 }
--- a/tests/decide_relay.rs
+++ b/tests/decide_relay.rs
@@ -56,6 +56,34 @@
     (0..count).map(node).collect()
 }
 
+/// Guards against a reader whose memory is exhausted by changes of large objects.
+#[test]
+fn kept_changes_are_no_larger_than_all_objects() {
+    let large = |revision: u64| {
+        let filler = "a".repeat(1 << 20);
+        Object { spec: json!({ "filler": filler }), ..object("a", revision) }
+    };
+    let mut feed = Feed::default();
+    feed.reset(ms(0), &[large(1), object("b", 1)], revision_of(1));
+    for number in 2..=20 {
+        let changes = [Change { object: large(number), removed: false }];
+        feed.push(ms(number * 100), &changes, revision_of(number));
+        let sent = feed.since(Some(revision_of(number - 1)));
+        assert!(matches!(sent, Delta::Changes(changes) if changes.len() == 1));
+        // Two changes are larger than all objects.
+        if number > 3 {
+            assert!(matches!(feed.since(Some(revision_of(number - 2))), Delta::Snapshot(_)));
+        }
+    }
+    // Small changes are kept again after that.
+    for number in 21..=40 {
+        feed.push(ms(number * 100), &[change("b", number)], revision_of(number));
+    }
+    assert!(
+        matches!(feed.since(Some(revision_of(21))), Delta::Changes(changes) if changes.len() == 19)
+    );
+}
+
 /// A daemon that is up to date receives the new changes; one with an unknown revision receives all
 /// objects.
 #[test]
