Accept streams late in a stop only if they end in time

Cause: it expected 0.8 s and 14 ms for each token, while the streams are on time with 150 ms between events, and 0.8 s for a stream of unknown length.

A stream is now expected to take its target latency and the longest pause for each of its tokens, one of unknown length the time until its deadline, and none longer than that. Its caller, refused, goes to another daemon at once. The first 2.5 s of a stop accept every request, as before.

accepts has another argument, so that its tests are changed: those that were there pass no pause and assert the same; a new one states the rule for streams. The same rule serves requests that wait, and poplarmux-explain.

--- a/src/daemon/explain.rs
+++ b/src/daemon/explain.rs
@@ -378,8 +378,14 @@
 }
 
 fn decide(daemon: &Daemon, now: Duration, arrival: &Arrival) -> Decision {
+    let answer = shutdown::Answer {
+        tokens: arrival.spec.terms.output_tokens,
+        target_latency: arrival.spec.target_latency,
+        max_pause: arrival.spec.max_pause,
+        limit: arrival.deadline.saturating_sub(now),
+    };
     if let Some((began, end)) = daemon.shutdown_period.get()
-        && !shutdown::accepts(now, began, end, arrival.spec.terms.output_tokens)
+        && !shutdown::accepts(now, began, end, &answer)
     {
         return refusal("stopping", front::SHUTDOWN_RETRY_AFTER);
     }
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -415,7 +415,7 @@
     let held = Held::new(daemon);
     let body = read_body(body, &held, config.limits.max_body_bytes, time_limit).await?;
     if let Some((began, end)) = daemon.shutdown_period.get()
-        && !shutdown::accepts(clock::now(), began, end, caller.max_tokens)
+        && !accepts(&caller, &route, arrived_at + time_limit, began, end)
     {
         return Err(responder.refused(daemon, &Refusal::new("stopping", SHUTDOWN_RETRY_AFTER)));
     }
@@ -703,6 +703,24 @@
     quarantined.or(admission::find(daemon, job, tried)).or(stopping).await
 }
 
+/// Returns whether a request can be answered before the process ends at `end`.
+fn accepts(
+    caller: &Caller,
+    route: &Route,
+    deadline: Duration,
+    began: Duration,
+    end: Duration,
+) -> bool {
+    let now = clock::now();
+    let answer = shutdown::Answer {
+        tokens: caller.max_tokens,
+        target_latency: route.target_latency,
+        max_pause: route.max_pause,
+        limit: deadline.saturating_sub(now),
+    };
+    shutdown::accepts(now, began, end, &answer)
+}
+
 /// Waits until a request that still waits can't be answered before the process ends. Without it a
 /// request whose deadline is later would end with the process, unanswered.
 async fn wait_for_stop(daemon: &Daemon, job: &Job) -> Refusal {
@@ -712,7 +730,7 @@
             next.await;
             continue;
         };
-        if !shutdown::accepts(clock::now(), began, end, job.caller.max_tokens) {
+        if !accepts(&job.caller, &job.route, job.deadline, began, end) {
             return Refusal::new("stopping", SHUTDOWN_RETRY_AFTER);
         }
         Timer::after(STOP_CHECK_INTERVAL).await;
--- a/src/decide/shutdown.rs
+++ b/src/decide/shutdown.rs
@@ -12,14 +12,41 @@
 /// of the shutdown yet, and most of the time for it is still left. A shutdown that takes less time
 /// accepts what can be answered within it.
 const GRACE_PERIOD: Duration = Duration::from_millis(2_500);
-/// Longest time per token of an answer while streams are on time.
+/// Longest time per token of an answer for which no pause is allowed.
 const MAX_TOKEN_TIME: Duration = Duration::from_millis(14);
 /// Time that an answer takes in addition to its tokens.
 const BASE_RESPONSE_TIME: Duration = Duration::from_millis(800);
 
-/// Returns whether a request for `tokens` output tokens is accepted at `now`, if the shutdown began
-/// at `began` and the process ends at `end`.
-pub fn accepts(now: Duration, began: Duration, end: Duration, tokens: u32) -> bool {
+/// What the duration of an answer depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer {
+    /// Largest number of output tokens; 0 if it is not known, or there are none.
+    pub tokens: u32,
+    /// Time of the first event of a stream that is on time.
+    pub target_latency: Duration,
+    /// Longest pause between two events of a stream that is on time; none if it is no stream.
+    pub max_pause: Option<Duration>,
+    /// Time after which its caller gets no more of it.
+    pub limit: Duration,
+}
+
+impl Answer {
+    /// Returns how long the answer takes at the slowest pace that is on time.
+    fn duration(&self) -> Duration {
+        let Some(pause) = self.max_pause else {
+            return BASE_RESPONSE_TIME + MAX_TOKEN_TIME * self.tokens;
+        };
+        // An event has at least one token.
+        let events = pause.saturating_mul(self.tokens);
+        let is_known = self.tokens > 0;
+        let time = if is_known { self.target_latency.saturating_add(events) } else { self.limit };
+        time.min(self.limit).max(BASE_RESPONSE_TIME)
+    }
+}
+
+/// Returns whether a request is accepted at `now`, if the shutdown began at `began` and the process
+/// ends at `end`.
+pub fn accepts(now: Duration, began: Duration, end: Duration, answer: &Answer) -> bool {
     let is_early = now < began + GRACE_PERIOD && now + BASE_RESPONSE_TIME <= end;
-    is_early || now + BASE_RESPONSE_TIME + MAX_TOKEN_TIME * tokens <= end
+    is_early || now + answer.duration() <= end
 }
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -338,10 +338,33 @@
 #[test]
 fn shutdown_accepts_only_requests_that_can_finish() {
     let end = ms(8_000);
-    assert!(shutdown::accepts(ms(1_000), ms(0), end, 900));
-    assert!(shutdown::accepts(ms(4_000), ms(0), end, 48));
-    assert!(!shutdown::accepts(ms(4_000), ms(0), end, 900));
-    assert!(!shutdown::accepts(ms(7_900), ms(0), end, 1));
+    assert!(shutdown::accepts(ms(1_000), ms(0), end, &answer(900, None)));
+    assert!(shutdown::accepts(ms(4_000), ms(0), end, &answer(48, None)));
+    assert!(!shutdown::accepts(ms(4_000), ms(0), end, &answer(900, None)));
+    assert!(!shutdown::accepts(ms(7_900), ms(0), end, &answer(1, None)));
+}
+
+/// Returns what is known of an answer that may take a minute.
+fn answer(tokens: u32, max_pause: Option<Duration>) -> shutdown::Answer {
+    shutdown::Answer { tokens, target_latency: ms(400), max_pause, limit: ms(60_000) }
+}
+
+/// Guards against a stream that is accepted late in a shutdown and cut although its events are on
+/// time, as it was expected to be faster.
+#[test]
+fn shutdown_accepts_only_streams_that_can_finish_at_the_slowest_pace() {
+    let (end, pause) = (ms(8_000), Some(ms(150)));
+    // 400 ms until the first of 20 events, 150 ms for each.
+    assert!(shutdown::accepts(ms(4_600), ms(0), end, &answer(20, pause)));
+    assert!(!shutdown::accepts(ms(4_601), ms(0), end, &answer(20, pause)));
+    assert!(!shutdown::accepts(ms(3_100), ms(0), end, &answer(240, pause)));
+    assert!(shutdown::accepts(ms(1_000), ms(0), end, &answer(240, pause)));
+    // Of unknown length.
+    assert!(!shutdown::accepts(ms(3_100), ms(0), end, &answer(0, pause)));
+    // Its caller gets no more after two seconds.
+    let brief = shutdown::Answer { limit: ms(2_000), ..answer(240, pause) };
+    assert!(shutdown::accepts(ms(6_000), ms(0), end, &brief));
+    assert!(!shutdown::accepts(ms(6_001), ms(0), end, &brief));
 }
 
 /// An endpoint that states that it is leaving must not be used because an old record of it is
@@ -459,9 +482,9 @@
 #[test]
 fn brief_shutdown_accepts_no_request_that_would_be_cut() {
     let end = ms(2_000);
-    assert!(shutdown::accepts(ms(1_000), ms(0), end, 48));
-    assert!(!shutdown::accepts(ms(1_950), ms(0), end, 48));
-    assert!(!shutdown::accepts(ms(2_000), ms(0), end, 0));
+    assert!(shutdown::accepts(ms(1_000), ms(0), end, &answer(48, None)));
+    assert!(!shutdown::accepts(ms(1_950), ms(0), end, &answer(48, None)));
+    assert!(!shutdown::accepts(ms(2_000), ms(0), end, &answer(0, None)));
 }
 
 /// An endpoint reports numbers that no endpoint reaches. Guards against a sum that overflows: the
