Wait in a stop for answers that can't be written yet

daemon::output counts the connections whose last write found no room; a stop waits until there is none, or its time ends. The connections of other daemons are counted, too.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -134,7 +134,7 @@
 
 /// Announces the shutdown and keeps serving while callers may still use cached directory answers,
 /// then waits for open requests until the grace period ends.
-async fn drain(daemon: &Rc<Daemon>) {
+pub async fn drain(daemon: &Rc<Daemon>) {
     daemon.shutting_down.set(true);
     daemon.note(&Event::Stop { reason: "signal", open: daemon.open_requests.get() });
     let shutdown_start = clock::now();
@@ -161,7 +161,11 @@
     // Cached directory answers have expired, so no new requests are expected on idle connections.
     daemon.close_idle.notify(usize::MAX);
     let deadline = shutdown_start + daemon.settings.grace_period.saturating_sub(SHUTDOWN_MARGIN);
-    let is_busy = || daemon.open_requests.get() > 0 || daemon.read_ahead.behind_count() > 0;
+    let is_busy = || {
+        daemon.open_requests.get() > 0
+            || daemon.read_ahead.behind_count() > 0
+            || daemon.blocked_outputs.get() > 0
+    };
     while is_busy() && clock::now() < deadline {
         Timer::after(OPEN_REQUESTS_POLL_INTERVAL).await;
     }
--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -25,6 +25,7 @@
 use crate::daemon::front::Truncated;
 use crate::daemon::link;
 use crate::daemon::node;
+use crate::daemon::output::Output;
 
 /// How long callers cache an answer. A daemon that stops keeps serving for three times as long,
 /// which has to fit into its time to stop.
@@ -75,6 +76,7 @@
             if link::set_socket_options(&stream).is_err() {
                 return;
             }
+            let output = Output::new(stream, shared.blocked_outputs.clone());
             let service = service_fn(move |req: Request<Incoming>| {
                 let shared = shared.clone();
                 async move { respond(shared, req).await }
@@ -83,7 +85,7 @@
             let _ = http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(FuturesIo::new(stream), service)
+                .serve_connection(FuturesIo::new(output), service)
                 .await;
         };
         daemon.ex.spawn(connection).detach();
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -48,6 +48,7 @@
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::origin;
+use crate::daemon::output::Output;
 use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::quota::Charge;
@@ -273,11 +274,12 @@
     let connection = Connection::new(stream.clone());
     let caller = connection.clone();
     let service = service_fn(move |req| respond(shared.clone(), caller.clone(), req));
+    let output = Output::new(stream, daemon.blocked_outputs.clone());
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head.max(8 << 10))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(output), service);
     let serve = async {
         let mut conn = std::pin::pin!(conn);
         let closing = daemon.close_idle.listen();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -28,6 +28,7 @@
 pub mod liveness;
 pub mod node;
 pub mod origin;
+pub mod output;
 pub mod peer;
 pub mod placer;
 pub mod quarantine;
@@ -172,6 +173,8 @@
     pub endpoints_listed: Cell<bool>,
     /// Number of requests without a final answer.
     pub open_requests: Cell<usize>,
+    /// Connections whose answers can't be written at the moment.
+    pub blocked_outputs: output::Blocked,
     /// Notified when callers' idle connections have to be closed.
     pub close_idle: Notifier,
     /// Notified when the shutdown begins.
@@ -239,6 +242,7 @@
             shutdown_period: Cell::new(None),
             endpoints_listed: Cell::new(false),
             open_requests: Cell::new(0),
+            blocked_outputs: output::Blocked::default(),
             close_idle: Notifier::new(),
             stopping: Notifier::new(),
             next_dispatch: Cell::new(None),
