Bound the memory of request bodies

A request that does not fit is refused with 503 before it has run; the rest of its body is read and discarded, so that its caller reads the answer. Bodies that are passed on for other daemons count as well. Of a body with a length the room is allocated once.

Looked at besides: answers, which are read ahead within bounds; those that are collected have run and can't be refused.

--- a/src/daemon/collect.rs
+++ b/src/daemon/collect.rs
@@ -5,6 +5,7 @@
 //! buffer as they arrive.
 
 use std::error::Error;
+use std::fmt;
 use std::pin::pin;
 
 use bytes::Bytes;
@@ -13,12 +14,39 @@
 use http_body_util::Limited;
 use hyper::body::Body;
 
+/// A part of a body was not accepted.
+#[derive(Debug)]
+pub struct NotAccepted;
+
+impl fmt::Display for NotAccepted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("no room for the body")
+    }
+}
+
+impl Error for NotAccepted {}
+
 /// Returns the content of a body of at most `max` bytes. A longer one is an error, as by `Limited`.
 pub async fn collect<B>(body: B, max: usize) -> Result<Bytes, Box<dyn Error + Send + Sync>>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    collect_accepted(body, max, |_| true).await
+}
+
+/// Does the same, and fails with `NotAccepted` once `accepts` returns false for a part's length.
+pub async fn collect_accepted<B>(
+    body: B,
+    max: usize,
+    accepts: impl Fn(usize) -> bool,
+) -> Result<Bytes, Box<dyn Error + Send + Sync>>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    // Room that is not filled yet takes no memory, while growth would copy what there is.
+    let capacity = body.size_hint().exact().map_or(0, |len| max.min(len as usize));
     let mut body = pin!(Limited::new(body, max));
     // Most bodies are a single frame, which needs no copy.
     let mut first = Bytes::new();
@@ -28,10 +56,16 @@
         let Ok(data) = frame?.into_data() else {
             continue;
         };
+        if !accepts(data.len()) {
+            return Err(Box::new(NotAccepted));
+        }
         if first.is_empty() && all.is_empty() {
             first = data;
             continue;
         }
+        if all.is_empty() {
+            all.reserve(capacity);
+        }
         all.extend_from_slice(&std::mem::take(&mut first));
         all.extend_from_slice(&data);
     }
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -27,6 +27,7 @@
 use crate::daemon::Daemon;
 use crate::daemon::clock;
 use crate::daemon::collect;
+use crate::daemon::collect::NotAccepted;
 use crate::daemon::foreign;
 use crate::daemon::front::Payload;
 use crate::daemon::front::Truncated;
@@ -40,6 +41,7 @@
 use crate::daemon::liveness::Connection;
 use crate::daemon::quarantine;
 use crate::daemon::quarantine::Run;
+use crate::daemon::read_ahead::HeldRequest;
 use crate::daemon::send;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
@@ -136,13 +138,21 @@
     content: &Content,
     deadline: Duration,
     mut head: Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<Response<Payload>, Truncated> {
     let open = OpenRequest::new(daemon);
     let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
     let max = limits.map_or(0, |limits| limits.max_body_bytes);
-    let Ok(body) = collect::collect(body, max).await else {
-        return Ok(undelivered("body"));
+    let held = HeldRequest::new(daemon);
+    let body = match collect::collect_accepted(&mut body, max, |bytes| held.add(bytes)).await {
+        Ok(body) => body,
+        Err(err) => {
+            if err.is::<NotAccepted>() {
+                // The other daemon reads no response before it has sent the rest.
+                collect::drain(body, max).await;
+            }
+            return Ok(undelivered("body"));
+        }
     };
     remove_hop_headers(&mut head.headers);
     let name = daemon.dialect.request_id();
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -44,6 +44,7 @@
 use crate::daemon::broker::Terms;
 use crate::daemon::clock;
 use crate::daemon::collect;
+use crate::daemon::collect::NotAccepted;
 use crate::daemon::gauge::Admission;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
@@ -54,7 +55,7 @@
 use crate::daemon::quota::Charge;
 use crate::daemon::read_ahead;
 use crate::daemon::read_ahead::Connection;
-use crate::daemon::read_ahead::Held;
+use crate::daemon::read_ahead::HeldRequest;
 use crate::daemon::read_ahead::ReadAhead;
 use crate::daemon::reply::Responder;
 use crate::daemon::reply::error_response;
@@ -187,7 +188,7 @@
     /// Body, forwarded unchanged.
     pub body: Bytes,
     /// Counts the body as held.
-    pub held: Held,
+    pub held: HeldRequest,
 }
 
 impl Job {
@@ -414,8 +415,16 @@
             responder.refused(daemon, &Refusal::new("starting", STARTUP_RETRY_AFTER))
         }
     })?;
-    let held = Held::new(daemon);
-    let body = read_body(body, &held, config.limits.max_body_bytes, time_limit).await?;
+    let held = HeldRequest::new(daemon);
+    let body = read_body(body, &held, config.limits.max_body_bytes, time_limit).await;
+    let body = body.map_err(|err| match err {
+        BodyError::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        BodyError::Broken => error_response(StatusCode::BAD_REQUEST, "body_broken"),
+        BodyError::Late => error_response(StatusCode::REQUEST_TIMEOUT, "body_late"),
+        BodyError::NoRoom => {
+            responder.refused(daemon, &Refusal::new("no_room_for_body", EXHAUSTED_RETRY_AFTER))
+        }
+    })?;
     if let Some((began, end)) = daemon.shutdown_period.get()
         && !accepts(&caller, &route, arrived_at + time_limit, began, end)
     {
@@ -446,25 +455,40 @@
     Ok(job)
 }
 
+/// Why a caller's body was not read.
+enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// It ended early.
+    Broken,
+    /// It did not arrive in time.
+    Late,
+    /// The bodies of all requests would take too much memory.
+    NoRoom,
+}
+
 /// Reads a body of at most `max` bytes within `limit`.
 async fn read_body(
-    body: Incoming,
-    held: &Held,
+    mut body: Incoming,
+    held: &HeldRequest,
     max: usize,
     limit: Duration,
-) -> Result<Bytes, Response<Payload>> {
+) -> Result<Bytes, BodyError> {
     let read = async {
-        match collect::collect(held.count(body), max).await {
+        match collect::collect_accepted(&mut body, max, |bytes| held.add(bytes)).await {
             Ok(body) => Ok(body),
-            Err(err) if err.is::<LengthLimitError>() => {
-                Err(error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"))
+            Err(err) if err.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+            Err(err) if err.is::<NotAccepted>() => {
+                // The caller reads no answer before it has sent the rest.
+                collect::drain(body, max).await;
+                Err(BodyError::NoRoom)
             }
-            Err(_) => Err(error_response(StatusCode::BAD_REQUEST, "body_broken")),
+            Err(_) => Err(BodyError::Broken),
         }
     };
     let late = async {
         Timer::after(limit).await;
-        Err(error_response(StatusCode::REQUEST_TIMEOUT, "body_late"))
+        Err(BodyError::Late)
     };
     read.or(late).await
 }
@@ -485,7 +509,7 @@
     route: Rc<Route>,
     admitted: Admitted,
     head: &http::request::Parts,
-    (body, held): (Bytes, Held),
+    (body, held): (Bytes, HeldRequest),
     arrived_at: Duration,
     deadline: Duration,
 ) -> Job {
--- a/src/daemon/read_ahead.rs
+++ b/src/daemon/read_ahead.rs
@@ -129,6 +129,8 @@
     rows: RefCell<HashMap<RequestId, Rc<Row>>>,
     /// Bytes of bodies that are not in `rows`.
     bodies: Cell<usize>,
+    /// Those of requests among them.
+    requests: Cell<usize>,
     /// Bytes that were read ahead and not taken yet.
     read_ahead: Cell<usize>,
     /// Most bytes held at once.
@@ -143,6 +145,7 @@
             bounds: Bounds::from_memory(memory),
             rows: RefCell::default(),
             bodies: Cell::default(),
+            requests: Cell::default(),
             read_ahead: Cell::default(),
             max_held: Cell::default(),
             ended: RefCell::default(),
@@ -170,6 +173,45 @@
     }
 }
 
+/// Counts the body of a request as held until it is dropped.
+pub struct HeldRequest {
+    held: Held,
+}
+
+impl HeldRequest {
+    /// Returns a body of which nothing has been received.
+    pub fn new(daemon: &Rc<Daemon>) -> Self {
+        HeldRequest { held: Held::new(daemon) }
+    }
+
+    /// Counts a part of the body, unless the bodies of all requests would exceed their bound. Then
+    /// nothing of it is held any more.
+    pub fn add(&self, bytes: usize) -> bool {
+        let table = &self.held.daemon.read_ahead;
+        let all = table.requests.get();
+        let accepts = table.bounds.accepts_request(bytes, self.held.bytes.get(), all);
+        if accepts {
+            table.requests.set(all + bytes);
+            self.held.add(bytes);
+        } else {
+            self.release();
+        }
+        accepts
+    }
+
+    fn release(&self) {
+        let requests = &self.held.daemon.read_ahead.requests;
+        requests.set(requests.get() - self.held.bytes.get());
+        self.held.release();
+    }
+}
+
+impl Drop for HeldRequest {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 /// Counts a body as held until it is dropped.
 pub struct Held {
     daemon: Rc<Daemon>,
@@ -199,12 +241,16 @@
         let table = &self.daemon.read_ahead;
         table.add(&table.bodies, bytes);
     }
+
+    fn release(&self) {
+        let bodies = &self.daemon.read_ahead.bodies;
+        bodies.set(bodies.get() - self.bytes.take());
+    }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let bodies = &self.daemon.read_ahead.bodies;
-        bodies.set(bodies.get() - self.bytes.get());
+        self.release();
     }
 }
 
--- a/src/decide/read_ahead.rs
+++ b/src/decide/read_ahead.rs
@@ -10,6 +10,9 @@
 //! request first. A stream that alone holds more than allowed is not read further, and is ended
 //! when that has lasted for `MAX_FULL_TIME`: the engine would cut it off, which is not told from a
 //! crash of the engine.
+//!
+//! Requests are kept until they are answered. Load pattern: dozens of callers send bodies of megabytes
+//! at once. What exceeds the bound is refused before it has run, as another daemon may have room.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -30,6 +33,10 @@
 /// affect the others.
 const STREAM_DIVISOR: usize = 8;
 
+/// Share of that which bodies of requests may hold, as a divisor: many large ones at once must not
+/// end the streams of slow callers.
+const REQUESTS_DIVISOR: usize = 2;
+
 /// Bounds on what a daemon holds for its callers, in bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -45,6 +52,12 @@
         let total = memory.unwrap_or(DEFAULT_MEMORY_BYTES) / TOTAL_DIVISOR;
         Bounds { stream: total / STREAM_DIVISOR, total }
     }
+
+    /// Returns whether a part of a request's body may be kept, if that request keeps `own` bytes and
+    /// all requests together keep `all`. A request that is alone may keep more than the bound.
+    pub fn accepts_request(self, part: usize, own: usize, all: usize) -> bool {
+        own == all || all + part <= self.total / REQUESTS_DIVISOR
+    }
 }
 
 /// A stream whose caller is behind.
