Saturate the sum of a huge load report and a used offer

An endpoint that reports the largest number of requests, at which another daemon then uses a slot that was offered, made a debug build panic and a release build take the endpoint for idle, so that it got all requests.

Cause: Endpoint::end_offer added without saturating, unlike the other sums of reported numbers; all of these were looked at. The new test failed before ("attempt to add with overflow").

--- a/src/decide/endpoint.rs
+++ b/src/decide/endpoint.rs
@@ -1050,7 +1050,7 @@
     /// Records that a slot is no longer kept free for another daemon, as that has used it or not.
     pub fn end_offer(&mut self, is_used: bool) {
         self.offered = self.offered.saturating_sub(1);
-        self.other_requests += u32::from(is_used);
+        self.other_requests = self.other_requests.saturating_add(is_used.into());
     }
 
     /// Records that another daemon offers a slot here. `load` are the requests that it knows here, apart
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -487,6 +487,18 @@
     assert!(!shutdown::accepts(ms(2_000), ms(0), end, &answer(0, None)));
 }
 
+/// Guards against a sum that overflows as another daemon uses a slot of an endpoint that has reported
+/// a number that no endpoint reaches: the daemon would panic, or take the endpoint for idle.
+#[test]
+fn used_offer_after_a_huge_load_report_leaves_the_endpoint_full() {
+    let mut fleet = fleet(&[instance("i-1", 1, "a1", &[("m", &[])])]);
+    let huge = Load { running: u32::MAX, waiting: u32::MAX, ..Load::default() };
+    fleet.on_load_report(ms(10), &key("i-1", 1), huge);
+    fleet.offer_slot(&key("i-1", 1));
+    fleet.end_offer(&key("i-1", 1), true);
+    assert_eq!(fleet.get(&key("i-1", 1)).expect("an endpoint").load(ms(20)), u32::MAX);
+}
+
 /// An endpoint reports numbers that no endpoint reaches. Guards against a sum that overflows: the
 /// daemon would panic, or take the endpoint for idle.
 #[test]
