Bound what a daemon's connections and incomplete requests take

Clients that keep to no limit ended daemons: with 40 MB of memory, 200 clients with bodies of 1 MB that never end brought a daemon to 65 MB, chunked ones to 104 MB, bodies passed on by the port for daemons to 148 MB, heads at other ports to 119 MB, and 700 connections took 719 of 300 sockets (resident memory with what the kernel held unread).

Only the content of bodies was bounded. What grew was, for each connection, the kernel's receive buffer, the HTTP server's buffer, which doubles whenever a read fills it, and room for the announced body, whose pages the allocator keeps after the block was freed. Connections were bounded at one port of five, whatever the memory.

The listener's receive buffer is set, the server reads 4 KB at a time, bodies are kept in segments that are counted as they are allocated, large heads are counted like bodies, and as many connections are accepted as fit into a quarter of the memory and five eighths of the descriptors, of which each port has a reserved part. A port without room closes the connection that has waited longest for its client; a part without room refuses the incomplete request with the largest product of bytes and age. So ordinary callers get in while a crowd stays, and each refusal concerns a request that has not run.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -26,6 +26,7 @@
 use crate::daemon::journal;
 use crate::daemon::journal::Event;
 use crate::daemon::lease;
+use crate::daemon::link;
 use crate::daemon::link::Executor;
 use crate::daemon::node;
 use crate::daemon::origin;
@@ -38,6 +39,7 @@
 use crate::daemon::store;
 use crate::daemon::tally;
 use crate::daemon::updates;
+use crate::decide::connection::Port;
 use crate::edge::dialect::Dialect;
 use crate::error;
 use crate::error::Error;
@@ -54,8 +56,12 @@
     error::exit(daemon::block_on(async |ex| run_until_signal(ex, settings, dialect).await))
 }
 
+/// Listens on an address. Accepted connections have the listener's receive buffer from their first
+/// byte.
 async fn listen(addr: std::net::SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(addr).await.map_err(|err| Error::Listen(addr, err))
+    let listener = TcpListener::bind(addr).await.map_err(|err| Error::Listen(addr, err))?;
+    link::limit_receive_buffer(&listener).map_err(|err| Error::Listen(addr, err.into()))?;
+    Ok(listener)
 }
 
 async fn run_until_signal(
@@ -105,8 +111,8 @@
         millicores: daemon.settings.millicores,
     });
     let accept_loop = ex.spawn(front::serve(daemon.clone(), front));
-    for listener in [ready, directory] {
-        ex.spawn(directory::serve(daemon.clone(), listener)).detach();
+    for (port, listener) in [(Port::Readiness, ready), (Port::Directory, directory)] {
+        ex.spawn(directory::serve(daemon.clone(), port, listener)).detach();
     }
     if let Some(listener) = metrics {
         ex.spawn(directory::serve_operators(daemon.clone(), listener)).detach();
--- a/src/daemon/directory.rs
+++ b/src/daemon/directory.rs
@@ -6,38 +6,28 @@
 
 use bytes::Bytes;
 use http::HeaderValue;
-use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header;
 use http::request;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use smol::Timer;
 use smol::net::TcpListener;
-use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 
 use crate::daemon::Daemon;
+use crate::daemon::connection;
 use crate::daemon::explain;
 use crate::daemon::front::Payload;
-use crate::daemon::front::Truncated;
-use crate::daemon::link;
 use crate::daemon::node;
-use crate::daemon::output::Output;
+use crate::decide::connection::Port;
 
 /// How long callers cache an answer. A daemon that stops keeps serving for three times as long,
 /// which has to fit into its time to stop.
 pub const ANSWER_TTL: Duration = Duration::from_millis(1_500);
-/// Idle timeout of a connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Serves callers, the platform and operators as long as the daemon runs.
-pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    serve_with(daemon, listener, async |daemon, req| {
+/// Serves callers or the platform as long as the daemon runs.
+pub async fn serve(daemon: Rc<Daemon>, port: Port, listener: TcpListener) {
+    connection::serve(daemon, port, listener, async |daemon, _, req| {
         let (head, _) = req.into_parts();
         Ok(respond(&daemon, &head).map(Payload::Complete))
     })
@@ -46,7 +36,7 @@
 
 /// Serves operators as long as the daemon runs: what `serve` does, and explanations.
 pub async fn serve_operators(daemon: Rc<Daemon>, listener: TcpListener) {
-    serve_with(daemon, listener, async |daemon, req| {
+    connection::serve(daemon, Port::Operators, listener, async |daemon, _, req| {
         let (head, _) = req.into_parts();
         let res = match head.uri.path() {
             explain::PATH => explain::respond(&daemon, head.uri.query().unwrap_or_default()),
@@ -57,41 +47,6 @@
     .await;
 }
 
-/// Answers requests as long as the daemon runs; an error closes the connection.
-pub async fn serve_with(
-    daemon: Rc<Daemon>,
-    listener: TcpListener,
-    respond: impl AsyncFn(Rc<Daemon>, Request<Incoming>) -> Result<Response<Payload>, Truncated>
-    + Copy
-    + 'static,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // No file descriptors are left: accepting again at once would busy-loop.
-            Timer::after(Duration::from_millis(20)).await;
-            continue;
-        };
-        let shared = daemon.clone();
-        let connection = async move {
-            if link::set_socket_options(&stream).is_err() {
-                return;
-            }
-            let output = Output::new(stream, shared.blocked_outputs.clone());
-            let service = service_fn(move |req: Request<Incoming>| {
-                let shared = shared.clone();
-                async move { respond(shared, req).await }
-            });
-            // An error on the connection only concerns the client.
-            let _ = http1::Builder::new()
-                .timer(SmolTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(FuturesIo::new(output), service)
-                .await;
-        };
-        daemon.ex.spawn(connection).detach();
-    }
-}
-
 fn respond(daemon: &Daemon, head: &request::Parts) -> Response<Bytes> {
     if daemon.dialect.is_readiness_check(head) {
         let ready = daemon.ready();
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -10,7 +10,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -26,8 +25,7 @@
 use super::is_undelivered;
 use crate::daemon::Daemon;
 use crate::daemon::clock;
-use crate::daemon::collect;
-use crate::daemon::collect::NotAccepted;
+use crate::daemon::connection;
 use crate::daemon::foreign;
 use crate::daemon::front::Payload;
 use crate::daemon::front::Truncated;
@@ -35,13 +33,16 @@
 use crate::daemon::gate::Call;
 use crate::daemon::gauge::Forwarding;
 use crate::daemon::incarnation;
+use crate::daemon::intake;
+use crate::daemon::intake::HeldRequest;
+use crate::daemon::intake::Owner;
 use crate::daemon::link;
 use crate::daemon::link::Link;
 use crate::daemon::liveness;
 use crate::daemon::liveness::Connection;
 use crate::daemon::quarantine;
 use crate::daemon::quarantine::Run;
-use crate::daemon::read_ahead::HeldRequest;
+use crate::daemon::segments::Segments;
 use crate::daemon::send;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
@@ -92,11 +93,12 @@
 /// connection: the request may have run.
 pub async fn respond(
     daemon: &Rc<Daemon>,
+    connection: &connection::Connection,
     req: Request<Incoming>,
 ) -> Result<Response<Payload>, Truncated> {
     let name = daemon.dialect.request_id();
     let id = req.headers().get(&name).cloned();
-    let mut res = answer(daemon, req).await?;
+    let mut res = answer(daemon, connection, req).await?;
     // An endpoint's response names the request itself.
     if let (true, Some(id)) = (is_undelivered(res.headers()), id) {
         res.headers_mut().insert(name, id);
@@ -106,6 +108,7 @@
 
 async fn answer(
     daemon: &Rc<Daemon>,
+    connection: &connection::Connection,
     req: Request<Incoming>,
 ) -> Result<Response<Payload>, Truncated> {
     let (mut head, body) = req.into_parts();
@@ -122,7 +125,20 @@
     let deadline = clock::now() + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
     let parts = caller.parts.iter().map(|part| part.id);
     let content = Content::new(target.fingerprint, &caller.id, parts);
-    let res = pass_on(daemon, &caller.id, target, &content, deadline, head, body).await;
+    let _open = OpenRequest::new(daemon);
+    let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
+    let max = limits.map_or(0, |limits| limits.max_body_bytes);
+    let held = HeldRequest::new(daemon, Owner::Body);
+    let time_left = deadline.saturating_sub(clock::now());
+    let body = intake::receive(connection, &held, body, max, time_left).await;
+    connection.on_received_all();
+    let res = match body {
+        Ok(body) => {
+            let req = Request::from_parts(head, body);
+            pass_on(daemon, &caller.id, target, &content, deadline, req).await
+        }
+        Err(_) => Ok(undelivered("body")),
+    };
     daemon.gauges.record_forwarding(match &res {
         Ok(res) if is_undelivered(res.headers()) => Forwarding::Undelivered,
         Ok(_) => Forwarding::Answered,
@@ -137,26 +153,11 @@
     target: Target,
     content: &Content,
     deadline: Duration,
-    mut head: Parts,
-    mut body: Incoming,
+    mut req: Request<Segments>,
 ) -> Result<Response<Payload>, Truncated> {
     let open = OpenRequest::new(daemon);
-    let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
-    let max = limits.map_or(0, |limits| limits.max_body_bytes);
-    let held = HeldRequest::new(daemon);
-    let body = match collect::collect_accepted(&mut body, max, |bytes| held.add(bytes)).await {
-        Ok(body) => body,
-        Err(err) => {
-            if err.is::<NotAccepted>() {
-                // The other daemon reads no response before it has sent the rest.
-                collect::drain(body, max).await;
-            }
-            return Ok(undelivered("body"));
-        }
-    };
-    remove_hop_headers(&mut head.headers);
+    remove_hop_headers(req.headers_mut());
     let name = daemon.dialect.request_id();
-    let mut req = Request::from_parts(head, body);
     let mut reused = true;
     loop {
         let mut link = match connect(daemon, &target, deadline, reused.then_some(id)).await {
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::OnceCell;
-use std::convert::Infallible;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -20,21 +19,16 @@
 use http::Uri;
 use http::Version;
 use http::header;
-use http_body_util::LengthLimitError;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol::stream::Stream;
 use smol::stream::StreamExt;
-use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::daemon::Daemon;
@@ -43,26 +37,28 @@
 use crate::daemon::admission::Spec;
 use crate::daemon::broker::Terms;
 use crate::daemon::clock;
-use crate::daemon::collect;
-use crate::daemon::collect::NotAccepted;
+use crate::daemon::connection;
+use crate::daemon::connection::Connection;
 use crate::daemon::gauge::Admission;
+use crate::daemon::intake;
+use crate::daemon::intake::HeldRequest;
+use crate::daemon::intake::Owner;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::origin;
-use crate::daemon::output::Output;
 use crate::daemon::quarantine;
 use crate::daemon::quota;
 use crate::daemon::quota::Charge;
 use crate::daemon::read_ahead;
-use crate::daemon::read_ahead::Connection;
-use crate::daemon::read_ahead::HeldRequest;
 use crate::daemon::read_ahead::ReadAhead;
 use crate::daemon::reply::Responder;
 use crate::daemon::reply::error_response;
 use crate::daemon::retry;
+use crate::daemon::segments::Segments;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
 use crate::daemon::stream::Forwarder;
+use crate::decide::connection::Port;
 use crate::decide::origin::Origin;
 use crate::decide::shutdown;
 use crate::decide::suspects::Content;
@@ -79,14 +75,6 @@
 use crate::table::routing::Route;
 use crate::table::team::Team;
 
-/// Bound on callers' open connections; the remaining file descriptors serve endpoints.
-const MAX_CONNECTIONS: usize = 2_500;
-/// Added to the published idle limit, so that it is always the caller that closes.
-const IDLE_SLACK: Duration = Duration::from_secs(3);
-/// Idle timeout while no limits are published.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Minimum for the limit on the size of a request's head, used alone while no limits are published.
-const MIN_HEAD_LIMIT_BYTES: usize = 64 << 10;
 /// Endpoints tried for one request, including those that did not run it.
 pub const MAX_ENDPOINTS_TRIED: u32 = 4;
 /// Retry-after of a daemon that has just started, and has no configuration or no list of daemons
@@ -186,7 +174,7 @@
     /// Headers, forwarded together with those that each attempt sets.
     pub headers: HeaderMap,
     /// Body, forwarded unchanged.
-    pub body: Bytes,
+    pub body: Segments,
     /// Counts the body as held.
     pub held: HeldRequest,
 }
@@ -236,78 +224,18 @@
 
 /// Accepts callers as long as the daemon runs.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    let open_connections = Rc::new(Cell::new(0_usize));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(_) => {
-                // No file descriptors are left: accepting again at once would busy-loop.
-                Timer::after(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        if open_connections.get() >= MAX_CONNECTIONS {
-            continue;
-        }
-        open_connections.set(open_connections.get() + 1);
-        let (daemon, open_connections) = (daemon.clone(), open_connections.clone());
-        let ex = daemon.ex.clone();
-        ex.spawn(async move {
-            handle_connection(daemon, stream).await;
-            open_connections.set(open_connections.get() - 1);
-        })
-        .detach();
-    }
-}
-
-/// Serves one connection of a caller.
-async fn handle_connection(daemon: Rc<Daemon>, stream: TcpStream) {
-    if link::set_socket_options(&stream).is_err() || link::limit_send_buffer(&stream).is_err() {
-        return;
-    }
-    let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
-    let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
-        limits.idle_timeout.max(limits.head_timeout) + IDLE_SLACK
-    });
-    let head = limits
-        .map_or(MIN_HEAD_LIMIT_BYTES, |limits| limits.max_head_bytes.max(MIN_HEAD_LIMIT_BYTES));
-    let shared = daemon.clone();
-    let connection = Connection::new(stream.clone());
-    let caller = connection.clone();
-    let service = service_fn(move |req| respond(shared.clone(), caller.clone(), req));
-    let output = Output::new(stream, daemon.blocked_outputs.clone());
-    let conn = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(head.max(8 << 10))
-        .serve_connection(FuturesIo::new(output), service);
-    let serve = async {
-        let mut conn = std::pin::pin!(conn);
-        let closing = daemon.close_idle.listen();
-        let served = async {
-            // The caller disconnected or violated the protocol; each request logs its own end.
-            let _ = conn.as_mut().await;
-            true
-        };
-        let close_requested = async {
-            closing.await;
-            false
-        };
-        if !served.or(close_requested).await {
-            conn.as_mut().graceful_shutdown();
-            let _ = conn.await;
-        }
-    };
-    serve.or(smol::future::poll_fn(|cx| connection.poll_aborted(cx))).await;
+    connection::serve(daemon, Port::Callers, listener, async |daemon, caller, req| {
+        Ok(respond(daemon, caller, req).await)
+    })
+    .await;
 }
 
 async fn respond(
     daemon: Rc<Daemon>,
     caller: Rc<Connection>,
     req: Request<Incoming>,
-) -> Result<Response<Payload>, Infallible> {
+) -> Response<Payload> {
     let has_chunks = req.version() > Version::HTTP_10;
-    caller.on_request();
     let mut res = handle(&daemon, &caller, req).await;
     if let (false, Payload::Frames(frames)) = (has_chunks, res.body_mut()) {
         let unguarded = std::mem::replace(frames, Box::pin(smol::stream::empty()));
@@ -316,7 +244,7 @@
     if daemon.shutting_down.get() {
         res.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(res)
+    res
 }
 
 /// Makes the kernel reset the caller's connection if it is closed before the last frame. To a caller
@@ -355,7 +283,9 @@
         answered: false,
         is_ended: Rc::default(),
     };
-    match admit(daemon, caller, &head, body, arrived_at).await {
+    let admitted = admit(daemon, connection, caller, &head, body, arrived_at).await;
+    connection.on_received_all();
+    match admitted {
         Ok(job) => run(daemon, &job, tracker).await,
         Err(res) => {
             tracker.answered = true;
@@ -367,6 +297,7 @@
 /// Reads a request and finds its route; fails with the final answer.
 async fn admit(
     daemon: &Rc<Daemon>,
+    connection: &Connection,
     caller: Caller,
     head: &http::request::Parts,
     body: Incoming,
@@ -415,13 +346,14 @@
             responder.refused(daemon, &Refusal::new("starting", STARTUP_RETRY_AFTER))
         }
     })?;
-    let held = HeldRequest::new(daemon);
-    let body = read_body(body, &held, config.limits.max_body_bytes, time_limit).await;
+    let held = HeldRequest::new(daemon, Owner::Body);
+    let max = config.limits.max_body_bytes;
+    let body = intake::receive(connection, &held, body, max, time_limit).await;
     let body = body.map_err(|err| match err {
-        BodyError::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
-        BodyError::Broken => error_response(StatusCode::BAD_REQUEST, "body_broken"),
-        BodyError::Late => error_response(StatusCode::REQUEST_TIMEOUT, "body_late"),
-        BodyError::NoRoom => {
+        intake::Error::TooLarge => error_response(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
+        intake::Error::Broken => error_response(StatusCode::BAD_REQUEST, "body_broken"),
+        intake::Error::Late => error_response(StatusCode::REQUEST_TIMEOUT, "body_late"),
+        intake::Error::NoRoom => {
             responder.refused(daemon, &Refusal::new("no_room_for_body", EXHAUSTED_RETRY_AFTER))
         }
     })?;
@@ -455,44 +387,6 @@
     Ok(job)
 }
 
-/// Why a caller's body was not read.
-enum BodyError {
-    /// It is larger than allowed.
-    TooLarge,
-    /// It ended early.
-    Broken,
-    /// It did not arrive in time.
-    Late,
-    /// The bodies of all requests would take too much memory.
-    NoRoom,
-}
-
-/// Reads a body of at most `max` bytes within `limit`.
-async fn read_body(
-    mut body: Incoming,
-    held: &HeldRequest,
-    max: usize,
-    limit: Duration,
-) -> Result<Bytes, BodyError> {
-    let read = async {
-        match collect::collect_accepted(&mut body, max, |bytes| held.add(bytes)).await {
-            Ok(body) => Ok(body),
-            Err(err) if err.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-            Err(err) if err.is::<NotAccepted>() => {
-                // The caller reads no answer before it has sent the rest.
-                collect::drain(body, max).await;
-                Err(BodyError::NoRoom)
-            }
-            Err(_) => Err(BodyError::Broken),
-        }
-    };
-    let late = async {
-        Timer::after(limit).await;
-        Err(BodyError::Late)
-    };
-    read.or(late).await
-}
-
 /// What is known of a request beyond its own bytes.
 struct Admitted {
     caller: Caller,
@@ -509,7 +403,7 @@
     route: Rc<Route>,
     admitted: Admitted,
     head: &http::request::Parts,
-    (body, held): (Bytes, HeldRequest),
+    (body, held): (Segments, HeldRequest),
     arrived_at: Duration,
     deadline: Duration,
 ) -> Job {
@@ -586,7 +480,7 @@
     team: Option<&Team>,
     host: &str,
     head: &http::request::Parts,
-    body: &[u8],
+    body: &Segments,
 ) -> Fingerprint {
     let mut hasher = Xxh3::new();
     let team = team.map_or("", |team| team.name.as_str());
@@ -595,7 +489,7 @@
         hasher.update(part.as_bytes());
         hasher.update(&[0]);
     }
-    hasher.update(body);
+    body.iter().for_each(|segment| hasher.update(segment));
     hasher.digest()
 }
 
--- a/src/daemon/gauge.rs
+++ b/src/daemon/gauge.rs
@@ -6,11 +6,14 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use strum::IntoEnumIterator;
+
 use crate::daemon::Daemon;
 use crate::daemon::clock;
 use crate::daemon::contact;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
+use crate::decide::connection::Port;
 use crate::edge::dialect::Kind;
 use crate::table::TeamId;
 use crate::table::routing;
@@ -159,6 +162,7 @@
         let (suspect_parts, refused_parts) = daemon.quarantine.borrow().part_counts(now);
         let (unreached, known) = fleet.unreached_count();
         let (held, max_held) = daemon.read_ahead.held();
+        let (replaced, rejected) = daemon.connections.closed();
         let values = [
             ("poplarmux_endpoints", known as u64),
             ("poplarmux_endpoints_unreached", unreached as u64),
@@ -183,12 +187,18 @@
             ("poplarmux_leads", u64::from(daemon.placer.borrow().holds_lease(now))),
             ("poplarmux_held_bytes", held as u64),
             ("poplarmux_held_bytes_max", max_held as u64),
+            ("poplarmux_connections_replaced_total", replaced),
+            ("poplarmux_connections_rejected_total", rejected),
             ("poplarmux_slow_callers", daemon.read_ahead.behind_count() as u64),
             ("poplarmux_late_orders", daemon.placer.borrow().late_orders.count(now) as u64),
         ];
         for (name, value) in values {
             writeln!(out, "{name} {value}")?;
         }
+        for port in Port::iter() {
+            let (name, open): (&str, _) = (port.into(), daemon.connections.open(port));
+            writeln!(out, "poplarmux_connections{{port=\"{name}\"}} {open}")?;
+        }
         for kind in [Kind::Config, Kind::Instances, Kind::Nodes] {
             let (name, live): (&str, _) = (kind.into(), daemon.relay.is_followed(kind));
             writeln!(out, "poplarmux_reads_store{{object=\"{name}\"}} {}", u8::from(live))?;
--- a/src/daemon/journal.rs
+++ b/src/daemon/journal.rs
@@ -383,6 +383,10 @@
         held: usize,
         behind: u64,
     },
+    NoRoom {
+        held: usize,
+        age: u64,
+    },
     Omitted {
         kind: &'static str,
         lines: u64,
@@ -445,6 +449,7 @@
             Event::ReadAhead { .. } => "read_ahead",
             Event::Pace { .. } => "pace",
             Event::Overrun { .. } => "overrun",
+            Event::NoRoom { .. } => "no_room",
             Event::Omitted { .. } => "omitted",
         }
     }
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -37,7 +37,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -51,14 +50,17 @@
 use smol::future::FutureExt;
 use smol::io::AsyncRead;
 use smol::io::AsyncWrite;
+use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::clock;
 use crate::daemon::collect;
+use crate::daemon::segments::Segments;
 use crate::decide::body::End;
 use crate::decide::body::Framing;
+use crate::decide::connection::RECEIVE_BUFFER_BYTES;
 use crate::edge::response_filter;
 use crate::edge::response_filter::Expected;
 use crate::edge::response_filter::Filter;
@@ -276,7 +278,7 @@
     pub number: u64,
     /// Number of requests sent.
     pub requests: u64,
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Segments>,
     stream: TcpStream,
     progress: Rc<Progress>,
     /// Hashes of all named requests that were sent, at most `MAX_CARRIED`.
@@ -367,7 +369,7 @@
     /// response, as `send` does. Other responses are discarded.
     pub async fn send_named(
         &mut self,
-        req: Request<Bytes>,
+        req: Request<impl Into<Segments>>,
         name: &HeaderName,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
@@ -383,7 +385,7 @@
     /// to this request.
     pub async fn send(
         &mut self,
-        req: Request<Bytes>,
+        req: Request<impl Into<Segments>>,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
         self.exchange(req, Expected::Next, limit).await
@@ -391,7 +393,7 @@
 
     async fn exchange(
         &mut self,
-        req: Request<Bytes>,
+        req: Request<impl Into<Segments>>,
         expected: Expected,
         limit: Duration,
     ) -> Result<Response<Incoming>, Error> {
@@ -399,7 +401,7 @@
         self.progress.filter.borrow_mut().expect(expected, is_head);
         self.progress.write_deadline.set(clock::now() + limit);
         self.progress.reset();
-        let req = req.map(Full::new);
+        let req = req.map(Into::into);
         self.requests += 1;
         match self.sender.try_send_request(req).await {
             Ok(res) => {
@@ -554,6 +556,17 @@
     sockopt::set_socket_send_buffer_size(stream, SEND_BUFFER_BYTES)
 }
 
+/// Bounds what the kernel keeps of requests that were not read yet, on each connection that a listener
+/// accepts. Otherwise it may be as much as 6 MB per connection.
+pub fn limit_receive_buffer(listener: &TcpListener) -> rustix::io::Result<()> {
+    sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES)
+}
+
+/// Sets the receive buffer of a connection.
+pub fn set_receive_buffer(stream: &TcpStream, bytes: usize) -> rustix::io::Result<()> {
+    sockopt::set_socket_recv_buffer_size(stream, bytes)
+}
+
 /// Sets the socket options that detect an unresponsive peer, and disables send delays.
 pub fn set_socket_options(stream: &TcpStream) -> rustix::io::Result<()> {
     sockopt::set_tcp_nodelay(stream, true)?;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod collect;
 pub mod compression;
+pub mod connection;
 pub mod contact;
 pub mod directory;
 pub mod engine;
@@ -21,6 +22,7 @@
 pub mod gate;
 pub mod gauge;
 pub mod incarnation;
+pub mod intake;
 pub mod journal;
 pub mod lease;
 pub mod limit;
@@ -38,6 +40,7 @@
 pub mod relay;
 pub mod reply;
 pub mod retry;
+pub mod segments;
 pub mod send;
 pub mod settings;
 pub mod statement;
@@ -161,6 +164,8 @@
     pub rng: RefCell<SmallRng>,
     /// Bounds the explanations that operators ask for.
     pub explanations: Cell<explain::Rate>,
+    /// Accepted connections.
+    pub connections: connection::Connections,
     /// What is held for callers that read slowly, and of other bodies.
     pub read_ahead: read_ahead::Table,
     /// Monitor of the event loop's ticks.
@@ -236,6 +241,7 @@
             gauges: Gauges::default(),
             rng: RefCell::new(rng),
             explanations: Cell::default(),
+            connections: connection::Connections::new(&settings),
             read_ahead: read_ahead::Table::new(settings.memory),
             lag: Cell::default(),
             shutting_down: Cell::new(false),
@@ -339,6 +345,7 @@
         if now >= last_sweep + IDLE_SWEEP_INTERVAL {
             last_sweep = now;
             daemon.shares.borrow_mut().tick(now);
+            connection::close_late_heads(&daemon, now);
             daemon.pool.borrow_mut().remove_expired();
             let fleet = daemon.fleet.borrow();
             daemon.liveness.borrow_mut().retain(|key| fleet.get(key).is_some());
--- a/src/daemon/read_ahead.rs
+++ b/src/daemon/read_ahead.rs
@@ -11,6 +11,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::pin::Pin;
@@ -26,15 +27,15 @@
 use hyper::body::Body;
 use hyper::body::Frame;
 use smol::Task;
-use smol::net::TcpStream;
 use smol::stream::Stream;
 
 use crate::daemon::Daemon;
 use crate::daemon::clock;
+use crate::daemon::connection::Connection;
 use crate::daemon::front::Frames;
 use crate::daemon::front::Truncated;
+use crate::daemon::intake;
 use crate::daemon::journal::Event;
-use crate::daemon::link;
 use crate::decide::read_ahead;
 use crate::decide::read_ahead::Bounds;
 use crate::decide::read_ahead::Cause;
@@ -49,88 +50,16 @@
 const KEPT_BYTES: usize = 4 << 10;
 /// Bytes that the server holds for a caller that is behind, and that are not counted one by one.
 const SERVER_BUFFER_BYTES: usize = 64 << 10;
-/// Length from which an answer may fill the receive buffer of a caller. Shorter ones are detected as
-/// unacknowledged early.
-const LONG_ANSWER_BYTES: usize = 4 << 10;
-/// How long a caller may leave a long answer unacknowledged or its receive buffer full. A kernel
-/// announces room again when a sixteenth of that buffer is free, which takes four seconds for 64 KB
-/// at 1 KB per second, and a minute where segments are as large as the buffer.
-const SLOW_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// A caller's connection.
-pub struct Connection {
-    stream: TcpStream,
-    /// Whether it allows `SLOW_CALLER_TIMEOUT`.
-    is_patient: Cell<bool>,
-    is_aborted: Cell<bool>,
-    /// Wakes the task that serves the connection.
-    waker: RefCell<Option<Waker>>,
-}
-
-impl Connection {
-    /// Returns an accepted connection.
-    pub fn new(stream: TcpStream) -> Rc<Self> {
-        Rc::new(Connection {
-            stream,
-            is_patient: Cell::default(),
-            is_aborted: Cell::default(),
-            waker: RefCell::default(),
-        })
-    }
-
-    /// Returns the socket.
-    pub fn stream(&self) -> &TcpStream {
-        &self.stream
-    }
-
-    /// Is ready once the connection has to be closed at once.
-    pub fn poll_aborted(&self, cx: &Context<'_>) -> Poll<()> {
-        if self.is_aborted.get() {
-            return Poll::Ready(());
-        }
-        let mut waker = self.waker.borrow_mut();
-        if !waker.as_ref().is_some_and(|waker| waker.will_wake(cx.waker())) {
-            *waker = Some(cx.waker().clone());
-        }
-        Poll::Pending
-    }
-
-    /// Closes the connection with a reset.
-    fn abort(&self) {
-        // If this fails, the answer still lacks its last chunk.
-        let _ = link::set_reset_on_close(&self.stream, true);
-        self.is_aborted.set(true);
-        if let Some(waker) = self.waker.take() {
-            waker.wake();
-        }
-    }
-
-    /// Allows a caller of a long answer to read it slowly.
-    pub fn allow_slow_caller(&self, answer_bytes: usize) {
-        if answer_bytes > LONG_ANSWER_BYTES && !self.is_patient.replace(true) {
-            // If this fails, the caller is cut off early.
-            let _ = link::set_unacked_timeout(&self.stream, SLOW_CALLER_TIMEOUT);
-        }
-    }
-
-    /// Restores the detection of callers that have gone, as the next request shows that this one has
-    /// not.
-    pub fn on_request(&self) {
-        if self.is_patient.take() {
-            // If this fails, a caller that has gone is found late.
-            let _ = link::set_unacked_timeout(&self.stream, link::UNACKED_TIMEOUT);
-        }
-    }
-}
-
 /// What a daemon holds for its callers.
 pub struct Table {
-    bounds: Bounds,
+    pub(super) bounds: Bounds,
     rows: RefCell<HashMap<RequestId, Rc<Row>>>,
     /// Bytes of bodies that are not in `rows`.
     bodies: Cell<usize>,
     /// Those of requests among them.
-    requests: Cell<usize>,
+    pub(super) requests: Cell<usize>,
+    /// Requests that are being received.
+    pub(super) incoming: RefCell<BTreeMap<u64, Rc<intake::Row>>>,
     /// Bytes that were read ahead and not taken yet.
     read_ahead: Cell<usize>,
     /// Most bytes held at once.
@@ -146,6 +75,7 @@
             rows: RefCell::default(),
             bodies: Cell::default(),
             requests: Cell::default(),
+            incoming: RefCell::default(),
             read_ahead: Cell::default(),
             max_held: Cell::default(),
             ended: RefCell::default(),
@@ -173,45 +103,6 @@
     }
 }
 
-/// Counts the body of a request as held until it is dropped.
-pub struct HeldRequest {
-    held: Held,
-}
-
-impl HeldRequest {
-    /// Returns a body of which nothing has been received.
-    pub fn new(daemon: &Rc<Daemon>) -> Self {
-        HeldRequest { held: Held::new(daemon) }
-    }
-
-    /// Counts a part of the body, unless the bodies of all requests would exceed their bound. Then
-    /// nothing of it is held any more.
-    pub fn add(&self, bytes: usize) -> bool {
-        let table = &self.held.daemon.read_ahead;
-        let all = table.requests.get();
-        let accepts = table.bounds.accepts_request(bytes, self.held.bytes.get(), all);
-        if accepts {
-            table.requests.set(all + bytes);
-            self.held.add(bytes);
-        } else {
-            self.release();
-        }
-        accepts
-    }
-
-    fn release(&self) {
-        let requests = &self.held.daemon.read_ahead.requests;
-        requests.set(requests.get() - self.held.bytes.get());
-        self.held.release();
-    }
-}
-
-impl Drop for HeldRequest {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
 /// Counts a body as held until it is dropped.
 pub struct Held {
     daemon: Rc<Daemon>,
@@ -235,14 +126,27 @@
         })
     }
 
+    /// Returns the number of bytes that are counted.
+    pub fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
     /// Counts a part of the body.
-    fn add(&self, bytes: usize) {
+    pub fn add(&self, bytes: usize) {
         self.bytes.set(self.bytes.get() + bytes);
         let table = &self.daemon.read_ahead;
         table.add(&table.bodies, bytes);
     }
 
-    fn release(&self) {
+    /// Counts `bytes` less.
+    pub fn remove(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() - bytes);
+        let bodies = &self.daemon.read_ahead.bodies;
+        bodies.set(bodies.get() - bytes);
+    }
+
+    /// Counts nothing of the body any more.
+    pub fn release(&self) {
         let bodies = &self.daemon.read_ahead.bodies;
         bodies.set(bodies.get() - self.bytes.take());
     }
--- a/src/daemon/relay/server.rs
+++ b/src/daemon/relay/server.rs
@@ -15,8 +15,8 @@
 use crate::daemon::Daemon;
 use crate::daemon::clock;
 use crate::daemon::compression;
+use crate::daemon::connection;
 use crate::daemon::directory::response;
-use crate::daemon::directory::serve_with;
 use crate::daemon::forward;
 use crate::daemon::front::Payload;
 use crate::daemon::journal::Event;
@@ -28,6 +28,7 @@
 use crate::daemon::relay::Topic;
 use crate::daemon::relay::Update;
 use crate::daemon::relay::parse_path;
+use crate::decide::connection::Port;
 use crate::decide::relay::Delta;
 use crate::decide::relay::Feed;
 use crate::decide::relay::MAX_AGE;
@@ -36,9 +37,9 @@
 /// Answers the requests of other daemons for as long as this one runs: for objects, and to pass a
 /// caller's request on.
 pub async fn serve(daemon: Rc<Daemon>, listener: TcpListener) {
-    serve_with(daemon, listener, async |daemon, req| {
+    connection::serve(daemon, Port::Daemons, listener, async |daemon, connection, req| {
         if forward::is_forwarded(req.headers()) {
-            return forward::respond(&daemon, req).await;
+            return forward::respond(&daemon, &connection, req).await;
         }
         let (head, _) = req.into_parts();
         Ok(respond(&daemon, &head).await.map(Payload::Complete))
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -37,6 +37,7 @@
 use crate::daemon::quota::Charge;
 use crate::daemon::read_ahead::Held;
 use crate::daemon::retry;
+use crate::daemon::segments::Segments;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
 use crate::decide::body;
@@ -300,7 +301,7 @@
     through: Option<SocketAddr>,
     time_left: Duration,
     last_event: Option<&str>,
-) -> Result<Request<Bytes>, Box<Outcome>> {
+) -> Result<Request<Segments>, Box<Outcome>> {
     let unsent = |reason| Box::new(Outcome::Unsent(reason));
     if time_left.is_zero() {
         return Err(unsent("deadline"));
@@ -363,7 +364,7 @@
     job: &Job,
     place: &Permit,
     link: &mut Link,
-    req: Request<Bytes>,
+    req: Request<Segments>,
     is_direct: bool,
     time_left: Duration,
     can_retry: bool,
@@ -455,7 +456,7 @@
     time_left: Duration,
     last_event: Option<&str>,
     team: Option<&str>,
-) -> Result<Request<Bytes>, crate::edge::dialect::Error> {
+) -> Result<Request<Segments>, crate::edge::dialect::Error> {
     let mut headers = job.headers.clone();
     let attempt = Attempt {
         endpoint: &key.id,
--- a/src/daemon/settings.rs
+++ b/src/daemon/settings.rs
@@ -30,6 +30,8 @@
     pub millicores: u32,
     /// Memory that the process may use, in bytes; none if it is not stated.
     pub memory: Option<usize>,
+    /// Descriptors that the process may have open; none if it is not stated.
+    pub descriptors: Option<usize>,
     /// Address that serves callers' requests.
     pub front: SocketAddr,
     /// Address that serves readiness checks.
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! that accepts the same commands as JSON at `POST /control`.
 
 pub mod caller;
+pub mod crowd;
 pub mod engine;
 pub mod gate;
 pub mod host;
