Count refused requests until their memory is released

A request that is refused to receive another one was no longer counted at once, but its task releases the memory only when it runs.

A part that does not fit now waits until what was refused for it has been released; the same for parts of heads, before they are read.

--- a/src/daemon/collect.rs
+++ b/src/daemon/collect.rs
@@ -64,7 +64,7 @@
 pub async fn collect_accepted<B>(
     body: B,
     max: usize,
-    accepts: impl Fn(usize) -> bool,
+    accepts: impl AsyncFn(usize) -> bool,
 ) -> Result<Segments, Box<dyn Error + Send + Sync>>
 where
     B: Body<Data = Bytes>,
@@ -76,7 +76,7 @@
     while let Some(frame) = body.frame().await {
         // Trailers are no content.
         if let Ok(data) = frame?.into_data()
-            && !writer.push(&data, &accepts)
+            && !writer.push(&data, &accepts).await
         {
             return Err(Box::new(NotAccepted));
         }
--- a/src/daemon/connection.rs
+++ b/src/daemon/connection.rs
@@ -18,6 +18,7 @@
 
 use bytes::Bytes;
 use event_listener::Event as Notifier;
+use event_listener::EventListener;
 use http::Request;
 use http::Response;
 use hyper::body::Body;
@@ -167,8 +168,11 @@
     is_blocked: Cell<bool>,
     /// Bytes of the head that were received.
     head_bytes: Cell<usize>,
-    /// Counts those of a large head.
+    /// Bytes that it may have without being counted as held, or for which more is counted already.
+    head_room: Cell<usize>,
+    /// Counts a large head.
     held_head: RefCell<Option<HeldRequest>>,
+    head_freed: RefCell<Option<Pin<Box<EventListener>>>>,
     /// Whether it allows `SLOW_CALLER_TIMEOUT`.
     is_patient: Cell<bool>,
     is_aborted: Cell<bool>,
@@ -192,7 +196,9 @@
             listed_since: Cell::new(Some(now)),
             is_blocked: Cell::default(),
             head_bytes: Cell::default(),
+            head_room: Cell::new(SERVER_BUFFER_BYTES),
             held_head: RefCell::default(),
+            head_freed: RefCell::default(),
             is_patient: Cell::default(),
             is_aborted: Cell::default(),
             waker: RefCell::default(),
@@ -213,27 +219,33 @@
         }
     }
 
-    /// Records that bytes were received. Those of a large head are counted as held.
+    /// Records that bytes were received.
     fn on_received(&self, bytes: usize) {
         if self.phase.get() == Phase::Idle {
-            self.phase.set(Phase::Head);
-            self.since.set(clock::now());
-            self.update();
+            self.set_phase(Phase::Head);
         }
         if self.phase.get() == Phase::Head {
             self.head_bytes.set(self.head_bytes.get() + bytes);
-            if self.head_bytes.get() > SERVER_BUFFER_BYTES {
-                self.hold_head(bytes);
-            }
         }
     }
 
-    fn hold_head(&self, bytes: usize) {
+    /// Is ready once as much may be read as is read at a time. Bytes of a large head are counted as
+    /// held; if there is no room for them, the connection is closed by the refusal.
+    fn poll_room(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let counted = self.head_room.get();
+        if self.phase.get() != Phase::Head || self.head_bytes.get() + READ_BYTES <= counted {
+            return Poll::Ready(());
+        }
         let mut held = self.held_head.borrow_mut();
-        let new = || HeldRequest::new(&self.daemon, Owner::Head(self.this.clone()));
-        // The server's buffer grows to twice what it holds. If there is no room, the connection is
-        // closed by the refusal.
-        held.get_or_insert_with(new).add(2 * bytes);
+        let held = held
+            .get_or_insert_with(|| HeldRequest::new(&self.daemon, Owner::Head(self.this.clone())));
+        // The server's buffer grows to twice what it holds.
+        let mut freed = self.head_freed.borrow_mut();
+        if std::task::ready!(held.poll_add(cx, 2 * READ_BYTES, &mut freed)) {
+            self.head_room.set(counted + READ_BYTES);
+            return Poll::Ready(());
+        }
+        Poll::Pending
     }
 
     fn set_phase(&self, phase: Phase) {
@@ -253,6 +265,7 @@
     fn on_answered(&self) {
         self.held_head.take();
         self.head_bytes.set(0);
+        self.head_room.set(SERVER_BUFFER_BYTES);
         self.set_phase(Phase::Idle);
     }
 
@@ -337,6 +350,7 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.connection.poll_room(cx));
         let len = buf.len().min(READ_BYTES);
         let result = Pin::new(&mut self.output).poll_read(cx, &mut buf[..len]);
         if let Poll::Ready(Ok(len @ 1..)) = result {
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -1,12 +1,18 @@
 //! Counts what requests hold in memory, and refuses requests that are being received if there is too
-//! much of it, as `decide::intake` decides.
+//! much of it, as `decide::intake` decides. What was refused counts until its task has released it:
+//! many other tasks may run before.
 
 use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::rc::Weak;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use event_listener::Event as Notifier;
+use event_listener::EventListener;
 use http_body_util::LengthLimitError;
 use hyper::body::Body;
 use hyper::body::Incoming as IncomingBody;
@@ -40,6 +46,17 @@
     Body,
 }
 
+/// What becomes of a part of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Room {
+    /// It is counted.
+    Granted,
+    /// The request is refused.
+    Refused,
+    /// It fits once requests that are refused have released their memory.
+    Later,
+}
+
 /// A request that is being received.
 pub struct Row {
     owner: Owner,
@@ -71,19 +88,59 @@
         HeldRequest { daemon: daemon.clone(), number, row }
     }
 
-    /// Counts a part, unless the parts of all requests would exceed their bound and this request is
-    /// the one to refuse. Then nothing of it is counted any more, and nothing may be kept.
-    pub fn add(&self, bytes: usize) -> bool {
+    /// Counts a part once it fits beside the parts of all requests. If this request is the one to
+    /// refuse, returns false: nothing of it may be kept then.
+    pub async fn add(&self, bytes: usize) -> bool {
+        loop {
+            let freed = self.daemon.read_ahead.freed.listen();
+            match self.ask(bytes) {
+                Room::Granted => return true,
+                Room::Refused => return false,
+                Room::Later => freed.await,
+            }
+        }
+    }
+
+    /// Is ready once `add` would be. `freed` is kept between the calls.
+    pub fn poll_add(
+        &self,
+        cx: &mut Context<'_>,
+        bytes: usize,
+        freed: &mut Option<Pin<Box<EventListener>>>,
+    ) -> Poll<bool> {
+        loop {
+            let listener =
+                freed.get_or_insert_with(|| Box::pin(self.daemon.read_ahead.freed.listen()));
+            let room = self.ask(bytes);
+            if room != Room::Later {
+                freed.take();
+                return Poll::Ready(room == Room::Granted);
+            }
+            std::task::ready!(listener.as_mut().poll(cx));
+            freed.take();
+        }
+    }
+
+    /// Counts a part if it fits. Otherwise requests are refused until it will fit, of which this one
+    /// may be the last.
+    fn ask(&self, bytes: usize) -> Room {
         let table = &self.daemon.read_ahead;
         loop {
             if self.row.is_refused.get() {
-                return false;
+                return Room::Refused;
             }
             if self.reserve(bytes) {
-                return true;
+                return Room::Granted;
             }
             let incoming = table.incoming.borrow();
-            let candidates = incoming.iter().map(|(number, row)| Incoming {
+            let refused = incoming.values().filter(|row| row.is_refused.get());
+            let freed_soon: usize = refused.map(|row| row.held.bytes()).sum();
+            let (own, all) = (self.row.held.bytes(), table.requests.get() - freed_soon);
+            if table.bounds.accepts_request(bytes, own, all) {
+                return Room::Later;
+            }
+            let candidates = incoming.iter().filter(|(_, row)| !row.is_refused.get());
+            let candidates = candidates.map(|(number, row)| Incoming {
                 number: *number,
                 bytes: row.held.bytes() + if *number == self.number { bytes } else { 0 },
                 since: row.since,
@@ -107,6 +164,19 @@
         accepts
     }
 
+    /// Counts `bytes` less.
+    fn remove(&self, bytes: usize) {
+        let table = &self.daemon.read_ahead;
+        table.requests.set(table.requests.get() - bytes);
+        self.row.held.remove(bytes);
+        table.freed.notify(usize::MAX);
+    }
+
+    /// Counts nothing of the request any more, as nothing of it is kept.
+    fn release(&self) {
+        self.remove(self.row.held.bytes());
+    }
+
     /// Waits until the request is refused as another one needs its memory.
     pub async fn refused(&self) {
         loop {
@@ -118,15 +188,6 @@
         }
     }
 
-    /// Counts `bytes` less, unless nothing is counted as the request was refused.
-    fn remove(&self, bytes: usize) {
-        if !self.row.is_refused.get() {
-            let requests = &self.daemon.read_ahead.requests;
-            requests.set(requests.get() - bytes);
-            self.row.held.remove(bytes);
-        }
-    }
-
     /// Records that the request was received, so that it is not refused any more.
     pub fn complete(&self) {
         self.daemon.read_ahead.incoming.borrow_mut().remove(&self.number);
@@ -136,7 +197,7 @@
 impl Drop for HeldRequest {
     fn drop(&mut self) {
         self.complete();
-        release(&self.daemon, &self.row);
+        self.release();
     }
 }
 
@@ -163,8 +224,7 @@
 impl WideBuffer<'_> {
     /// Widens the buffer unless it is wide already, if there is room for that.
     fn widen(&self) {
-        let is_refused = self.held.row.is_refused.get();
-        if !self.is_wide.get() && !is_refused && self.held.reserve(2 * WIDE_BUFFER_BYTES) {
+        if !self.is_wide.get() && self.held.reserve(2 * WIDE_BUFFER_BYTES) {
             self.is_wide.set(true);
             // If this fails, the body arrives slowly.
             let _ = link::set_receive_buffer(self.connection.stream(), WIDE_BUFFER_BYTES);
@@ -198,11 +258,11 @@
             Err(NotAccepted.into())
         };
         let buffer = WideBuffer { connection, held, is_wide: Cell::default() };
-        let accepts = |bytes| {
+        let accepts = async |bytes| {
             if bytes >= LONG_BODY_SEGMENT_BYTES {
                 buffer.widen();
             }
-            held.add(bytes)
+            held.add(bytes).await
         };
         let received = collect::collect_accepted(&mut body, max, accepts).or(refused).await;
         drop(buffer);
@@ -213,6 +273,7 @@
             }
             Err(err) if err.is::<LengthLimitError>() => Err(Error::TooLarge),
             Err(err) if err.is::<NotAccepted>() => {
+                held.release();
                 // The client reads no answer before it has sent the rest.
                 collect::drain(body, max).await;
                 Err(Error::NoRoom)
@@ -231,7 +292,6 @@
     let held = row.held.bytes();
     let age = clock::now().saturating_sub(row.since).as_millis() as u64;
     daemon.note(&Event::NoRoom { held, age });
-    release(daemon, row);
     row.is_refused.set(true);
     row.refused.notify(usize::MAX);
     if let Owner::Head(connection) = &row.owner
@@ -240,9 +300,3 @@
         connection.close();
     }
 }
-
-fn release(daemon: &Daemon, row: &Row) {
-    let requests = &daemon.read_ahead.requests;
-    requests.set(requests.get() - row.held.bytes());
-    row.held.release();
-}
--- a/src/daemon/read_ahead.rs
+++ b/src/daemon/read_ahead.rs
@@ -23,6 +23,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use event_listener::Event as Notifier;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -60,6 +61,8 @@
     pub(super) requests: Cell<usize>,
     /// Requests that are being received.
     pub(super) incoming: RefCell<BTreeMap<u64, Rc<intake::Row>>>,
+    /// Notified when requests hold less.
+    pub(super) freed: Notifier,
     /// Bytes that were read ahead and not taken yet.
     read_ahead: Cell<usize>,
     /// Most bytes held at once.
@@ -76,6 +79,7 @@
             bodies: Cell::default(),
             requests: Cell::default(),
             incoming: RefCell::default(),
+            freed: Notifier::new(),
             read_ahead: Cell::default(),
             max_held: Cell::default(),
             ended: RefCell::default(),
--- a/src/daemon/segments.rs
+++ b/src/daemon/segments.rs
@@ -95,11 +95,11 @@
 
     /// Adds a part. Before a segment is allocated `accepts` is asked with its size, and if it declines
     /// the rest of the part is not added; returns whether all of it was.
-    pub fn push(&mut self, mut part: &[u8], accepts: impl Fn(usize) -> bool) -> bool {
+    pub async fn push(&mut self, mut part: &[u8], accepts: impl AsyncFn(usize) -> bool) -> bool {
         while !part.is_empty() {
             if self.room == 0 {
                 let size = self.next.min(self.expected.unwrap_or(self.next).max(1));
-                if !accepts(size) {
+                if !accepts(size).await {
                     return false;
                 }
                 self.end_segment();
--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -23,6 +23,12 @@
     pub since: Duration,
 }
 
+/// Returns whether a part of a request may be kept, if that request keeps `own` bytes and all requests
+/// together keep `all`, of at most `max`. A request that is alone may keep more.
+pub fn fits(part: usize, own: usize, all: usize, max: usize) -> bool {
+    own == all || all + part <= max
+}
+
 /// Returns the request that is refused first; of equal ones the older one.
 pub fn select_refused(now: Duration, incoming: impl Iterator<Item = Incoming>) -> Option<Incoming> {
     let cost = |row: &Incoming| {
--- a/src/decide/read_ahead.rs
+++ b/src/decide/read_ahead.rs
@@ -17,6 +17,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use crate::decide::intake;
 use crate::table::RequestId;
 
 /// Time for which a caller takes nothing until its stream is read ahead. Engines wait for seconds.
@@ -56,7 +57,7 @@
     /// Returns whether a part of a request's body may be kept, if that request keeps `own` bytes and
     /// all requests together keep `all`. A request that is alone may keep more than the bound.
     pub fn accepts_request(self, part: usize, own: usize, all: usize) -> bool {
-        own == all || all + part <= self.total / REQUESTS_DIVISOR
+        intake::fits(part, own, all, self.total / REQUESTS_DIVISOR)
     }
 }
 
