Bound what the connections and bodies of entries and placers take

With bodies of 1 MiB allowed, 140 clients whose bodies never end brought an entry to 168 MB, messages to the port for peers to 315 MB and a head that is one line without end to 1,485 MB. 700 clients that sent one byte of a head, or a request without its last byte, kept everybody else out.

Each body was bounded and all together were not, with room for all that was announced; the parser checks a head after each line only; a full server refused further connections however long the open ones had waited.

limits.bodies (64 MiB) bounds the bodies that are held, in buffers that grow as they arrive, 16 KiB may be read before a head is complete, the receive buffer is set on the listener, and the connection that has waited longest for its client is closed to accept another one, also while the rest of a body is discarded. The port for peers accepts 1,024 connections.

--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -66,6 +66,7 @@
     start(&entry, peers);
     let limits = Limits {
         connections: entry.settings.limits.connections,
+        bodies: entry.settings.limits.bodies,
         idle: entry.settings.limits.idle(),
     };
     let state = entry.clone();
@@ -84,7 +85,7 @@
         let module = module.clone();
         async move { peer::handle(&module, req).await }
     };
-    smol::spawn(http::serve(peers, Limits::default(), Drain::default(), handler)).detach();
+    smol::spawn(http::serve(peers, peer::LIMITS, Drain::default(), handler)).detach();
     smol::spawn(gossip::run_rounds(entry.clone())).detach();
     let platform = entry.platform.clone();
     smol::spawn(offer::run_windows(entry.clone(), platform.clone())).detach();
--- a/src/cmd/placer.rs
+++ b/src/cmd/placer.rs
@@ -18,7 +18,6 @@
 use crate::edge::endpoint::control;
 use crate::edge::http;
 use crate::edge::http::Drain;
-use crate::edge::http::Limits;
 use crate::edge::http::Pool;
 use crate::edge::peer;
 use crate::edge::platform;
@@ -109,5 +108,5 @@
         let module = module.clone();
         async move { peer::handle(&module, req).await }
     };
-    smol::spawn(http::serve(peers, Limits::default(), Drain::default(), handler)).detach();
+    smol::spawn(http::serve(peers, peer::LIMITS, Drain::default(), handler)).detach();
 }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -102,6 +102,7 @@
         vec![
             bound("locate_ttl_ms", self.locate_ttl_ms, 1_000, 300_000),
             bound("limits.body", size(limits.body), 1 << 10, 64 << 20),
+            bound("limits.bodies", size(limits.bodies), 1 << 20, 4 << 30),
             bound("limits.answer", size(limits.answer), 1 << 10, 64 << 20),
             bound("limits.headers", size(limits.headers), 8, 128),
             bound("limits.connections", size(limits.connections), 1, 65_536),
@@ -125,6 +126,9 @@
 pub struct Limits {
     /// Maximum size of a request body in bytes; 1 KiB to 64 MiB.
     pub body: usize,
+    /// Maximum size of all request bodies held at once in bytes; 1 MiB to 4 GiB. A request that is
+    /// alone may hold more.
+    pub bodies: usize,
     /// Maximum size of a plain service's response in bytes; 1 KiB to 64 MiB.
     pub answer: usize,
     /// Maximum number of header fields of a request; 8 to 128.
@@ -150,6 +154,7 @@
     fn default() -> Self {
         Limits {
             body: 4 << 20,
+            bodies: 64 << 20,
             answer: 4 << 20,
             headers: 64,
             connections: 4096,
--- a/src/edge/endpoint/call.rs
+++ b/src/edge/endpoint/call.rs
@@ -156,7 +156,9 @@
             http::Error::Broken => Error::Broken,
             http::Error::Timeout => Error::Timeout,
             http::Error::TooLarge(max) => Error::Protocol(format!("body exceeds {max} bytes")),
-            http::Error::Unframed | http::Error::Malformed => Error::Protocol(err.to_string()),
+            http::Error::Unframed | http::Error::NoRoom | http::Error::Malformed => {
+                Error::Protocol(err.to_string())
+            }
         }
     }
 }
--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -5,6 +5,8 @@
 //! about 40 ms longer, because Nagle's algorithm holds back the second of two small writes until
 //! the delayed acknowledgement of the first arrives.
 
+mod connection;
+mod intake;
 mod pool;
 mod response;
 mod server;
@@ -25,7 +27,10 @@
 use serde::Serialize;
 use smol::future::FutureExt;
 use smol::io::AsyncBufRead;
-use smol::io::AsyncReadExt;
+use smol::io::AsyncBufReadExt;
+
+use crate::edge::http::connection::Connection;
+use crate::edge::http::intake::Held;
 
 pub use crate::edge::http::pool::Answer;
 pub use crate::edge::http::pool::Pool;
@@ -51,6 +56,8 @@
     TooLarge(usize),
     /// The body has neither a length nor chunks, so that a cut one can't be told from a complete one.
     Unframed,
+    /// The bodies of all requests would take too much memory.
+    NoRoom,
     /// The message violates HTTP or is not of the expected body type.
     Malformed,
 }
@@ -63,6 +70,7 @@
             Error::Timeout => write!(f, "timed out"),
             Error::TooLarge(max) => write!(f, "body exceeds {max} bytes"),
             Error::Unframed => write!(f, "body without length or chunks"),
+            Error::NoRoom => write!(f, "no room for the body"),
             Error::Malformed => write!(f, "malformed message"),
         }
     }
@@ -93,13 +101,17 @@
 /// by block, and with the last block also the beginning of the caller's next request, which would
 /// then never be answered. Such a connection is therefore closed.
 #[derive(Debug, Clone)]
-struct Unread(Arc<AtomicBool>);
+struct Unread {
+    is_set: Arc<AtomicBool>,
+    connection: Arc<Connection>,
+}
 
 impl Unread {
-    fn mark(req: &mut Request) -> Self {
+    fn mark(req: &mut Request, connection: &Arc<Connection>) -> Self {
         let chunked = req.header("transfer-encoding").is_some();
         let unread = chunked || req.len().is_some_and(|len| len > 0);
-        let mark = Unread(Arc::new(AtomicBool::new(unread)));
+        let is_set = Arc::new(AtomicBool::new(unread));
+        let mark = Unread { is_set, connection: connection.clone() };
         if unread {
             req.ext_mut().insert(mark.clone());
         }
@@ -107,7 +119,7 @@
     }
 
     fn is_set(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.is_set.load(Ordering::Relaxed)
     }
 }
 
@@ -117,13 +129,31 @@
     if expected_len.is_some_and(|len| len > max) {
         return Err(Error::TooLarge(max));
     }
+    let unread = req.ext().get::<Unread>().cloned();
+    let held = unread.as_ref().map(|unread| unread.connection.hold());
+    if let Some(unread) = &unread {
+        unread.connection.set_answering(false);
+    }
     let reader = req.take_body().into_reader();
-    let read = async { read_all(reader, expected_len, max).await };
-    let buf = read.or(expire(limit)).await?;
-    if let Some(unread) = req.ext().get::<Unread>() {
-        unread.0.store(false, Ordering::Relaxed);
+    let refused = async {
+        match &held {
+            Some(held) => held.refused().await,
+            None => smol::future::pending().await,
+        }
+        Err(Error::NoRoom)
+    };
+    let read = read_held(reader, expected_len, max, held.as_deref());
+    let result = read.or(refused).or(expire(limit)).await;
+    if let Some(unread) = &unread {
+        unread.connection.set_answering(true);
+        unread.is_set.store(result.is_err(), Ordering::Relaxed);
     }
-    Ok(buf)
+    match (&held, &unread, &result) {
+        (Some(held), _, Ok(_)) => held.complete(),
+        (_, Some(unread), Err(_)) => unread.connection.release(),
+        _ => {}
+    }
+    result
 }
 
 /// Reads a body of at most `max` bytes; a length that is expected has to be reached.
@@ -135,11 +165,42 @@
 where
     R: AsyncBufRead + Unpin,
 {
-    let mut buf = Vec::with_capacity(expected_len.unwrap_or(0).min(max));
-    let mut reader = reader.take(max as u64 + 1);
-    reader.read_to_end(&mut buf).await.map_err(|_| Error::Broken)?;
-    if buf.len() > max {
-        return Err(Error::TooLarge(max));
+    read_held(reader, expected_len, max, None).await
+}
+
+/// Does the same, and counts the buffer as held. The buffer grows with what has arrived: room for all
+/// that is announced would be reserved for nothing.
+async fn read_held<R>(
+    mut reader: R,
+    expected_len: Option<usize>,
+    max: usize,
+    held: Option<&Held>,
+) -> Result<Vec<u8>, Error>
+where
+    R: AsyncBufRead + Unpin,
+{
+    let mut buf = Vec::new();
+    loop {
+        let part = reader.fill_buf().await.map_err(|_| Error::Broken)?;
+        if part.is_empty() {
+            break;
+        }
+        let len = buf.len() + part.len();
+        if len > max {
+            return Err(Error::TooLarge(max));
+        }
+        if len > buf.capacity() {
+            let capacity = expected_len.unwrap_or(max).min(2 * len).max(len);
+            if let Some(held) = held
+                && !held.add(capacity - buf.capacity()).await
+            {
+                return Err(Error::NoRoom);
+            }
+            buf.reserve_exact(capacity - buf.len());
+        }
+        buf.extend_from_slice(part);
+        let read = part.len();
+        reader.consume(read);
     }
     if expected_len.is_some_and(|len| len != buf.len()) {
         return Err(Error::Broken);
--- a/src/edge/http/server.rs
+++ b/src/edge/http/server.rs
@@ -14,26 +14,34 @@
 use http_types::Request;
 use http_types::Response;
 use http_types::StatusCode;
+use rustix::net::sockopt;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
+use crate::decide::connection::RECEIVE_BUFFER_BYTES;
 use crate::edge::http::Unread;
+use crate::edge::http::connection::Connection;
+use crate::edge::http::connection::Connections;
+use crate::edge::http::connection::Socket;
 use crate::edge::http::refusal;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// Maximum number of open connections; further ones receive a 503 and are closed.
+    /// Maximum number of open connections. To accept a further one, the connection is closed that has
+    /// waited longest for its client; while all are answering, the further one receives a 503.
     pub connections: usize,
+    /// Maximum size of all request bodies that are held, in bytes. A request that is alone may hold more.
+    pub bodies: usize,
     /// Time without a complete request head after which a connection is closed.
     pub idle: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { connections: 4096, idle: Duration::from_secs(60) }
+        Limits { connections: 4096, bodies: 64 << 20, idle: Duration::from_secs(60) }
     }
 }
 
@@ -124,7 +132,12 @@
     H: Fn(Request, Link) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let open = Arc::new(AtomicUsize::new(0));
+    // Connections have the listener's receive buffer from their first byte. If this fails, the kernel
+    // may hold more for each of them.
+    if let Err(err) = sockopt::set_socket_recv_buffer_size(&listener, RECEIVE_BUFFER_BYTES) {
+        tracing::warn!(%err, "the receive buffer is not limited");
+    }
+    let connections = Connections::new(limits.connections, limits.bodies);
     loop {
         let accepted = async { Some(listener.accept().await) };
         let closed = async {
@@ -142,33 +155,36 @@
         };
         let _ = stream.set_nodelay(true);
         let link = Link { addr, stream };
-        if open.load(Ordering::Relaxed) >= limits.connections {
+        if !connections.make_room().await {
             let refused = refuse(link, StatusCode::ServiceUnavailable, "connections_full");
             smol::spawn(refused).detach();
             continue;
         }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (open, drain, handler) = (open.clone(), drain.clone(), handler.clone());
-        smol::spawn(async move {
-            serve_connection(link, limits, drain, handler).await;
-            open.fetch_sub(1, Ordering::Relaxed);
-        })
-        .detach();
+        let connection = connections.open();
+        let (drain, handler) = (drain.clone(), handler.clone());
+        smol::spawn(serve_connection(link, connection, limits, drain, handler)).detach();
     }
 }
 
 /// Serves the requests of one connection in sequence.
-async fn serve_connection<H, F>(link: Link, limits: Limits, drain: Drain, handler: H)
-where
+async fn serve_connection<H, F>(
+    link: Link,
+    connection: Arc<Connection>,
+    limits: Limits,
+    drain: Drain,
+    handler: H,
+) where
     H: Fn(Request, Link) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     let busy = AtomicBool::new(false);
     let handle = |mut req: Request| {
         busy.store(true, Ordering::Relaxed);
-        let unread = Unread::mark(&mut req);
+        connection.on_request();
+        let unread = Unread::mark(&mut req, &connection);
         drain.in_progress.fetch_add(1, Ordering::Relaxed);
         let (drain, link, handler) = (drain.clone(), link.clone(), handler.clone());
+        let connection = connection.clone();
         async move {
             // Boxed so that the handler's state is freed before a stream is sent. Stored inline, it
             // would occupy memory for as long as the connection lives.
@@ -176,10 +192,15 @@
             if drain.is_draining() || unread.is_set() {
                 res.insert_header("connection", "close");
             }
+            if unread.is_set() {
+                // The rest of the body is discarded, which may take any time.
+                connection.set_answering(false);
+            }
             Ok(res)
         }
     };
-    let mut server = async_h1::server::Server::new(link.stream.clone(), handle);
+    let socket = Socket { stream: link.stream.clone(), connection: connection.clone() };
+    let mut server = async_h1::server::Server::new(socket, handle);
     loop {
         let drained = async {
             drain.closed().await;
@@ -197,8 +218,13 @@
                 }
             }
         };
-        let res = server.accept_one().or(drained).or(idle).await;
+        let closed = async {
+            connection.closed().await;
+            Ok(ConnectionStatus::Close)
+        };
+        let res = server.accept_one().or(drained).or(idle).or(closed).await;
         let answered = busy.swap(false, Ordering::Relaxed);
+        connection.on_answered();
         if answered {
             drain.in_progress.fetch_sub(1, Ordering::Relaxed);
         }
--- a/src/edge/peer.rs
+++ b/src/edge/peer.rs
@@ -29,6 +29,12 @@
 
 /// Maximum size of a message, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 2 << 20;
+/// Limits of a port for peers.
+pub const LIMITS: http::Limits = http::Limits {
+    connections: 1_024,
+    bodies: 8 * MAX_MESSAGE_BYTES,
+    idle: Duration::from_secs(60),
+};
 
 /// A failure of a call to a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -138,6 +144,10 @@
     }
     let body = match http::body(&mut req, MAX_MESSAGE_BYTES, Duration::from_secs(10)).await {
         Ok(body) => body,
+        Err(http::Error::NoRoom) => {
+            let text = http::Error::NoRoom.to_string();
+            return http::refusal(StatusCode::ServiceUnavailable, "overloaded", &text);
+        }
         Err(err) => {
             return http::refusal(StatusCode::BadRequest, "malformed_request", &err.to_string());
         }
--- a/src/edge/platform/http.rs
+++ b/src/edge/platform/http.rs
@@ -445,7 +445,7 @@
     match err {
         http::Error::Connect | http::Error::Broken | http::Error::Timeout => Error::Unreachable,
         http::Error::TooLarge(max) => Error::TooLarge(max),
-        http::Error::Unframed | http::Error::Malformed => Error::Protocol(0),
+        http::Error::Unframed | http::Error::NoRoom | http::Error::Malformed => Error::Protocol(0),
     }
 }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -25,6 +25,8 @@
 
 /// Longest deadline that a caller may set: a day, for overnight work.
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
+/// Retry-after while bodies of others take the memory: another entry may have room at once.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The metadata of a request.
 #[derive(Debug, Clone)]
@@ -139,6 +141,11 @@
         http::Error::Timeout => {
             Refused::new(Code::BodyTimeout, "the request body did not arrive in time")
         }
+        http::Error::NoRoom => Refused::retryable(
+            Code::Overloaded,
+            "the bodies of all requests take too much memory",
+            NO_ROOM_RETRY_AFTER,
+        ),
         err => Refused::new(Code::MalformedRequest, err.to_string()),
     })?;
     Ok((head, body))
--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -70,7 +70,7 @@
                 }
             }
         }
-        smol::future::pending().await
+        smol::future::pending::<()>().await;
     };
     let read = async {
         let mut buf = vec![0; 4 << 10];
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -61,7 +61,8 @@
         H: Fn(Request, Link) -> Answering + Send + Sync + 'static,
     {
         let listener = TcpListener::bind(addr)?;
-        let limits = Limits { connections: 20_000, idle: Duration::from_secs(120) };
+        let limits =
+            Limits { connections: 20_000, bodies: 1 << 30, idle: Duration::from_secs(120) };
         let host = Host {
             inner: Arc::new(Inner {
                 addr: listener.local_addr()?,
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -25,7 +25,7 @@
 use standin::process::Process;
 
 /// Limits of the entry.
-const LIMITS: &str = "limits:\n  body: 1048576\n  connections: 150\n";
+const LIMITS: &str = "limits:\n  body: 1048576\n  bodies: 8388608\n  connections: 150\n";
 const MAX_BODY_BYTES: usize = 1 << 20;
 /// Memory that an entry may use at 1,000 streams, of which a crowd stays below.
 const MEMORY_BYTES: usize = 64 << 20;
