--- a/src/daemon/segments.rs
+++ b/src/daemon/segments.rs
@@ -1,8 +1,8 @@
 //! Bodies that are kept in segments.
 //!
 //! Load pattern: many large bodies arrive at once, and most of them are refused before they are
-//! complete. An allocator keeps the pages of freed blocks of megabytes, each of which was filled in
-//! part. Segments are small enough to be used again, and only the last one of a body is not full.
+//! complete. Only the last segment of a body is not full, so that what is allocated can be counted
+//! without refusing bodies for room that they never fill.
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -18,7 +18,7 @@
 
 /// Size of the first segment of a body; each further one is twice as large.
 const MIN_SEGMENT_BYTES: usize = 4 << 10;
-/// Largest size of a segment. Allocators map larger blocks one by one.
+/// Largest size of a segment.
 const MAX_SEGMENT_BYTES: usize = 64 << 10;
 
 /// A body in segments.
