Review: adapters are ordered beyond an engine's memory

The placer counts adapters but not their memory, where an engine holds more than the placer itself would load there.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -740,6 +740,7 @@
     pub weights_mb: u64,
     pub model_mb: u64,
     pub adapter_slots: usize,
+    pub adapter_mb: u64,
     pub load: Duration,
     pub adapter_load: Duration,
     pub events: u64,
@@ -944,6 +945,16 @@
                     return Some(200);
                 }
                 let count = held.adapters() + held.coming + 1;
+                let weights = held.models.len() as u64 * self.kind.model_mb
+                    + count as u64 * self.kind.adapter_mb;
+                if weights > self.kind.weights_mb {
+                    drop(held);
+                    self.crash(format!(
+                        "adapter {adapter} of {model} is ordered, which makes {weights} MB of {} MB",
+                        self.kind.weights_mb
+                    ));
+                    return None;
+                }
                 if count > self.kind.adapter_slots {
                     drop(held);
                     self.crash(format!(
@@ -996,7 +1007,9 @@
                 if resident.is_some() {
                     return Some(200);
                 }
-                let weights = (held.models.len() as u64 + 1) * self.kind.model_mb;
+                let adapters = (held.adapters() + held.coming) as u64;
+                let weights = (held.models.len() as u64 + 1) * self.kind.model_mb
+                    + adapters * self.kind.adapter_mb;
                 if weights > self.kind.weights_mb {
                     drop(held);
                     self.crash(format!(
