Review: an engine that leaves unannounced ends its streams as complete

Streams without a length whose engine exits after its entry was removed look complete to their clients with half of their events.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -705,6 +705,10 @@
     pub seq: u64,
     running: BTreeMap<(String, String), usize>,
     pub crashed: Option<String>,
+    /// Whether it writes its entry no more.
+    is_silent: bool,
+    /// Whether it accepts connections no more.
+    is_closed: bool,
     beat: u64,
     connections: Vec<TcpStream>,
 }
@@ -745,6 +749,8 @@
     pub adapter_load: Duration,
     pub events: u64,
     pub pause: Duration,
+    /// Whether its streams have no length and end with their connections.
+    pub is_unframed: bool,
 }
 
 /// A model engine. An order beyond what it can hold crashes it, for good.
@@ -785,19 +791,24 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if shared.held.lock().unwrap().crashed.is_some() {
-                    return;
+                    break;
                 }
                 let connection = stream.try_clone().unwrap();
                 shared.held.lock().unwrap().connections.push(connection);
                 let shared = shared.clone();
                 thread::spawn(move || shared.serve(stream));
             }
+            drop(listener);
+            shared.held.lock().unwrap().is_closed = true;
         });
         let shared = engine.clone();
         thread::spawn(move || {
             while shared.beat() {
                 thread::sleep(Duration::from_millis(1_200));
             }
+            if shared.held.lock().unwrap().is_silent {
+                return;
+            }
             // After three intervals of silence the entry is removed.
             thread::sleep(Duration::from_millis(3_600));
             shared.store.remove("servers", &shared.id);
@@ -808,7 +819,7 @@
     /// Writes the engine's entry; returns false once the engine has crashed.
     fn beat(&self) -> bool {
         let mut held = self.held.lock().unwrap();
-        if held.crashed.is_some() {
+        if held.crashed.is_some() || held.is_silent {
             return false;
         }
         held.beat += 1;
@@ -1069,6 +1080,29 @@
         let _ = TcpStream::connect(self.addr);
     }
 
+    /// Removes the engine's entry, as one does that leaves without a report.
+    pub fn leave(&self) {
+        let mut held = self.held.lock().unwrap();
+        held.is_silent = true;
+        self.store.remove("servers", &self.id);
+        self.record.note(&format!("the entry of engine {} is removed", self.id));
+    }
+
+    /// Ends the engine as a process ends: it accepts no connection any more, and its connections are
+    /// closed, but not reset.
+    pub fn exit(&self) {
+        self.held.lock().unwrap().crashed = Some("exit".to_string());
+        while !self.held.lock().unwrap().is_closed {
+            let _ = TcpStream::connect(self.addr);
+            thread::sleep(Duration::from_millis(1));
+        }
+        let mut held = self.held.lock().unwrap();
+        for connection in held.connections.drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        self.record.note(&format!("engine {} is gone", self.id));
+    }
+
     fn run(&self, stream: &mut TcpStream, req: &Message, id: &str) -> bool {
         if id.is_empty() {
             return self.reject(stream, 400, "");
@@ -1099,8 +1133,12 @@
     }
 
     fn stream(&self, stream: &mut TcpStream, id: &str) -> bool {
+        let framing = match self.kind.is_unframed {
+            true => "Connection: close",
+            false => "Transfer-Encoding: chunked",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n\
              X-Poplarmux-Request-Id: {id}\r\nX-Poplarmux-Response-Seal: seal.{id}\r\n\
              X-Poplarmux-Server-Load: {}\r\nX-Poplarmux-Weight-Versions: 1\r\n\r\n",
             self.load_header()
@@ -1109,14 +1147,23 @@
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
-        for event in 1..=self.kind.events {
-            let event = format!("id: {event}\ndata: {id} {event}\n\n");
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        for number in 1..=self.kind.events {
+            let event = format!("id: {number}\ndata: {id} {number}\n\n");
+            let chunk = match self.kind.is_unframed {
+                true => event,
+                false => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
             if stream.write_all(chunk.as_bytes()).is_err() {
+                self.record.note(&format!("engine {} has sent {} events of {id}", self.id, number - 1));
                 return false;
             }
             thread::sleep(self.kind.pause);
         }
+        self.record.note(&format!("engine {} has sent all events of {id}", self.id));
+        if self.kind.is_unframed {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+            return false;
+        }
         stream.write_all(b"0\r\n\r\n").is_ok()
     }
 }
