--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -705,6 +705,8 @@
     pub seq: u64,
     running: BTreeMap<(String, String), usize>,
     pub crashed: Option<String>,
+    /// Whether it says that it leaves.
+    is_draining: bool,
     /// Whether it writes its entry no more.
     is_silent: bool,
     /// Whether it accepts connections no more.
@@ -830,7 +832,7 @@
             ("zone", text(&self.kind.zone)),
             ("version", text("v1")),
             ("slots", number(self.kind.slots)),
-            ("state", text("ready")),
+            ("state", text(if held.is_draining { "draining" } else { "ready" })),
             ("coldRemainingMs", number(0)),
             ("stage", text("both")),
             ("models", held.encode_models()),
@@ -1080,6 +1082,13 @@
         let _ = TcpStream::connect(self.addr);
     }
 
+    /// Reports that the engine leaves.
+    pub fn drain(&self) {
+        self.held.lock().unwrap().is_draining = true;
+        self.beat();
+        self.record.note(&format!("engine {} reports draining", self.id));
+    }
+
     /// Removes the engine's entry, as one does that leaves without a report.
     pub fn leave(&self) {
         let mut held = self.held.lock().unwrap();
