--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -254,7 +254,11 @@
 
     pub fn query(&self, name: &str) -> Option<&str> {
         let (_, query) = self.first.get(1)?.split_once('?')?;
-        query.split('&').filter_map(|pair| pair.split_once('=')).find(|row| row.0 == name).map(|row| row.1)
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|row| row.0 == name)
+            .map(|row| row.1)
     }
 }
 
@@ -426,7 +430,8 @@
         };
         let name = parts.next().map(str::to_string);
         let body = Json::parse(&String::from_utf8_lossy(&req.body));
-        let spec = || body.as_ref().and_then(|body| body.get("spec")).cloned().unwrap_or(Json::Null);
+        let spec =
+            || body.as_ref().and_then(|body| body.get("spec")).cloned().unwrap_or(Json::Null);
         let metadata = body.as_ref().and_then(|body| body.get("metadata"));
         match (req.first[0].as_str(), name) {
             ("GET", None) => match req.query("watch").and_then(|text| text.parse().ok()) {
@@ -836,7 +841,10 @@
             ("coldRemainingMs", number(0)),
             ("stage", text("both")),
             ("models", held.encode_models()),
-            ("atHand", object(vec![("inMemory", Json::List(vec![])), ("onDisk", Json::List(vec![]))])),
+            (
+                "atHand",
+                object(vec![("inMemory", Json::List(vec![])), ("onDisk", Json::List(vec![]))]),
+            ),
             ("seq", number(held.beat)),
         ]);
         self.store.put("servers", &self.id, spec);
@@ -1122,8 +1130,8 @@
         {
             let mut held = self.held.lock().unwrap();
             let adapters = held.models.get(model);
-            let present =
-                adapters.is_some_and(|all| adapter.is_empty() || all.iter().any(|one| one == adapter));
+            let present = adapters
+                .is_some_and(|all| adapter.is_empty() || all.iter().any(|one| one == adapter));
             if !present {
                 drop(held);
                 return self.reject(stream, 421, id);
@@ -1163,7 +1171,11 @@
                 false => format!("{:x}\r\n{event}\r\n", event.len()),
             };
             if stream.write_all(chunk.as_bytes()).is_err() {
-                self.record.note(&format!("engine {} has sent {} events of {id}", self.id, number - 1));
+                self.record.note(&format!(
+                    "engine {} has sent {} events of {id}",
+                    self.id,
+                    number - 1
+                ));
                 return false;
             }
             thread::sleep(self.kind.pause);
