Reject responses whose status no response may have

Callers got 101, which no request asks for, and 600 to 999 as answers with the endpoint's seal. The parser of the HTTP library accepts 100 to 999, and nothing else looked at the status; 000 was rejected by that parser alone.

--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -6,6 +6,8 @@
 //! body without end. What does not belong to the request is discarded; how much of it is bounded for
 //! each request, and after that the connection has failed.
 
+use std::ops::RangeInclusive;
+
 use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderName;
@@ -27,6 +29,9 @@
 /// Bytes that are discarded for one request: one response of the largest size.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
 
+/// Statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Which response belongs to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Expected {
@@ -226,6 +231,10 @@
         if is_informational {
             return self.count(1, bytes.len());
         }
+        // No request of a daemon asks for another protocol.
+        if head.as_ref().is_some_and(|head| !FINAL_STATUSES.contains(&head.status.as_u16())) {
+            return Err(Error::Malformed);
+        }
         let is_expected = head.as_ref().is_some_and(|head| self.is_expected(&head.headers));
         if is_expected {
             out.extend_from_slice(bytes);
--- a/tests/responses.rs
+++ b/tests/responses.rs
@@ -97,6 +97,17 @@
     check(response, Method::Get, &body("{}"), true);
 }
 
+/// Guards against a status that no response may have and that is taken for an answer.
+#[test]
+fn status_outside_of_the_valid_range_is_malformed() {
+    for status in
+        ["000 X", "000", "001 X", "099 X", "101 X", "600 X", "999 X", "20 X", "2000 X", ""]
+    {
+        let response = format!("HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\n{{}}");
+        check(&response, Method::Get, &Err(Error::Malformed), false);
+    }
+}
+
 /// Guards against waiting for the body that the response to another method would have.
 #[test]
 fn response_to_head_has_no_body() {
