Bound the memory of answers that are kept until they are complete

An endpoint whose answers never end filled the memory of a daemon as soon as many callers asked it at once: each answer is bounded, all together were only counted. Such a process ends, and with it the requests of other callers.

Answers now have a budget as requests have, a sixteenth of the memory, and the largest and oldest incomplete one is given up without room. A body that states more than the largest size is not read at all, and the buffers of connections to endpoints are bounded.

--- a/src/daemon/connection.rs
+++ b/src/daemon/connection.rs
@@ -41,7 +41,7 @@
 use crate::daemon::clock;
 use crate::daemon::front::Payload;
 use crate::daemon::front::Truncated;
-use crate::daemon::intake::HeldRequest;
+use crate::daemon::intake::HeldMessage;
 use crate::daemon::intake::Owner;
 use crate::daemon::link;
 use crate::daemon::output::Output;
@@ -171,7 +171,7 @@
     /// Bytes that it may have without being counted as held, or for which more is counted already.
     head_room: Cell<usize>,
     /// Counts a large head.
-    held_head: RefCell<Option<HeldRequest>>,
+    held_head: RefCell<Option<HeldMessage>>,
     head_freed: RefCell<Option<Pin<Box<EventListener>>>>,
     /// Whether it allows `SLOW_CALLER_TIMEOUT`.
     is_patient: Cell<bool>,
@@ -237,8 +237,9 @@
             return Poll::Ready(());
         }
         let mut held = self.held_head.borrow_mut();
-        let held = held
-            .get_or_insert_with(|| HeldRequest::new(&self.daemon, Owner::Head(self.this.clone())));
+        let held = held.get_or_insert_with(|| {
+            HeldMessage::request(&self.daemon, Owner::Head(self.this.clone()))
+        });
         // The server's buffer grows to twice what it holds.
         let mut freed = self.head_freed.borrow_mut();
         if std::task::ready!(held.poll_add(cx, 2 * READ_BYTES, &mut freed)) {
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -34,7 +34,7 @@
 use crate::daemon::gauge::Forwarding;
 use crate::daemon::incarnation;
 use crate::daemon::intake;
-use crate::daemon::intake::HeldRequest;
+use crate::daemon::intake::HeldMessage;
 use crate::daemon::intake::Owner;
 use crate::daemon::link;
 use crate::daemon::link::Link;
@@ -129,7 +129,7 @@
     let _open = OpenRequest::new(daemon);
     let limits = daemon.config.borrow().as_ref().map(|config| config.limits);
     let max = limits.map_or(0, |limits| limits.max_body_bytes);
-    let held = HeldRequest::new(daemon, Owner::Body);
+    let held = HeldMessage::request(daemon, Owner::Body);
     let time_left = deadline.saturating_sub(clock::now());
     let body = intake::receive(connection, &held, body, max, time_left).await;
     connection.on_received_all();
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -41,7 +41,7 @@
 use crate::daemon::connection::Connection;
 use crate::daemon::gauge::Admission;
 use crate::daemon::intake;
-use crate::daemon::intake::HeldRequest;
+use crate::daemon::intake::HeldMessage;
 use crate::daemon::intake::Owner;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
@@ -57,6 +57,7 @@
 use crate::daemon::segments::Segments;
 use crate::daemon::send;
 use crate::daemon::send::Outcome;
+use crate::daemon::send::Whole;
 use crate::daemon::stream::Forwarder;
 use crate::decide::connection::Port;
 use crate::decide::origin::Origin;
@@ -176,7 +177,7 @@
     /// Body, forwarded unchanged.
     pub body: Segments,
     /// Counts the body as held.
-    pub held: HeldRequest,
+    pub held: HeldMessage,
     /// The last attempt, if it was given up and its endpoint may not have read it.
     pub unread: Cell<Option<retry::Unread>>,
 }
@@ -348,7 +349,7 @@
             responder.refused(daemon, &Refusal::new("starting", STARTUP_RETRY_AFTER))
         }
     })?;
-    let held = HeldRequest::new(daemon, Owner::Body);
+    let held = HeldMessage::request(daemon, Owner::Body);
     let max = config.limits.max_body_bytes;
     let body = intake::receive(connection, &held, body, max, time_limit).await;
     let body = body.map_err(|err| match err {
@@ -405,7 +406,7 @@
     route: Rc<Route>,
     admitted: Admitted,
     head: &http::request::Parts,
-    (body, held): (Segments, HeldRequest),
+    (body, held): (Segments, HeldMessage),
     arrived_at: Duration,
     deadline: Duration,
 ) -> Job {
@@ -507,7 +508,7 @@
     endpoints_tried: u32,
     tried: Vec<instance::Key>,
     /// An endpoint's own failure, returned to the caller if no later attempt succeeds.
-    failure: Option<Response<Bytes>>,
+    failure: Option<Whole>,
     /// Why the last attempt failed.
     last_error: &'static str,
 }
@@ -686,20 +687,16 @@
 
 /// Forwards an endpoint's complete answer. The endpoint ran the request; if that may not run again, a
 /// status that promises the opposite to the caller is not forwarded.
-fn forward(
-    daemon: &Rc<Daemon>,
-    job: &Job,
-    tracker: &Tracker,
-    res: Response<Bytes>,
-) -> Response<Payload> {
-    if !job.route.is_idempotent() && caller::promises_not_run(res.status().as_u16()) {
+fn forward(daemon: &Rc<Daemon>, job: &Job, tracker: &Tracker, whole: Whole) -> Response<Payload> {
+    let status = whole.res.status().as_u16();
+    if !job.route.is_idempotent() && caller::promises_not_run(status) {
         return job.responder().failed(daemon, StatusCode::BAD_GATEWAY, "endpoint_failure");
     }
-    let (parts, body) = res.into_parts();
+    let (parts, body) = whole.res.into_parts();
     let mut headers = daemon.dialect.forward_response_headers(&parts.headers);
     tracker.connection.allow_slow_caller(body.len());
     let body = if body.len() <= read_ahead::PIECE_BYTES {
-        Payload::Complete(body)
+        Payload::Complete(body.into())
     } else {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         let (id, connection) = (&job.caller.id, &tracker.connection);
--- a/src/daemon/intake.rs
+++ b/src/daemon/intake.rs
@@ -1,8 +1,10 @@
-//! Counts what requests hold in memory, and refuses requests that are being received if there is too
-//! much of it, as `decide::intake` decides. What was refused counts until its task has released it:
-//! many other tasks may run before.
+//! Counts what requests and responses hold in memory, and refuses those that are being received if
+//! there is too much of it, as `decide::intake` decides. What was refused counts until its task has
+//! released it: many other tasks may run before.
 
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,6 +13,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
 use event_listener::Event as Notifier;
 use event_listener::EventListener;
 use http_body_util::LengthLimitError;
@@ -28,9 +31,11 @@
 use crate::daemon::link;
 use crate::daemon::read_ahead::Held;
 use crate::daemon::segments::Segments;
+use crate::decide::body::End;
 use crate::decide::connection::RECEIVE_BUFFER_BYTES;
 use crate::decide::intake;
 use crate::decide::intake::Incoming;
+use crate::decide::read_ahead::Message;
 
 /// Receive buffer of a connection on which a long body is received. The kernel doubles it, which
 /// receives 2 MB per second over a round trip of 60 ms between regions.
@@ -38,7 +43,18 @@
 /// Size of a segment from which a body is long.
 const LONG_BODY_SEGMENT_BYTES: usize = 16 << 10;
 
-/// What is told when a request is refused.
+/// The messages of one kind.
+#[derive(Default)]
+pub struct Pool {
+    /// Bytes that they hold.
+    bytes: Cell<usize>,
+    /// Those that are being received.
+    incoming: RefCell<BTreeMap<u64, Rc<Row>>>,
+    /// Notified when they hold less.
+    freed: Notifier,
+}
+
+/// What is told when a message is refused.
 pub enum Owner {
     /// The connection on which its head is received, which is closed.
     Head(Weak<Connection>),
@@ -46,18 +62,18 @@
     Body,
 }
 
-/// What becomes of a part of a request.
+/// What becomes of a part of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Room {
     /// It is counted.
     Granted,
-    /// The request is refused.
+    /// The message is refused.
     Refused,
-    /// It fits once requests that are refused have released their memory.
+    /// It fits once messages that are refused have released their memory.
     Later,
 }
 
-/// A request that is being received.
+/// A message that is being received.
 pub struct Row {
     owner: Owner,
     held: Held,
@@ -66,16 +82,26 @@
     refused: Notifier,
 }
 
-/// Counts a part of a request, its body or its head, as held until it is dropped.
-pub struct HeldRequest {
+/// Counts a part of a message, its body or its head, as held until it is dropped.
+pub struct HeldMessage {
     daemon: Rc<Daemon>,
+    kind: Message,
     number: u64,
     row: Rc<Row>,
 }
 
-impl HeldRequest {
+impl HeldMessage {
     /// Returns a request of which nothing has been received.
-    pub fn new(daemon: &Rc<Daemon>, owner: Owner) -> Self {
+    pub fn request(daemon: &Rc<Daemon>, owner: Owner) -> Self {
+        Self::new(daemon, Message::Request, owner)
+    }
+
+    /// Returns a response of which nothing has been received.
+    pub fn response(daemon: &Rc<Daemon>) -> Self {
+        Self::new(daemon, Message::Response, Owner::Body)
+    }
+
+    fn new(daemon: &Rc<Daemon>, kind: Message, owner: Owner) -> Self {
         let number = daemon.next_request_number();
         let row = Rc::new(Row {
             owner,
@@ -84,15 +110,19 @@
             is_refused: Cell::default(),
             refused: Notifier::new(),
         });
-        daemon.read_ahead.incoming.borrow_mut().insert(number, row.clone());
-        HeldRequest { daemon: daemon.clone(), number, row }
+        daemon.read_ahead.pool(kind).incoming.borrow_mut().insert(number, row.clone());
+        HeldMessage { daemon: daemon.clone(), kind, number, row }
+    }
+
+    fn pool(&self) -> &Pool {
+        self.daemon.read_ahead.pool(self.kind)
     }
 
-    /// Counts a part once it fits beside the parts of all requests. If this request is the one to
-    /// refuse, returns false: nothing of it may be kept then.
+    /// Counts a part once it fits beside the parts of all messages of its kind. If this one is to be
+    /// refused, returns false: nothing of it may be kept then.
     pub async fn add(&self, bytes: usize) -> bool {
         loop {
-            let freed = self.daemon.read_ahead.freed.listen();
+            let freed = self.pool().freed.listen();
             match self.ask(bytes) {
                 Room::Granted => return true,
                 Room::Refused => return false,
@@ -109,8 +139,7 @@
         freed: &mut Option<Pin<Box<EventListener>>>,
     ) -> Poll<bool> {
         loop {
-            let listener =
-                freed.get_or_insert_with(|| Box::pin(self.daemon.read_ahead.freed.listen()));
+            let listener = freed.get_or_insert_with(|| Box::pin(self.pool().freed.listen()));
             let room = self.ask(bytes);
             if room != Room::Later {
                 freed.take();
@@ -121,10 +150,10 @@
         }
     }
 
-    /// Counts a part if it fits. Otherwise requests are refused until it will fit, of which this one
+    /// Counts a part if it fits. Otherwise messages are refused until it will fit, of which this one
     /// may be the last.
     fn ask(&self, bytes: usize) -> Room {
-        let table = &self.daemon.read_ahead;
+        let (pool, bounds) = (self.pool(), self.daemon.read_ahead.bounds);
         loop {
             if self.row.is_refused.get() {
                 return Room::Refused;
@@ -132,11 +161,11 @@
             if self.reserve(bytes) {
                 return Room::Granted;
             }
-            let incoming = table.incoming.borrow();
+            let incoming = pool.incoming.borrow();
             let refused = incoming.values().filter(|row| row.is_refused.get());
             let freed_soon: usize = refused.map(|row| row.held.bytes()).sum();
-            let (own, all) = (self.row.held.bytes(), table.requests.get() - freed_soon);
-            if table.bounds.accepts_request(bytes, own, all) {
+            let (own, all) = (self.row.held.bytes(), pool.bytes.get() - freed_soon);
+            if bounds.accepts(self.kind, bytes, own, all) {
                 return Room::Later;
             }
             let candidates = incoming.iter().filter(|(_, row)| !row.is_refused.get());
@@ -152,32 +181,46 @@
         }
     }
 
-    /// Counts `bytes` more if they fit beside the parts of all requests; returns whether they do.
+    /// Counts `bytes` more if they fit beside the parts of all messages of its kind; returns whether they
+    /// do.
     fn reserve(&self, bytes: usize) -> bool {
-        let table = &self.daemon.read_ahead;
-        let (own, all) = (self.row.held.bytes(), table.requests.get());
-        let accepts = !self.row.is_refused.get() && table.bounds.accepts_request(bytes, own, all);
+        let (pool, bounds) = (self.pool(), self.daemon.read_ahead.bounds);
+        let (own, all) = (self.row.held.bytes(), pool.bytes.get());
+        let accepts = !self.row.is_refused.get() && bounds.accepts(self.kind, bytes, own, all);
         if accepts {
-            table.requests.set(all + bytes);
+            pool.bytes.set(all + bytes);
             self.row.held.add(bytes);
         }
         accepts
     }
 
+    /// Counts as many bytes as are kept now, once more than before fit. If this message is to be
+    /// refused, returns false.
+    pub async fn resize(&self, bytes: usize) -> bool {
+        let counted = self.row.held.bytes();
+        if bytes > counted {
+            return self.add(bytes - counted).await;
+        }
+        if bytes < counted {
+            self.remove(counted - bytes);
+        }
+        true
+    }
+
     /// Counts `bytes` less.
     fn remove(&self, bytes: usize) {
-        let table = &self.daemon.read_ahead;
-        table.requests.set(table.requests.get() - bytes);
+        let pool = self.pool();
+        pool.bytes.set(pool.bytes.get() - bytes);
         self.row.held.remove(bytes);
-        table.freed.notify(usize::MAX);
+        pool.freed.notify(usize::MAX);
     }
 
-    /// Counts nothing of the request any more, as nothing of it is kept.
+    /// Counts nothing of the message any more, as nothing of it is kept.
     fn release(&self) {
         self.remove(self.row.held.bytes());
     }
 
-    /// Waits until the request is refused as another one needs its memory.
+    /// Waits until the message is refused as another one needs its memory.
     pub async fn refused(&self) {
         loop {
             let refused = self.row.refused.listen();
@@ -188,13 +231,13 @@
         }
     }
 
-    /// Records that the request was received, so that it is not refused any more.
+    /// Records that the message was received, so that it is not refused any more.
     pub fn complete(&self) {
-        self.daemon.read_ahead.incoming.borrow_mut().remove(&self.number);
+        self.pool().incoming.borrow_mut().remove(&self.number);
     }
 }
 
-impl Drop for HeldRequest {
+impl Drop for HeldMessage {
     fn drop(&mut self) {
         self.complete();
         self.release();
@@ -217,7 +260,7 @@
 /// A larger receive buffer of a connection, for as long as a long body is received.
 struct WideBuffer<'a> {
     connection: &'a Connection,
-    held: &'a HeldRequest,
+    held: &'a HeldMessage,
     is_wide: Cell<bool>,
 }
 
@@ -244,7 +287,7 @@
 /// Receives a body of at most `max` bytes within `limit`, and counts it as held.
 pub async fn receive(
     connection: &Connection,
-    held: &HeldRequest,
+    held: &HeldMessage,
     mut body: IncomingBody,
     max: usize,
     limit: Duration,
@@ -288,6 +331,30 @@
     read.or(late).await
 }
 
+/// Receives the body of a response, of at most `max` bytes, and counts it as held.
+pub async fn receive_response<B>(held: &HeldMessage, body: B, max: usize) -> Result<Segments, End>
+where
+    B: Body<Data = Bytes, Error = hyper::Error>,
+{
+    // Nothing is read of a body that states a larger size.
+    if body.size_hint().lower() > max as u64 {
+        return Err(End::TooLong);
+    }
+    let refused = async {
+        held.refused().await;
+        Err(NotAccepted.into())
+    };
+    let received = collect::collect_accepted(body, max, async |bytes| held.add(bytes).await);
+    let received = received.or(refused).await;
+    held.complete();
+    received.map_err(|err| match err.downcast_ref::<hyper::Error>() {
+        Some(err) => link::end_of(err),
+        None if err.is::<LengthLimitError>() => End::TooLong,
+        None if err.is::<NotAccepted>() => End::NoRoom,
+        None => End::Failed,
+    })
+}
+
 fn refuse(daemon: &Daemon, row: &Row) {
     let held = row.held.bytes();
     let age = clock::now().saturating_sub(row.since).as_millis() as u64;
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -75,6 +75,14 @@
 /// Send buffer of a caller's connection. The kernel doubles it, which sends 4 MB per second over a
 /// round trip of 60 ms between regions.
 const SEND_BUFFER_BYTES: usize = 128 << 10;
+/// Receive buffer of a connection to an endpoint. The kernel doubles it, as the send buffer of a
+/// caller's connection, and otherwise takes up to 6 MB.
+const ENDPOINT_BUFFER_BYTES: usize = SEND_BUFFER_BYTES;
+/// Bytes that are read at a time. The HTTP client's buffer grows as long as reads fill it, and what is
+/// read at a time is kept on its way to the caller, on each connection.
+const READ_BYTES: usize = 16 << 10;
+/// Largest buffer of the HTTP client, which has to hold the largest head of a response.
+const MAX_BUFFER_BYTES: usize = 2 * response_filter::MAX_HEAD_BYTES;
 /// Named requests that a connection carries, and remembers, until it is not used again.
 const MAX_CARRIED: usize = 1_024;
 /// Largest number of idle connections kept per address.
@@ -235,7 +243,8 @@
             if self.progress.filter.borrow().error().is_some() {
                 return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
             }
-            match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            let max = buf.len().min(READ_BYTES);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buf[..max]) {
                 Poll::Ready(Ok(len)) if len > 0 => self.receive(&buf[..len]),
                 result => return result,
             }
@@ -430,6 +439,11 @@
         set_unacked_timeout(&self.stream, limit)
     }
 
+    /// Bounds what the kernel keeps of responses that were not read yet.
+    pub fn limit_receive_buffer(&self) -> Result<(), Error> {
+        set_receive_buffer(&self.stream, ENDPOINT_BUFFER_BYTES).map_err(|_| Error::Connect)
+    }
+
     /// Returns whether the time to send the request ran out before any of it was written.
     pub fn is_expired(&self) -> bool {
         self.written_at().is_none() && clock::now() >= self.progress.write_deadline.get()
@@ -522,8 +536,10 @@
     let progress = Rc::new(Progress::default());
     let socket =
         Socket { stream: stream.clone(), progress: progress.clone(), received: BytesMut::new() };
-    let (sender, conn) =
-        http1::handshake(FuturesIo::new(socket)).await.map_err(|_| Error::Connect)?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = builder.handshake(FuturesIo::new(socket)).await;
+    let (sender, conn) = handshake.map_err(|_| Error::Connect)?;
     // The sender reports the end of the connection.
     let task = ex.spawn(async move { conn.await.unwrap_or_default() });
     let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
--- a/src/daemon/read_ahead.rs
+++ b/src/daemon/read_ahead.rs
@@ -11,7 +11,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::pin::Pin;
@@ -23,9 +22,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use event_listener::Event as Notifier;
-use http_body_util::BodyExt;
-use hyper::body::Body;
 use hyper::body::Frame;
 use smol::Task;
 use smol::stream::Stream;
@@ -37,15 +33,18 @@
 use crate::daemon::front::Truncated;
 use crate::daemon::intake;
 use crate::daemon::journal::Event;
+use crate::daemon::segments::MAX_SEGMENT_BYTES;
+use crate::daemon::segments::Segments;
 use crate::decide::read_ahead;
 use crate::decide::read_ahead::Bounds;
 use crate::decide::read_ahead::Cause;
 use crate::decide::read_ahead::Holding;
+use crate::decide::read_ahead::Message;
 use crate::table::RequestId;
 
-/// Bytes of a plain answer that are handed to the server at a time. The server buffers as much, and
-/// copies what it buffers.
-pub const PIECE_BYTES: usize = 64 << 10;
+/// Bytes of a plain answer that are handed to the server at a time at the most. The server buffers as
+/// much, and copies what it buffers.
+pub const PIECE_BYTES: usize = MAX_SEGMENT_BYTES;
 /// Bytes of a stream that are kept in one allocation. Kept one by one, frames of a byte would take
 /// many times the memory that the bounds count.
 const KEPT_BYTES: usize = 4 << 10;
@@ -57,12 +56,10 @@
     rows: RefCell<HashMap<RequestId, Rc<Row>>>,
     /// Bytes of bodies that are not in `rows`.
     bodies: Cell<usize>,
-    /// Those of requests among them.
-    pub(super) requests: Cell<usize>,
-    /// Requests that are being received.
-    pub(super) incoming: RefCell<BTreeMap<u64, Rc<intake::Row>>>,
-    /// Notified when requests hold less.
-    pub(super) freed: Notifier,
+    /// Requests among them.
+    requests: intake::Pool,
+    /// Responses among them that are kept until they are complete.
+    responses: intake::Pool,
     /// Bytes that were read ahead and not taken yet.
     read_ahead: Cell<usize>,
     /// Most bytes held at once.
@@ -77,15 +74,22 @@
             bounds: Bounds::from_memory(memory),
             rows: RefCell::default(),
             bodies: Cell::default(),
-            requests: Cell::default(),
-            incoming: RefCell::default(),
-            freed: Notifier::new(),
+            requests: intake::Pool::default(),
+            responses: intake::Pool::default(),
             read_ahead: Cell::default(),
             max_held: Cell::default(),
             ended: RefCell::default(),
         }
     }
 
+    /// Returns the messages of a kind.
+    pub(super) fn pool(&self, kind: Message) -> &intake::Pool {
+        match kind {
+            Message::Request => &self.requests,
+            Message::Response => &self.responses,
+        }
+    }
+
     /// Returns the number of bytes held now, and the most that were held at once.
     pub fn held(&self) -> (usize, usize) {
         (self.bodies.get() + self.read_ahead.get(), self.max_held.get())
@@ -119,17 +123,6 @@
         Held { daemon: daemon.clone(), bytes: Cell::default() }
     }
 
-    /// Counts a body as it is received.
-    pub fn count<B: Body<Data = Bytes>>(
-        &self,
-        body: B,
-    ) -> impl Body<Data = Bytes, Error = B::Error> {
-        body.map_frame(|frame| {
-            self.add(frame.data_ref().map_or(0, Bytes::len));
-            frame
-        })
-    }
-
     /// Returns the number of bytes that are counted.
     pub fn bytes(&self) -> usize {
         self.bytes.get()
@@ -316,16 +309,13 @@
         number: RequestId,
         request: &str,
         connection: &Rc<Connection>,
-        mut body: Bytes,
+        body: Segments,
     ) -> Self {
         let answer = Self::new(daemon, number, request, connection, Rc::default(), None);
         let (row, table) = (&answer.row, &daemon.read_ahead);
         row.pending_bytes.set(body.len());
         table.add(&table.read_ahead, body.len());
-        while !body.is_empty() {
-            let piece = body.split_to(body.len().min(PIECE_BYTES));
-            row.pending.borrow_mut().push_back(piece);
-        }
+        row.pending.borrow_mut().extend(body);
         row.end.set(Some(Ok(())));
         answer
     }
--- a/src/daemon/segments.rs
+++ b/src/daemon/segments.rs
@@ -19,7 +19,7 @@
 /// Size of the first segment of a body; each further one is twice as large.
 const MIN_SEGMENT_BYTES: usize = 4 << 10;
 /// Largest size of a segment.
-const MAX_SEGMENT_BYTES: usize = 64 << 10;
+pub const MAX_SEGMENT_BYTES: usize = 64 << 10;
 
 /// A body in segments.
 #[derive(Debug, Clone, Default)]
@@ -42,6 +42,25 @@
     }
 }
 
+impl IntoIterator for Segments {
+    type Item = Bytes;
+    type IntoIter = std::collections::vec_deque::IntoIter<Bytes>;
+
+    fn into_iter(self) -> Self::IntoIter {
+        self.0.into_iter()
+    }
+}
+
+impl From<Segments> for Bytes {
+    fn from(segments: Segments) -> Self {
+        // Most bodies have a single segment, which needs no copy.
+        match segments.0.len() {
+            0 | 1 => segments.into_iter().next().unwrap_or_default(),
+            _ => segments.iter().flatten().copied().collect(),
+        }
+    }
+}
+
 impl From<Bytes> for Segments {
     fn from(bytes: Bytes) -> Self {
         Segments(Some(bytes).into_iter().filter(|bytes| !bytes.is_empty()).collect())
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -26,6 +25,8 @@
 use crate::daemon::front::Job;
 use crate::daemon::gate;
 use crate::daemon::gate::Call;
+use crate::daemon::intake;
+use crate::daemon::intake::HeldMessage;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::link::Link;
@@ -35,7 +36,6 @@
 use crate::daemon::quarantine;
 use crate::daemon::quarantine::Run;
 use crate::daemon::quota::Charge;
-use crate::daemon::read_ahead::Held;
 use crate::daemon::retry;
 use crate::daemon::retry::Unread;
 use crate::daemon::segments::Segments;
@@ -100,14 +100,22 @@
     confirmed: Option<bool>,
 }
 
+/// A complete response.
+pub struct Whole {
+    /// Status, headers and body.
+    pub res: Response<Segments>,
+    /// Counts the body as held.
+    _held: HeldMessage,
+}
+
 /// The result of one attempt.
 pub enum Outcome {
     /// A complete response of the endpoint that is no server error.
-    Complete(Response<Bytes>, Framing),
+    Complete(Whole, Framing),
     /// A stream whose head was received.
     Stream(Box<Head>),
     /// A server error of the endpoint; the request may be retried or the response forwarded.
-    Failure(Response<Bytes>, Framing),
+    Failure(Whole, Framing),
     /// The body of the response ended in this way before it was complete.
     Truncated(Framing, BodyEnd),
     /// The endpoint stated that it did not execute the request. Holds the reason.
@@ -143,8 +151,8 @@
     let elapsed = clock::now().saturating_sub(started_at);
     record_outcome(daemon, job, place, &outcome, elapsed);
     match &outcome {
-        // A crash has been recorded as it was found.
-        Outcome::Truncated(_, BodyEnd::Timeout | BodyEnd::Crashed) => {}
+        // A crash has been recorded as it was found, and the others are none.
+        Outcome::Truncated(_, BodyEnd::Timeout | BodyEnd::Crashed | BodyEnd::NoRoom) => {}
         Outcome::Indeterminate("broken") | Outcome::Truncated(..) => {
             let content = &job.content;
             let run = Run { content, sent_at: started_at, answered_at: None };
@@ -152,7 +160,7 @@
         }
         Outcome::Complete(res, _) => {
             quarantine::on_completed(daemon, &job.content);
-            if res.status().is_success() {
+            if res.res.status().is_success() {
                 quarantine::on_survived(daemon, &job.content);
             }
         }
@@ -432,6 +440,7 @@
 ) -> Result<Link, link::Error> {
     let started_at = clock::now();
     let link = link::dial(&daemon.ex, addr, CONNECT_TIMEOUT.min(limit)).await;
+    let link = link.and_then(|link| link.limit_receive_buffer().map(|()| link));
     let now = clock::now();
     match &link {
         Ok(_) => {
@@ -591,8 +600,8 @@
         return Outcome::Stream(Box::new(head));
     }
     let idle_timeout = answer.idle_timeout;
-    let held = Held::new(daemon);
-    let read = read_body(body, &held).or(async {
+    let held = HeldMessage::response(daemon);
+    let read = intake::receive_response(&held, body, MAX_BODY_BYTES).or(async {
         Timer::after(limit).await;
         Err(BodyEnd::Timeout)
     });
@@ -610,13 +619,13 @@
     };
     daemon.gauges.record_body(framing, end);
     match read {
-        Ok(bytes) if end == BodyEnd::Complete => {
+        Ok(body) if end == BodyEnd::Complete => {
             return_to_pool(daemon, &place.key, link, idle_timeout);
-            let res = Response::from_parts(parts, bytes);
-            if res.status().is_server_error() {
-                Outcome::Failure(res, framing)
+            let whole = Whole { res: Response::from_parts(parts, body), _held: held };
+            if whole.res.status().is_server_error() {
+                Outcome::Failure(whole, framing)
             } else {
-                Outcome::Complete(res, framing)
+                Outcome::Complete(whole, framing)
             }
         }
         _ => Outcome::Truncated(framing, end),
@@ -637,12 +646,6 @@
     if crashed { BodyEnd::Crashed } else { BodyEnd::Complete }
 }
 
-/// Reads a body to its end.
-async fn read_body(body: Incoming, held: &Held) -> Result<Bytes, BodyEnd> {
-    let read = collect::collect(held.count(body), MAX_BODY_BYTES).await;
-    read.map_err(|err| err.downcast_ref().map_or(BodyEnd::Failed, link::end_of))
-}
-
 async fn handle_not_run(
     daemon: &Rc<Daemon>,
     job: &Job,
@@ -749,7 +752,7 @@
             daemon.note(&Event::Answered {
                 request: job.caller.id.clone(),
                 endpoint: key.id.clone(),
-                status: res.status().as_u16(),
+                status: res.res.status().as_u16(),
                 took: elapsed_ms,
                 outcome: "whole",
                 work: place.work_percent(),
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -23,6 +23,7 @@
 use crate::daemon::front::Job;
 use crate::daemon::front::Tracker;
 use crate::daemon::front::Truncated;
+use crate::daemon::intake::HeldMessage;
 use crate::daemon::journal::Event;
 use crate::daemon::link;
 use crate::daemon::liveness;
@@ -47,6 +48,8 @@
 /// Longest event of a stream that may be resumed, in bytes: it is buffered completely before it is
 /// forwarded.
 const MAX_EVENT_BYTES: usize = send::MAX_BODY_BYTES;
+/// Incomplete events up to this size are not counted as held.
+const SMALL_EVENT_BYTES: usize = 4 << 10;
 
 /// A stream that is being forwarded.
 pub struct Forwarder {
@@ -61,6 +64,8 @@
     scanner: Scanner,
     /// Received bytes of an incomplete event, if the route is resumable.
     buffer: BytesMut,
+    /// Counts a large buffer as held; none before it is large.
+    held: Option<HeldMessage>,
     /// Whether the caller has been sent bytes of the stream.
     has_forwarded: bool,
     /// Whether the response being read continues another one and nothing of it was forwarded.
@@ -113,6 +118,7 @@
             scanner: Scanner::default(),
             head: Some(head),
             buffer: BytesMut::new(),
+            held: None,
             is_continuation_start: false,
             tried: Vec::new(),
             attempts,
@@ -128,7 +134,9 @@
             let end = match self.receive().await {
                 Received::Data(data) => match self.release(data) {
                     None if self.buffer.len() > MAX_EVENT_BYTES => body::End::TooLong,
+                    None if !self.count_buffer().await => body::End::NoRoom,
                     Some(bytes) => {
+                        self.held = None;
                         self.bind();
                         return Some(Ok(Frame::data(bytes)));
                     }
@@ -142,8 +150,9 @@
                 let rest = self.buffer.split().freeze();
                 return (!rest.is_empty()).then_some(Ok(Frame::data(rest)));
             }
-            // A crash has been recorded as it was found.
-            let is_recorded = matches!(end, body::End::Timeout | body::End::Crashed);
+            // A crash has been recorded as it was found, and the others are none.
+            let is_recorded =
+                matches!(end, body::End::Timeout | body::End::Crashed | body::End::NoRoom);
             if let (false, Some(head)) = (is_recorded, &self.head) {
                 let run = self.run(head.sent_at, head.received_at);
                 quarantine::on_broken(&self.daemon, &self.place.key, run);
@@ -242,6 +251,16 @@
         Some(events)
     }
 
+    /// Counts the buffer as held if it is large; returns false if there is no room for it.
+    async fn count_buffer(&mut self) -> bool {
+        if self.buffer.len() <= SMALL_EVENT_BYTES && self.held.is_none() {
+            return true;
+        }
+        let held = self.held.get_or_insert_with(|| HeldMessage::response(&self.daemon));
+        // It grows by doubling.
+        held.resize(2 * self.buffer.len()).await
+    }
+
     /// Binds the stream to the version that sends its first events, before they are forwarded.
     fn bind(&mut self) {
         if !std::mem::replace(&mut self.has_forwarded, true) && self.job.route.resumable {
@@ -261,7 +280,7 @@
         let route = &self.job.route;
         self.head = None;
         // Another endpoint would send the same event.
-        if matches!(end, body::End::Timeout | body::End::TooLong)
+        if matches!(end, body::End::Timeout | body::End::TooLong | body::End::NoRoom)
             || !route.resumable
             || !self.scanner.can_resume()
             || !self.is_free()
--- a/src/decide/body.rs
+++ b/src/decide/body.rs
@@ -46,6 +46,8 @@
     Reset,
     /// A part of it is longer than allowed.
     TooLong,
+    /// All responses together would take too much memory.
+    NoRoom,
     /// Its time ran out.
     Timeout,
     /// It failed for another reason.
--- a/src/decide/read_ahead.rs
+++ b/src/decide/read_ahead.rs
@@ -13,6 +13,10 @@
 //!
 //! Requests are kept until they are answered. Load pattern: dozens of callers send bodies of megabytes
 //! at once. What exceeds the bound is refused before it has run, as another daemon may have room.
+//!
+//! Responses that are no streams are kept until they are complete. Load pattern: an endpoint sends
+//! without end on all of its connections. The largest and oldest are given up first, so that short
+//! ones of other endpoints are not.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -38,6 +42,19 @@
 /// end the streams of slow callers.
 const REQUESTS_DIVISOR: usize = 2;
 
+/// Share of that which responses may hold that are kept until they are complete, as a divisor: an
+/// endpoint whose responses never end must not end the streams of slow callers either.
+const RESPONSES_DIVISOR: usize = 4;
+
+/// A kind of HTTP message whose body is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Message {
+    /// A caller's request.
+    Request,
+    /// An endpoint's response.
+    Response,
+}
+
 /// Bounds on what a daemon holds for its callers, in bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -54,10 +71,14 @@
         Bounds { stream: total / STREAM_DIVISOR, total }
     }
 
-    /// Returns whether a part of a request's body may be kept, if that request keeps `own` bytes and
-    /// all requests together keep `all`. A request that is alone may keep more than the bound.
-    pub fn accepts_request(self, part: usize, own: usize, all: usize) -> bool {
-        intake::fits(part, own, all, self.total / REQUESTS_DIVISOR)
+    /// Returns whether a part of a message may be kept, if that message keeps `own` bytes and all of its
+    /// kind together keep `all`. A message that is alone may keep more than the bound.
+    pub fn accepts(self, kind: Message, part: usize, own: usize, all: usize) -> bool {
+        let divisor = match kind {
+            Message::Request => REQUESTS_DIVISOR,
+            Message::Response => RESPONSES_DIVISOR,
+        };
+        intake::fits(part, own, all, self.total / divisor)
     }
 }
 
--- a/src/edge/response_filter.rs
+++ b/src/edge/response_filter.rs
@@ -16,7 +16,7 @@
 use http::header;
 
 /// Largest head of a response, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Bytes of a head that are parsed as they arrive, so that bytes that are no response are found
 /// early. A longer head is parsed once it is complete.
 const EAGER_HEAD_BYTES: usize = 256;
