Answer requests that are open when a stop ends

Requests that came late in a planned stop were passed on to endpoints that took longer than the time that was left, and ended with the process: their callers got no answer, also for requests that may not be repeated. A plain answer was expected to take 0.8 s, whatever its endpoint takes.

What is open 250 ms before the process ends now gets a final answer, 503 if it can't have run and 504 otherwise, and the estimate knows what the service's endpoints have taken lately, so that less is passed on in vain.

--- a/src/daemon/explain.rs
+++ b/src/daemon/explain.rs
@@ -383,6 +383,7 @@
         target_latency: arrival.spec.target_latency,
         max_pause: arrival.spec.max_pause,
         limit: arrival.deadline.saturating_sub(now),
+        usual: daemon.fleet.borrow().shortest_delay(now, &arrival.spec.service),
     };
     if let Some((began, end)) = daemon.shutdown_period.get()
         && !shutdown::accepts(now, began, end, &answer)
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -178,6 +178,8 @@
     pub body: Segments,
     /// Counts the body as held.
     pub held: HeldMessage,
+    /// Whether an endpoint may have run it, or may run it yet.
+    pub may_have_run: Cell<bool>,
     /// The last attempt, if it was given up and its endpoint may not have read it.
     pub unread: Cell<Option<retry::Unread>>,
 }
@@ -289,7 +291,7 @@
     let admitted = admit(daemon, connection, caller, &head, body, arrived_at).await;
     connection.on_received_all();
     match admitted {
-        Ok(job) => run(daemon, &job, tracker).await,
+        Ok(job) => run(daemon, &job, tracker).or(answer_at_end(daemon, &job)).await,
         Err(res) => {
             tracker.answered = true;
             res
@@ -361,7 +363,7 @@
         }
     })?;
     if let Some((began, end)) = daemon.shutdown_period.get()
-        && !accepts(&caller, &route, arrived_at + time_limit, began, end)
+        && !accepts(daemon, &caller, &route, arrived_at + time_limit, began, end)
     {
         return Err(responder.refused(daemon, &Refusal::new("stopping", SHUTDOWN_RETRY_AFTER)));
     }
@@ -468,6 +470,7 @@
         deadline,
         body,
         held,
+        may_have_run: Cell::default(),
         unread: Cell::default(),
     }
 }
@@ -593,6 +596,7 @@
                 progress.last_error = error;
             }
         }
+        job.may_have_run.set(progress.possible_runs > 0);
         progress.tried.push(permit.key.clone());
         drop(permit);
         let may_continue = progress.possible_runs == 0
@@ -629,6 +633,7 @@
 
 /// Returns whether a request can be answered before the process ends at `end`.
 fn accepts(
+    daemon: &Daemon,
     caller: &Caller,
     route: &Route,
     deadline: Duration,
@@ -641,10 +646,18 @@
         target_latency: route.target_latency,
         max_pause: route.max_pause,
         limit: deadline.saturating_sub(now),
+        usual: usual_delay(daemon, now, route),
     };
     shutdown::accepts(now, began, end, &answer)
 }
 
+/// Returns how long plain answers on a route have taken lately, at the slowest of its services.
+fn usual_delay(daemon: &Daemon, now: Duration, route: &Route) -> Duration {
+    let fleet = daemon.fleet.borrow();
+    let delays = route.targets.iter().map(|(service, _)| fleet.shortest_delay(now, service));
+    delays.max().unwrap_or_default()
+}
+
 /// Waits until a request that still waits can't be answered before the process ends. Without it a
 /// request whose deadline is later would end with the process, unanswered.
 async fn wait_for_stop(daemon: &Daemon, job: &Job) -> Refusal {
@@ -654,13 +667,31 @@
             next.await;
             continue;
         };
-        if !accepts(&job.caller, &job.route, job.deadline, began, end) {
+        if !accepts(daemon, &job.caller, &job.route, job.deadline, began, end) {
             return Refusal::new("stopping", SHUTDOWN_RETRY_AFTER);
         }
         Timer::after(STOP_CHECK_INTERVAL).await;
     }
 }
 
+/// Waits until the process is about to end, and returns the answer of a request that is open then.
+async fn answer_at_end(daemon: &Rc<Daemon>, job: &Job) -> Response<Payload> {
+    let (_, end) = loop {
+        let next = daemon.stopping.listen();
+        match daemon.shutdown_period.get() {
+            Some(period) => break period,
+            None => next.await,
+        }
+    };
+    Timer::after(shutdown::final_answer_at(end).saturating_sub(clock::now())).await;
+    if job.may_have_run.get() {
+        daemon.gauges.record_end(job.team_name(), "failed");
+        return job.responder().failed(daemon, StatusCode::GATEWAY_TIMEOUT, "stopping");
+    }
+    daemon.gauges.record_end(job.team_name(), "stopping");
+    job.responder().refused(daemon, &Refusal::new("stopping", SHUTDOWN_RETRY_AFTER))
+}
+
 /// Returns the final answer of a request that no endpoint has answered successfully.
 fn give_up(
     daemon: &Rc<Daemon>,
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -223,6 +223,7 @@
         let is_observed = !job.spec.engine_service && through.is_none();
         let liveness =
             if is_observed { liveness::before_request(daemon, &place.key) } else { None };
+        job.may_have_run.set(true);
         log_sent(daemon, job, place, number, last_event, through, &link, now, time_left);
         // Counted before the request is sent: when the caller hangs up, this future is dropped at
         // the next await.
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -884,6 +884,14 @@
         }
     }
 
+    /// Returns the shortest recent delay of first bytes at the usable endpoints of a service; zero if
+    /// none is known.
+    pub fn shortest_delay(&self, now: Duration, service: &str) -> Duration {
+        let rows = self.rows.values().filter(|row| row.instance.service == service);
+        let delays = rows.filter(|row| row.is_usable(now)).filter_map(|row| row.recent_delay(now));
+        delays.min().unwrap_or_default()
+    }
+
     /// Returns the median delay of first bytes at the other endpoints of a service, if any is known.
     fn usual_delay(&self, now: Duration, key: &Key) -> Option<Duration> {
         let service = self.rows.get(key).map(|row| &row.instance.service);
--- a/src/decide/shutdown.rs
+++ b/src/decide/shutdown.rs
@@ -5,6 +5,10 @@
 //! that is accepted late is cut when the process ends: its caller has paid for an answer that it
 //! never gets in full, and may not retry. A refused caller sends its request to another daemon at
 //! once.
+//!
+//! An endpoint may take longer than was known. A request that is open when the process is about to
+//! end gets an answer all the same, which says that it has not run if that is so: a connection that
+//! ends without one tells its caller nothing.
 
 use std::time::Duration;
 
@@ -17,6 +21,15 @@
 /// Time that an answer takes in addition to its tokens.
 const BASE_RESPONSE_TIME: Duration = Duration::from_millis(800);
 
+/// Time before the end of the process at which open requests are answered: several turns of a loop
+/// that is late.
+const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(250);
+
+/// Returns when requests that are still open are answered, if the process ends at `end`.
+pub fn final_answer_at(end: Duration) -> Duration {
+    end.saturating_sub(FINAL_ANSWER_MARGIN)
+}
+
 /// What the duration of an answer depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Answer {
@@ -28,13 +41,15 @@
     pub max_pause: Option<Duration>,
     /// Time after which its caller gets no more of it.
     pub limit: Duration,
+    /// How long plain answers of its service have taken lately; zero if that is not known.
+    pub usual: Duration,
 }
 
 impl Answer {
     /// Returns how long the answer takes at the slowest pace that is on time.
     fn duration(&self) -> Duration {
         let Some(pause) = self.max_pause else {
-            return BASE_RESPONSE_TIME + MAX_TOKEN_TIME * self.tokens;
+            return self.usual + BASE_RESPONSE_TIME + MAX_TOKEN_TIME * self.tokens;
         };
         // An event has at least one token.
         let events = pause.saturating_mul(self.tokens);
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -346,7 +346,8 @@
 
 /// Returns what is known of an answer that may take a minute.
 fn answer(tokens: u32, max_pause: Option<Duration>) -> shutdown::Answer {
-    shutdown::Answer { tokens, target_latency: ms(400), max_pause, limit: ms(60_000) }
+    let usual = Duration::ZERO;
+    shutdown::Answer { tokens, target_latency: ms(400), max_pause, limit: ms(60_000), usual }
 }
 
 /// Guards against a stream that is accepted late in a shutdown and cut although its events are on
