Name the end of a request by a stop, and what arrives late

A request that is answered as the process ends was logged as left by its caller. Names only besides: retries whose requests may arrive once more are late repeats, a complete response is whole.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -213,7 +213,7 @@
     connection: Rc<Connection>,
     /// Whether the request has its final answer.
     pub answered: bool,
-    /// Whether its answer was ended as it held too much.
+    /// Whether this daemon has ended it: its answer held too much, or the process is about to end.
     is_ended: Rc<Cell<bool>>,
 }
 
@@ -291,7 +291,10 @@
     let admitted = admit(daemon, connection, caller, &head, body, arrived_at).await;
     connection.on_received_all();
     match admitted {
-        Ok(job) => run(daemon, &job, tracker).or(answer_at_end(daemon, &job)).await,
+        Ok(job) => {
+            let is_ended = tracker.is_ended.clone();
+            run(daemon, &job, tracker).or(answer_at_end(daemon, &job, &is_ended)).await
+        }
         Err(res) => {
             tracker.answered = true;
             res
@@ -545,21 +548,21 @@
         let outcome =
             send::attempt(daemon, job, &permit, number, None, is_repeat, may_repeat).await;
         match outcome {
-            Outcome::Complete(res, _) => {
+            Outcome::Complete(whole, _) => {
                 tracker.answered = true;
                 record_answer(daemon, job);
-                return forward(daemon, job, &tracker, res);
+                return forward(daemon, job, &tracker, whole);
             }
             Outcome::Stream(head) => {
                 let attempts = progress.possible_runs + 1;
                 record_answer(daemon, job);
                 return forward_stream(daemon, job, permit, head, attempts, tracker);
             }
-            Outcome::Failure(res, _) => {
+            Outcome::Failure(whole, _) => {
                 progress.possible_runs += 1;
                 progress.delivered += 1;
                 progress.last_error = "endpoint_failure";
-                progress.failure = Some(res);
+                progress.failure = Some(whole);
             }
             Outcome::Quarantined(refusal) => {
                 return give_up(daemon, job, &mut tracker, progress, &refusal);
@@ -675,7 +678,7 @@
 }
 
 /// Waits until the process is about to end, and returns the answer of a request that is open then.
-async fn answer_at_end(daemon: &Rc<Daemon>, job: &Job) -> Response<Payload> {
+async fn answer_at_end(daemon: &Rc<Daemon>, job: &Job, is_ended: &Cell<bool>) -> Response<Payload> {
     let (_, end) = loop {
         let next = daemon.stopping.listen();
         match daemon.shutdown_period.get() {
@@ -684,6 +687,7 @@
         }
     };
     Timer::after(shutdown::final_answer_at(end).saturating_sub(clock::now())).await;
+    is_ended.set(true);
     if job.may_have_run.get() {
         daemon.gauges.record_end(job.team_name(), "failed");
         return job.responder().failed(daemon, StatusCode::GATEWAY_TIMEOUT, "stopping");
@@ -703,8 +707,8 @@
     tracker.answered = true;
     let end = if progress.possible_runs == 0 { refusal.reason } else { "failed" };
     daemon.gauges.record_end(job.team_name(), end);
-    if let Some(res) = progress.failure {
-        return forward(daemon, job, tracker, res);
+    if let Some(whole) = progress.failure {
+        return forward(daemon, job, tracker, whole);
     }
     if progress.possible_runs == 0 {
         return job.responder().refused(daemon, refusal);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -140,7 +140,7 @@
     /// Decisions on retries.
     pub retries: RefCell<retry::Outcomes>,
     /// Retries whose requests may arrive once more later.
-    pub debts: RefCell<Vec<retry::Debt>>,
+    pub late_repeats: RefCell<Vec<retry::LateRepeat>>,
     /// Other daemons.
     pub nodes: RefCell<node::Table>,
     /// Callers' demand for models, collected for the placer.
@@ -231,7 +231,7 @@
             forwarders: RefCell::default(),
             allowance: RefCell::new(allowance),
             retries: RefCell::default(),
-            debts: RefCell::default(),
+            late_repeats: RefCell::default(),
             nodes: RefCell::default(),
             demand: RefCell::default(),
             placer: RefCell::new(placer::Placer::new(&settings, started_at)),
--- a/src/daemon/retry.rs
+++ b/src/daemon/retry.rs
@@ -36,7 +36,7 @@
 
 /// A retry of a request whose attempt before may be read later.
 #[derive(Debug)]
-pub struct Debt {
+pub struct LateRepeat {
     unread: Unread,
     service: ServiceId,
     credit: Credit,
@@ -65,7 +65,11 @@
         && !is_read(daemon, now, &unread)
     {
         daemon.allowance.borrow_mut().hold(service, credit);
-        daemon.debts.borrow_mut().push(Debt { unread, service: service.clone(), credit });
+        daemon.late_repeats.borrow_mut().push(LateRepeat {
+            unread,
+            service: service.clone(),
+            credit,
+        });
     }
     credit.is_some()
 }
@@ -73,8 +77,9 @@
 /// Returns whether an endpoint has read an attempt or never will.
 fn is_read(daemon: &Daemon, now: Duration, unread: &Unread) -> bool {
     let fleet = daemon.fleet.borrow();
-    let has_answered = |sent_at| fleet.get(&unread.key)?.has_answered_since(sent_at).then_some(());
-    has_answered(unread.sent_at).is_some() || now >= unread.sent_at + MAX_UNREAD_TIME
+    let row = fleet.get(&unread.key);
+    let has_answered = row.is_some_and(|row| row.has_answered_since(unread.sent_at));
+    has_answered || now >= unread.sent_at + MAX_UNREAD_TIME
 }
 
 /// Releases the credits of retries whose attempts before have been read.
@@ -89,9 +94,9 @@
 }
 
 fn release_if(daemon: &Daemon, now: Duration, is_released: impl Fn(&Unread) -> bool) {
-    let mut debts = daemon.debts.borrow_mut();
-    for debt in debts.extract_if(.., |debt| is_released(&debt.unread)) {
-        daemon.allowance.borrow_mut().release(now, &debt.service, debt.credit);
+    let mut repeats = daemon.late_repeats.borrow_mut();
+    for repeat in repeats.extract_if(.., |repeat| is_released(&repeat.unread)) {
+        daemon.allowance.borrow_mut().release(now, &repeat.service, repeat.credit);
     }
 }
 
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -158,9 +158,9 @@
             let run = Run { content, sent_at: started_at, answered_at: None };
             quarantine::on_broken(daemon, &place.key, run);
         }
-        Outcome::Complete(res, _) => {
+        Outcome::Complete(whole, _) => {
             quarantine::on_completed(daemon, &job.content);
-            if res.res.status().is_success() {
+            if whole.res.status().is_success() {
                 quarantine::on_survived(daemon, &job.content);
             }
         }
@@ -745,7 +745,7 @@
         end: body.map(|(_, end)| end.into()),
     };
     match outcome {
-        Outcome::Complete(res, framing) => {
+        Outcome::Complete(whole, framing) => {
             fleet.record_first_byte(now, key, endpoint_time, model, &estimate);
             place.record_first_byte(endpoint_time);
             daemon.gauges.record_first_byte(job.route.kind, elapsed);
@@ -753,7 +753,7 @@
             daemon.note(&Event::Answered {
                 request: job.caller.id.clone(),
                 endpoint: key.id.clone(),
-                status: res.res.status().as_u16(),
+                status: whole.res.status().as_u16(),
                 took: elapsed_ms,
                 outcome: "whole",
                 work: place.work_percent(),
