An endpoint that sends bytes is not stalled

Cause: took an attempt for unanswered that had not got a complete head, although bytes had come back, and its probe waited for a complete answer. What is guarded against is an endpoint that reads nothing, where requests pile up; one that sends bytes reads them. An attempt now counts as unanswered only if not one byte was received since it was sent, and any byte ends the stall, directly and through another daemon.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -222,7 +222,7 @@
                 if err == link::Error::Broken {
                     let run = Run { content, sent_at, answered_at: None };
                     quarantine::on_broken(daemon, &target.key, run);
-                } else if err == link::Error::Timeout {
+                } else if err == link::Error::Timeout && !link.has_received() {
                     stall::on_given_up(daemon, &target.key, sent_at);
                 }
                 return Err(Truncated);
--- a/src/daemon/link.rs
+++ b/src/daemon/link.rs
@@ -153,6 +153,8 @@
     write_deadline: Cell<Duration>,
     /// When bytes were last handed to the kernel; none while all are still queued.
     written_at: Cell<Option<Duration>>,
+    /// Whether any bytes were received since the request was sent, those of other responses too.
+    has_received: Cell<bool>,
     /// When the head of the response was received; none before.
     head_at: Cell<Option<Duration>>,
     /// Bytes of the response's body received by `Link::transfer`.
@@ -169,6 +171,7 @@
     /// Forgets the last request.
     pub fn reset(&self) {
         self.written_at.set(None);
+        self.has_received.set(false);
         self.head_at.set(None);
         self.received.set(0);
         self.last_received_at.set(None);
@@ -219,6 +222,7 @@
     /// Adds those bytes to `received` that belong to the response. What is wrong with others is told
     /// after these have been read.
     fn receive(&mut self, bytes: &[u8]) {
+        self.progress.has_received.set(true);
         let mut filter = self.progress.filter.borrow_mut();
         // The filter keeps the error.
         let _ = filter.push(bytes, &mut self.received);
@@ -338,6 +342,11 @@
         self.progress.written_at.get()
     }
 
+    /// Returns whether any bytes were received since the last request was sent.
+    pub fn has_received(&self) -> bool {
+        self.progress.has_received.get()
+    }
+
     /// Returns whether nothing but responses to its own requests was received.
     pub fn is_clean(&self) -> bool {
         let filter = self.progress.filter.borrow();
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -257,7 +257,8 @@
             }
             Err(link::Error::Unsent) if is_reused => force_new = true,
             Err(err) => {
-                if err == link::Error::Timeout && link.written_at().is_some() {
+                let is_unanswered = link.written_at().is_some() && !link.has_received();
+                if err == link::Error::Timeout && is_unanswered {
                     let unread = Unread { key: place.key.clone(), sent_at: now };
                     job.unread.set(Some(unread));
                     if is_direct {
--- a/src/daemon/stall.rs
+++ b/src/daemon/stall.rs
@@ -59,7 +59,7 @@
     daemon.note(&Event::Stall { endpoint: key.id.clone(), stalled: false, ms });
 }
 
-/// Sends one probe; any answer shows that the endpoint goes on.
+/// Sends one probe; any byte of an answer shows that the endpoint goes on.
 async fn probe(daemon: &Rc<Daemon>, key: &Key, path: &str) -> Result<(), link::Error> {
     let addr = daemon.fleet.borrow().get(key).map(|row| row.instance.address);
     let addr = addr.ok_or(link::Error::Unsent)?;
@@ -75,5 +75,6 @@
     daemon.gauges.record_connection();
     let req = Request::get(path).header(header::HOST, addr.to_string()).body(Bytes::new());
     let req = req.map_err(|_| link::Error::Unsent)?;
-    link.call(req, MAX_ANSWER_BYTES, PROBE_TIMEOUT).await.map(drop)
+    let answer = link.call(req, MAX_ANSWER_BYTES, PROBE_TIMEOUT).await;
+    if link.has_received() { Ok(()) } else { answer.map(drop) }
 }
