A request that is passed on counts its time from its arrival

Endpoints were told that they had more time than the caller was going to wait (BUDGET), and ran requests whose callers had given up: where the daemon that passes a request on for another one is late to read it.

Cause: it counted the time limit from the read. For requests of callers the time in the socket's buffer was counted already (decide::lag).

Evidence: request_that_is_read_late_is_not_passed_on_after_its_deadline fails on the code before, three runs of three (a request with 400 ms left, read 800 ms late, runs at the endpoint), and passes with this change, five runs of five.

--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -123,7 +123,9 @@
         }
         return Ok(undelivered("malformed"));
     };
-    let deadline = clock::now() + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
+    // The time in the socket's buffer counts, as it does for callers' requests.
+    let arrived_at = daemon.lag.get().earliest_arrival(clock::now());
+    let deadline = arrived_at + caller.timeout.unwrap_or(DEFAULT_TIME_LIMIT);
     let parts = caller.parts.iter().map(|part| part.id);
     let content = Content::new(target.fingerprint, &caller.id, parts);
     let _open = OpenRequest::new(daemon);
