The entry counts a request's time from its head

A caller that took longer to send its body than it was going to wait had its request run all the same, and the endpoint was told that it had the whole time of the request (BUDGET, the product's own face).

Cause: the deadline was counted from the end of the body. The daemon counts from the head; the entry does now too. What is late by then is refused as late and not run.

Evidence: request_whose_body_takes_longer_than_its_deadline_does_not_run fails on the code before (a completion with 1.5 s left, sent in 2 s, is answered 200; the call to a service too), and passes with this change, two runs of two.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,6 +9,7 @@
 use http_types::StatusCode;
 
 use crate::config::service::Kind;
+use crate::config::service::Service;
 use crate::edge::caller;
 use crate::edge::caller::Code;
 use crate::edge::caller::Completion;
@@ -35,10 +36,19 @@
     pub request_id: String,
     /// The caller; all callers that send no name share the fair share of `anonymous`.
     pub caller: CallerId,
+    /// When the head of the request was read, on the entry's clock.
+    pub arrived_at: Duration,
     /// The time that the caller waits for the answer; none for the default of the service.
     pub deadline: Option<Duration>,
 }
 
+impl Head {
+    /// Returns until when the caller waits for the answer, on the entry's clock.
+    pub fn deadline(&self, service: &Service) -> Duration {
+        self.arrived_at + self.deadline.unwrap_or(service.deadline)
+    }
+}
+
 /// Serves one request and returns its id in a header.
 pub async fn handle(entry: Arc<Entry>, mut req: Request, link: Link) -> Response {
     let request_id = header(&req, caller::REQUEST_ID)
@@ -123,7 +133,7 @@
     req: &mut Request,
     request_id: &str,
 ) -> Result<(Head, Vec<u8>), Refused> {
-    let limits = &entry.settings.limits;
+    let (limits, arrived_at) = (&entry.settings.limits, entry.now());
     if req.iter().count() > limits.headers {
         let text = format!("a request may have at most {} header fields", limits.headers);
         return Err(Refused::new(Code::TooManyHeaders, text));
@@ -133,7 +143,7 @@
         Some(header) => Some(deadline(&header)?),
     };
     let caller = header(req, caller::CALLER).unwrap_or_else(|| "anonymous".to_string());
-    let head = Head { request_id: request_id.to_string(), caller, deadline };
+    let head = Head { request_id: request_id.to_string(), caller, arrived_at, deadline };
     let body = http::body(req, limits.body, limits.body_time()).await.map_err(|err| match err {
         http::Error::TooLarge(max) => {
             Refused::new(Code::BodyTooLarge, format!("a request body may have at most {max} bytes"))
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -2,6 +2,10 @@
 
 mod scene;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use http_types::Method;
@@ -201,3 +205,42 @@
         "the draft ended before its deadline, so the test checks nothing"
     );
 }
+
+/// Sends the head of a request, and its body after `pause`; returns the answer.
+fn send_slowly(addr: SocketAddr, head: &str, body: &str, pause: Duration) -> String {
+    let mut stream = TcpStream::connect(addr).expect("a connection");
+    let len = body.len();
+    let head = format!("{head}\r\nHost: h\r\nConnection: close\r\nContent-Length: {len}\r\n\r\n");
+    stream.write_all(head.as_bytes()).expect("sent");
+    std::thread::sleep(pause);
+    stream.write_all(body.as_bytes()).expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    answer
+}
+
+/// Guards against a request that runs after its caller's time, which a slow body has used up.
+#[test]
+fn request_whose_body_takes_longer_than_its_deadline_does_not_run() {
+    let mut scene = Scene::with_services(vec![drafting("m"), plain("lookups", true)]);
+    let engine = scene.engine("m");
+    let service = scene.site.service("lookups", "wien", "wien-1").expect("service");
+    scene.entry("wien", "");
+    scene.wait_ready(&scene.entries[0], &[engine.addr(), service.addr()]);
+    let address = scene.entries[0].address;
+    let ran = || (engine.record().begun, service.record().ran);
+    let letter = r#"{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":1}"#;
+    let requests = [("/v1/chat/completions", letter), ("/v1/services/lookups/find", "{}")];
+    for (path, body) in requests {
+        let head = format!("POST {path} HTTP/1.1\r\nX-Deadline-Ms: 1500");
+        let answer = send_slowly(address, &head, body, Duration::from_millis(2000));
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{path}: {answer}");
+    }
+    assert_eq!(ran(), (0, 0));
+    for (path, body) in requests {
+        let head = format!("POST {path} HTTP/1.1\r\nX-Deadline-Ms: 10000");
+        let answer = send_slowly(address, &head, body, Duration::from_millis(100));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{path}: {answer}");
+    }
+    assert_eq!(ran(), (1, 1));
+}
