Copies of a request run one at a time once they have crashed endpoints

A request that crashes each endpoint that runs it, sent four times at once every 6 s, reached endpoints 8 times later than contactMs after it had crashed the third, where 3 are allowed (BUDGET), and requests of other callers on these endpoints ended with 502.

Cause: runs that overlap count as one crash, so that a rack that loses power beneath identical requests does not have them refused. Copies that crash their endpoints at the same time look the same, and copies ran beside each other again, so that each round counted once.

Once as many endpoints have crashed under overlapping copies as it takes to refuse a request, it is on trial (daemon::trial): one daemon, chosen by a hash among the members, sends one copy at a time, and the others pass theirs on through it. A copy that finds another one running, or its endpoint being checked for a crash, is refused at once with 503. So each further crash counts, and a complete answer ends the trial.

--- a/src/daemon/forward/mod.rs
+++ b/src/daemon/forward/mod.rs
@@ -42,6 +42,8 @@
 const UNDELIVERED: HeaderName = HeaderName::from_static("forward-undelivered");
 /// Reason of a daemon that refuses the request, as it crashes endpoints.
 const QUARANTINED: &str = "quarantined";
+/// Reason of a daemon that passes on one copy of the request at a time.
+const ON_TRIAL: &str = "on_trial";
 /// Header of a request that goes on with a stream, and of a response that comes from the process that
 /// the endpoint's record describes.
 const CONFIRMED: HeaderName = HeaderName::from_static("forward-confirmed");
@@ -99,6 +101,11 @@
     headers.get(UNDELIVERED).is_some_and(|reason| reason == QUARANTINED)
 }
 
+/// Returns whether a response says that another copy of the request runs, which may crash endpoints.
+pub fn is_on_trial(headers: &HeaderMap) -> bool {
+    headers.get(UNDELIVERED).is_some_and(|reason| reason == ON_TRIAL)
+}
+
 /// Returns whether a response says that no part of the request has reached the endpoint.
 pub fn is_undelivered(headers: &HeaderMap) -> bool {
     headers.contains_key(UNDELIVERED)
--- a/src/daemon/forward/server.rs
+++ b/src/daemon/forward/server.rs
@@ -18,6 +18,7 @@
 use super::CONFIRMED;
 use super::CONTACT_PATH;
 use super::Contact;
+use super::ON_TRIAL;
 use super::QUARANTINED;
 use super::TARGET;
 use super::Target;
@@ -47,6 +48,8 @@
 use crate::daemon::stall;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
+use crate::daemon::trial;
+use crate::daemon::trial::Trial;
 use crate::decide::body::Cutoff;
 use crate::decide::body::Framing;
 use crate::decide::contact::Path;
@@ -159,6 +162,9 @@
     mut req: Request<Segments>,
 ) -> Result<Response<Payload>, Truncated> {
     let open = OpenRequest::new(daemon);
+    let Ok(trial) = trial::begin(daemon, content) else {
+        return Ok(undelivered(ON_TRIAL));
+    };
     remove_hop_headers(req.headers_mut());
     let name = daemon.dialect.request_id();
     let mut reused = true;
@@ -206,6 +212,7 @@
                     deadline,
                     cutoff: Cutoff::new(deadline),
                     _open: open,
+                    _trial: trial,
                 };
                 let is_confirmed = exchange.target.confirm
                     && res.status().is_success()
@@ -315,6 +322,7 @@
     /// When data that is always ready is no longer passed back.
     cutoff: Cutoff,
     _open: OpenRequest,
+    _trial: Option<Trial>,
 }
 
 impl Exchange {
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::OnceCell;
+use std::cell::RefCell;
 use std::fmt;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -59,6 +60,7 @@
 use crate::daemon::send::Outcome;
 use crate::daemon::send::Whole;
 use crate::daemon::stream::Forwarder;
+use crate::daemon::trial::Trial;
 use crate::decide::connection::Port;
 use crate::decide::origin::Origin;
 use crate::decide::shutdown;
@@ -182,6 +184,8 @@
     pub may_have_run: Cell<bool>,
     /// The last attempt, if it was given up and its endpoint may not have read it.
     pub unread: Cell<Option<retry::Unread>>,
+    /// Lets no copy of it run elsewhere while it is on trial.
+    pub trial: RefCell<Option<Trial>>,
 }
 
 impl Job {
@@ -475,6 +479,7 @@
         held,
         may_have_run: Cell::default(),
         unread: Cell::default(),
+        trial: RefCell::default(),
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -49,11 +49,13 @@
 pub mod stream;
 pub mod tally;
 pub mod transfer;
+pub mod trial;
 pub mod updates;
 pub mod versions;
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -79,6 +81,7 @@
 use crate::decide::share::Teams;
 use crate::decide::wait_queue::Queue;
 use crate::edge::dialect::Dialect;
+use crate::table::Fingerprint;
 use crate::table::instance::Key;
 use crate::table::routing::Config;
 
@@ -125,6 +128,8 @@
     pub limits: RefCell<limit::Limits>,
     /// Requests that ran on crashed endpoints.
     pub quarantine: RefCell<quarantine::Observer>,
+    /// Requests on trial that run now.
+    pub trials: RefCell<HashSet<Fingerprint>>,
     /// Where streams began.
     pub origins: RefCell<origin::Origins>,
     /// Reads of the versions that serve.
@@ -224,6 +229,7 @@
             quotas: RefCell::new(quota::Quotas::new(clock::now())),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
+            trials: RefCell::default(),
             version_reads: versions::Reads::default(),
             origins: RefCell::default(),
             liveness: RefCell::default(),
--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -37,6 +37,7 @@
 use crate::decide::suspects::Message;
 use crate::decide::suspects::News;
 use crate::decide::suspects::Suspects;
+use crate::table::Fingerprint;
 use crate::table::PartId;
 use crate::table::instance::Key;
 use crate::table::instance::State;
@@ -106,14 +107,33 @@
         self.suspects.part_counts(now)
     }
 
-    /// Returns whether checks that have not ended yet may lead to the refusal of a request.
+    /// Returns whether checks that have not ended yet decide whether a request may run.
     fn is_undecided(&self, now: Duration, content: &Content) -> bool {
+        let pending = self.pending_checks(content.fingerprint);
+        let decides = || {
+            self.suspects.is_undecided(now, content, pending)
+                || self.suspects.is_on_trial(now, content.fingerprint)
+        };
+        pending > 0 && decides()
+    }
+
+    /// Returns the number of checks in progress of endpoints that a request ran on.
+    fn pending_checks(&self, fingerprint: Fingerprint) -> usize {
         let is_in = |check: &&Check| {
             let runs = &check.breakage.runs;
-            runs.iter().any(|(other, _)| *other == content.fingerprint)
+            runs.iter().any(|(other, _)| *other == fingerprint)
         };
-        let pending = self.checks.values().filter(is_in).count();
-        pending > 0 && self.suspects.is_undecided(now, content, pending)
+        self.checks.values().filter(is_in).count()
+    }
+
+    /// Returns whether an endpoint is being checked that a request ran on.
+    pub fn is_checked(&self, fingerprint: Fingerprint) -> bool {
+        self.pending_checks(fingerprint) > 0
+    }
+
+    /// Returns whether a request may run one copy at a time only.
+    pub fn is_on_trial(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        self.suspects.is_on_trial(now, fingerprint)
     }
 
     /// Returns the time for which a request is still refused; none if it is not.
--- a/src/daemon/send.rs
+++ b/src/daemon/send.rs
@@ -42,6 +42,7 @@
 use crate::daemon::stall;
 use crate::daemon::statement;
 use crate::daemon::statement::Source;
+use crate::daemon::trial;
 use crate::decide::body;
 use crate::decide::body::Content;
 use crate::decide::body::End as BodyEnd;
@@ -193,9 +194,16 @@
     let mut is_paid = false;
     let mut tried_daemons = Vec::new();
     loop {
-        let Ok(through) = forward::route(daemon, &place.key, &tried_daemons) else {
-            contact::on_undelivered(daemon, &place.key);
-            return Outcome::Unsent("undelivered");
+        let through = match trial::route(daemon, job, &tried_daemons) {
+            Ok(Some(owner)) => Some(owner),
+            Ok(None) => {
+                let Ok(through) = forward::route(daemon, &place.key, &tried_daemons) else {
+                    contact::on_undelivered(daemon, &place.key);
+                    return Outcome::Unsent("undelivered");
+                };
+                through
+            }
+            Err(refusal) => return Outcome::Quarantined(refusal),
         };
         let opened = open(daemon, job, &place.key, addr, through, force_new).await;
         let (mut link, is_reused) = match opened {
@@ -243,6 +251,9 @@
                     let refusal = Refusal::new("quarantined", REFUSAL_PERIOD);
                     return Outcome::Quarantined(refusal);
                 }
+                if forward::is_on_trial(res.headers()) {
+                    return Outcome::Quarantined(trial::refusal());
+                }
                 tried_daemons.extend(through);
                 force_new = false;
             }
@@ -795,9 +806,9 @@
             place.set_end(End::Unused);
             daemon.note(&failed_event("key_withdrawn", "unsent"));
         }
-        Outcome::Quarantined(_) => {
+        Outcome::Quarantined(refusal) => {
             place.set_end(End::Unused);
-            daemon.note(&failed_event("quarantined", "unsent"));
+            daemon.note(&failed_event(refusal.reason, "unsent"));
         }
         Outcome::NoCredit => {
             place.set_end(End::Unused);
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -141,6 +141,14 @@
         self.rows.get(&fingerprint).map_or(0, Suspect::crash_count)
     }
 
+    /// Returns whether the fingerprint was part of as many crashes as it takes to refuse it, although
+    /// too many of its runs overlapped: either it crashes endpoints, or what they share failed.
+    pub fn is_on_trial(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let row = self.rows.get(&fingerprint);
+        row.is_some_and(|row| row.runs.len() >= self.max_crashes)
+            && self.remaining(now, fingerprint).is_none()
+    }
+
     /// Records that the fingerprint ran when an endpoint crashed. Returns true if it is refused from
     /// now on.
     pub fn on_crash(&mut self, fingerprint: Fingerprint, run: Run<E>) -> bool {
--- a/src/decide/suspects.rs
+++ b/src/decide/suspects.rs
@@ -223,6 +223,12 @@
         self.table.remaining(now, fingerprint)
     }
 
+    /// Returns whether copies of a request were part of enough crashes to refuse it, and ran at the
+    /// same time.
+    pub fn is_on_trial(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        self.table.is_on_trial(now, fingerprint)
+    }
+
     /// Returns the time for which a request with these parts is still refused; none if it is not.
     pub fn remaining_of_parts(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
         self.parts.remaining(now, parts)
--- a/tests/decide_quarantine.rs
+++ b/tests/decide_quarantine.rs
@@ -44,6 +44,24 @@
     assert!(quarantine.on_crash(7, run(51, 2_200, 2_300)));
 }
 
+/// Guards against running copies of a request beside each other that may crash endpoints.
+#[test]
+fn request_is_on_trial_while_overlapping_runs_could_refuse_it() {
+    let mut quarantine = Quarantine::new(MAX_CRASHES);
+    for endpoint in 0..3 {
+        assert!(!quarantine.is_on_trial(ms(1_100), 7), "{endpoint}");
+        quarantine.on_crash(7, run(endpoint, 0, 1_000));
+    }
+    assert!(quarantine.is_on_trial(ms(1_100), 7));
+    let mut other = quarantine.clone();
+    other.clear(ms(2_000), 7);
+    assert!(!other.is_on_trial(ms(2_100), 7));
+    quarantine.on_crash(7, run(4, 2_000, 2_100));
+    assert!(quarantine.is_on_trial(ms(2_200), 7));
+    assert!(quarantine.on_crash(7, run(5, 2_200, 2_300)));
+    assert!(!quarantine.is_on_trial(ms(2_400), 7));
+}
+
 /// Guards against the same crash counting again when several daemons announce it.
 #[test]
 fn crash_of_one_endpoint_counts_once() {
