The entry bounds the answers that it holds together

What callers would see: an entry of the product's own face that ends for want of memory, with the requests of all callers, while endpoints send without end to many callers at once.

What answers hold is counted by the same rule as requests (decide::intake) in a budget of its own, limits.answers: plain answers until the caller has received them, the text of a completion that is not streamed, a line of a stream that does not arrive at once, and reports. Without room the largest and oldest incomplete one is given up. An answer that states more than the largest size is given up before any of it is read.

Weighed: to count answers with requests refuses callers for a fault of an endpoint; to lower limits.answer refuses sound answers and bounds nothing.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -104,6 +104,7 @@
             bound("limits.body", size(limits.body), 1 << 10, 64 << 20),
             bound("limits.bodies", size(limits.bodies), 1 << 20, 4 << 30),
             bound("limits.answer", size(limits.answer), 1 << 10, 64 << 20),
+            bound("limits.answers", size(limits.answers), 1 << 20, 4 << 30),
             bound("limits.headers", size(limits.headers), 8, 128),
             bound("limits.connections", size(limits.connections), 1, 65_536),
             bound("limits.idle_ms", limits.idle_ms, 1_000, 600_000),
@@ -131,6 +132,9 @@
     pub bodies: usize,
     /// Maximum size of a plain service's response in bytes; 1 KiB to 64 MiB.
     pub answer: usize,
+    /// Maximum size of all responses of endpoints held at once in bytes; 1 MiB to 4 GiB. A response
+    /// that is alone may hold more.
+    pub answers: usize,
     /// Maximum number of header fields of a request; 8 to 128.
     pub headers: usize,
     /// Maximum number of open connections; 1 to 65,536.
@@ -156,6 +160,7 @@
             body: 4 << 20,
             bodies: 64 << 20,
             answer: 4 << 20,
+            answers: 64 << 20,
             headers: 64,
             connections: 4096,
             idle_ms: 60_000,
--- a/src/edge/endpoint/call.rs
+++ b/src/edge/endpoint/call.rs
@@ -24,6 +24,7 @@
 use crate::edge::endpoint::exchange;
 use crate::edge::http;
 use crate::edge::http::Answer;
+use crate::edge::http::Held;
 use crate::edge::http::Pool;
 use crate::edge::http::Reuse;
 use crate::table::AttemptId;
@@ -181,7 +182,7 @@
 }
 
 /// The response of a plain service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
@@ -189,6 +190,8 @@
     pub mime: String,
     /// Complete body.
     pub body: Vec<u8>,
+    /// Counts the body as held.
+    pub held: Option<Held>,
 }
 
 /// A client that calls endpoints over pooled connections.
@@ -203,6 +206,11 @@
         Client { pool }
     }
 
+    /// Returns a response of which nothing has been received, to count what is kept of a stream.
+    pub fn hold(&self) -> Held {
+        self.pool.hold()
+    }
+
     /// Starts a token stream; the head of the response must arrive within `limit`.
     pub async fn stream(
         &self,
@@ -259,9 +267,9 @@
             }
             let mime = answer.header("content-type").unwrap_or("application/octet-stream");
             let mime = mime.to_string();
-            let body =
-                answer.bytes(max).await.map_err(|err| (Error::from(err), endpoint_status))?;
-            Ok((Reply { status, mime, body }, endpoint_status))
+            let read = answer.held_bytes(max).await;
+            let (body, held) = read.map_err(|err| (Error::from(err), endpoint_status))?;
+            Ok((Reply { status, mime, body, held }, endpoint_status))
         };
         let expiry = async {
             smol::Timer::after(limit).await;
--- /dev/null
+++ b/src/edge/http/held_body.rs
@@ -0,0 +1,45 @@
+//! Bodies that count as held until they have been sent.
+
+use std::io;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use http_types::Body;
+use http_types::Response;
+use smol::io::AsyncBufRead;
+use smol::io::AsyncRead;
+
+use crate::edge::http::intake::Held;
+
+struct HeldBody {
+    body: Body,
+    _held: Held,
+}
+
+/// Lets the body of a response count as held until it has been sent.
+pub fn hold_until_sent(res: &mut Response, held: Held) {
+    let len = res.len();
+    let body = res.take_body();
+    res.set_body(Body::from_reader(HeldBody { body, _held: held }, len));
+}
+
+impl AsyncRead for HeldBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.body).poll_read(cx, buf)
+    }
+}
+
+impl AsyncBufRead for HeldBody {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        Pin::new(&mut self.get_mut().body).poll_fill_buf(cx)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amt: usize) {
+        Pin::new(&mut self.body).consume(amt);
+    }
+}
--- a/src/edge/http/intake.rs
+++ b/src/edge/http/intake.rs
@@ -1,5 +1,5 @@
-//! Counts what the requests of a server hold in memory, and refuses requests that are being received if
-//! there is too much of it, as `decide::intake` decides.
+//! Counts what the requests of a server or the responses to a client hold in memory, and refuses those
+//! that are being received if there is too much of it, as `decide::intake` decides.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 use crate::decide::intake;
 use crate::decide::intake::Incoming;
 
-/// A request of which something is held.
+/// A message of which something is held.
 #[derive(Debug)]
 struct Row {
     incoming: Incoming,
@@ -26,13 +26,13 @@
 #[derive(Debug, Default)]
 struct State {
     next: u64,
-    /// Bytes of all requests.
+    /// Bytes of all messages.
     all: usize,
     rows: BTreeMap<u64, Row>,
 }
 
 impl State {
-    /// Counts a part, unless all requests would exceed `max`; returns whether it was counted.
+    /// Counts a part, unless all messages would exceed `max`; returns whether it was counted.
     fn reserve(&mut self, number: u64, part: usize, max: usize) -> bool {
         let Some(row) = self.rows.get_mut(&number) else {
             return false;
@@ -45,13 +45,13 @@
         fits
     }
 
-    /// Returns the bytes of requests that are refused and have not released them.
+    /// Returns the bytes of messages that are refused and have not released them.
     fn freed_soon(&self) -> usize {
         let refused = self.rows.values().filter(|row| row.is_refused);
         refused.map(|row| row.incoming.bytes).sum()
     }
 
-    /// Counts a part if it fits. Otherwise requests are refused until it will fit, of which this one
+    /// Counts a part if it fits. Otherwise messages are refused until it will fit, of which this one
     /// may be the last.
     fn ask(&mut self, now: Duration, number: u64, part: usize, max: usize) -> Room {
         while self.rows.get(&number).is_some_and(|row| !row.is_refused) {
@@ -76,26 +76,26 @@
     }
 }
 
-/// What becomes of a part of a request.
+/// What becomes of a part of a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Room {
     /// It is counted.
     Granted,
-    /// The request is refused.
+    /// The message is refused.
     Refused,
-    /// It fits once requests that are refused have released their memory.
+    /// It fits once messages that are refused have released their memory.
     Later,
 }
 
-/// What the requests of a server hold.
+/// What the messages of one kind hold.
 #[derive(Debug)]
 pub(super) struct Intake {
     max: usize,
     started_at: Instant,
     state: Mutex<State>,
-    /// Notified when requests are refused.
+    /// Notified when messages are refused.
     refused: Event,
-    /// Notified when requests hold less.
+    /// Notified when messages hold less.
     freed: Event,
 }
 
@@ -117,15 +117,15 @@
     }
 }
 
-/// Counts a request until it is dropped.
+/// Counts a message until it is dropped.
 #[derive(Debug)]
-pub(super) struct Held {
+pub struct Held {
     intake: Arc<Intake>,
     number: u64,
 }
 
 impl Held {
-    /// Returns a request of which nothing has been received.
+    /// Returns a message of which nothing has been received.
     pub(super) fn new(intake: &Arc<Intake>) -> Self {
         let now = intake.started_at.elapsed();
         let mut state = intake.lock();
@@ -142,9 +142,9 @@
         self.intake.lock().ask(now, self.number, part, self.intake.max)
     }
 
-    /// Counts a part once it fits beside the parts of all requests. If this request is the one to
+    /// Counts a part once it fits beside the parts of all messages. If this message is the one to
     /// refuse, returns false: nothing of it may be kept then.
-    pub(super) async fn add(&self, part: usize) -> bool {
+    pub async fn add(&self, part: usize) -> bool {
         loop {
             let freed = self.intake.freed.listen();
             match self.ask(part) {
@@ -158,12 +158,13 @@
         }
     }
 
-    fn is_refused(&self) -> bool {
+    /// Returns whether the message is refused.
+    pub fn is_refused(&self) -> bool {
         self.intake.lock().rows.get(&self.number).is_some_and(|row| row.is_refused)
     }
 
-    /// Waits until the request is refused as another one needs its memory.
-    pub(super) async fn refused(&self) {
+    /// Waits until the message is refused as another one needs its memory.
+    pub async fn refused(&self) {
         loop {
             let refused = self.intake.refused.listen();
             if self.is_refused() {
@@ -173,8 +174,8 @@
         }
     }
 
-    /// Records that the request was received, so that it is not refused any more.
-    pub(super) fn complete(&self) {
+    /// Records that the message was received, so that it is not refused any more.
+    pub fn complete(&self) {
         if let Some(row) = self.intake.lock().rows.get_mut(&self.number) {
             row.is_complete = true;
         }
--- a/src/edge/http/mod.rs
+++ b/src/edge/http/mod.rs
@@ -6,6 +6,7 @@
 //! the delayed acknowledgement of the first arrives.
 
 mod connection;
+mod held_body;
 mod intake;
 mod pool;
 mod response;
@@ -30,8 +31,9 @@
 use smol::io::AsyncBufReadExt;
 
 use crate::edge::http::connection::Connection;
-use crate::edge::http::intake::Held;
 
+pub use crate::edge::http::held_body::hold_until_sent;
+pub use crate::edge::http::intake::Held;
 pub use crate::edge::http::pool::Answer;
 pub use crate::edge::http::pool::Pool;
 pub use crate::edge::http::pool::Reuse;
@@ -56,7 +58,7 @@
     TooLarge(usize),
     /// The body has neither a length nor chunks, so that a cut one can't be told from a complete one.
     Unframed,
-    /// The bodies of all requests would take too much memory.
+    /// The bodies of all messages would take too much memory.
     NoRoom,
     /// The message violates HTTP or is not of the expected body type.
     Malformed,
@@ -135,15 +137,8 @@
         unread.connection.set_answering(false);
     }
     let reader = req.take_body().into_reader();
-    let refused = async {
-        match &held {
-            Some(held) => held.refused().await,
-            None => smol::future::pending().await,
-        }
-        Err(Error::NoRoom)
-    };
     let read = read_held(reader, expected_len, max, held.as_deref());
-    let result = read.or(refused).or(expire(limit)).await;
+    let result = read.or(expire(limit)).await;
     if let Some(unread) = &unread {
         unread.connection.set_answering(true);
         unread.is_set.store(result.is_err(), Ordering::Relaxed);
@@ -171,6 +166,27 @@
 /// Does the same, and counts the buffer as held. The buffer grows with what has arrived: room for all
 /// that is announced would be reserved for nothing.
 async fn read_held<R>(
+    reader: R,
+    expected_len: Option<usize>,
+    max: usize,
+    held: Option<&Held>,
+) -> Result<Vec<u8>, Error>
+where
+    R: AsyncBufRead + Unpin,
+{
+    read_counted(reader, expected_len, max, held).or(refused(held)).await
+}
+
+/// Fails once a message is refused as another one needs its memory.
+async fn refused<T>(held: Option<&Held>) -> Result<T, Error> {
+    match held {
+        Some(held) => held.refused().await,
+        None => smol::future::pending().await,
+    }
+    Err(Error::NoRoom)
+}
+
+async fn read_counted<R>(
     mut reader: R,
     expected_len: Option<usize>,
     max: usize,
--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -21,7 +21,10 @@
 use crate::decide::body::Framing;
 use crate::edge::http::Error;
 use crate::edge::http::expire;
-use crate::edge::http::read_all;
+use crate::edge::http::intake::Held;
+use crate::edge::http::intake::Intake;
+use crate::edge::http::read_held;
+use crate::edge::http::refused;
 use crate::edge::http::response::Body;
 use crate::edge::http::response::Reader;
 use crate::edge::http::response::is_empty;
@@ -47,16 +50,32 @@
     idle: Arc<Mutex<Idle>>,
     connect_timeout: Duration,
     idle_timeout: Duration,
+    responses: Arc<Intake>,
 }
 
 impl Pool {
     /// Maximum number of idle connections per address.
     const MAX_IDLE_PER_ADDRESS: usize = 256;
 
+    /// Default bound on what all responses hold while they are received, in bytes.
+    const MAX_RESPONSES_BYTES: usize = 64 << 20;
+
     /// Creates a pool that gives up connecting after `connect_timeout` and closes connections that
     /// were idle for `idle_timeout`.
     pub fn new(connect_timeout: Duration, idle_timeout: Duration) -> Self {
-        Pool { idle: Arc::default(), connect_timeout, idle_timeout }
+        let responses = Intake::new(Self::MAX_RESPONSES_BYTES);
+        Pool { idle: Arc::default(), connect_timeout, idle_timeout, responses }
+    }
+
+    /// Returns a pool of the same connections whose responses are counted apart from those of this
+    /// one, and together hold at most `max` bytes. A response that is alone may hold more.
+    pub fn with_response_bound(&self, max: usize) -> Self {
+        Pool { responses: Intake::new(max), ..self.clone() }
+    }
+
+    /// Returns a response of which nothing has been received, to count what is kept of it elsewhere.
+    pub fn hold(&self) -> Held {
+        Held::new(&self.responses)
     }
 
     /// Sends a request and reads the head of the response within `limit`.
@@ -76,6 +95,7 @@
             None => self.open(addr).await?,
         };
         let mut answer = exchange(&stream, req).or(expire(limit)).await?;
+        answer.responses = Some(self.responses.clone());
         let is_kept = reuse != Reuse::Never && answer.may_be_reused();
         answer.home = is_kept.then(|| (self.clone(), addr));
         Ok(answer)
@@ -174,6 +194,8 @@
     stream: TcpStream,
     /// The pool to which the connection returns, if any.
     home: Option<(Pool, SocketAddr)>,
+    /// Counts what is held of the body, unless the answer was read without a pool.
+    responses: Option<Arc<Intake>>,
 }
 
 impl Answer {
@@ -188,7 +210,8 @@
         let head = read_head(&mut reader, method).await?;
         let body = Body::new(reader, &head);
         let (framing, body_len) = (head.framing, head.body_len);
-        Ok(Answer { head: head.response, body, body_len, framing, method, stream, home: None })
+        let head = head.response;
+        Ok(Answer { head, body, body_len, framing, method, stream, home: None, responses: None })
     }
 
     /// Returns the value of a header, or none if it is missing or repeated.
@@ -205,15 +228,29 @@
             return Err(Error::Malformed);
         }
         let reader = self.body.into_reader().ok_or(Error::Malformed)?;
-        Answer::read(reader, self.stream, self.method).await
+        let next = Answer::read(reader, self.stream, self.method).await?;
+        Ok(Answer { responses: self.responses, ..next })
     }
 
     /// Reads the complete body, of at most `max` bytes.
-    pub async fn bytes(mut self, max: usize) -> Result<Vec<u8>, Error> {
+    pub async fn bytes(self, max: usize) -> Result<Vec<u8>, Error> {
+        let (buf, _) = self.held_bytes(max).await?;
+        Ok(buf)
+    }
+
+    /// Reads the complete body, of at most `max` bytes, and returns it with what counts it as held.
+    pub async fn held_bytes(mut self, max: usize) -> Result<(Vec<u8>, Option<Held>), Error> {
         self.check_framing()?;
-        let buf = read_all(&mut self.body, self.body_len, max).await?;
+        if self.body_len.is_some_and(|len| len > max) {
+            return Err(Error::TooLarge(max));
+        }
+        let held = self.responses.as_ref().map(Held::new);
+        let buf = read_held(&mut self.body, self.body_len, max, held.as_ref()).await?;
+        if let Some(held) = &held {
+            held.complete();
+        }
         self.release();
-        Ok(buf)
+        Ok((buf, held))
     }
 
     /// A body that ends with its connection is not read.
@@ -234,8 +271,11 @@
         buf.clear();
         self.check_framing()?;
         let mut bytes = std::mem::take(buf).into_bytes();
+        // Counts a line that does not arrive at once.
+        let mut held = None;
         while bytes.last() != Some(&b'\n') {
-            let available = self.body.fill_buf().await.map_err(|_| Error::Broken)?;
+            let fill = async { self.body.fill_buf().await.map_err(|_| Error::Broken) };
+            let available = fill.or(refused(held.as_ref())).await?;
             if available.is_empty() {
                 break;
             }
@@ -244,6 +284,14 @@
             if bytes.len() + len > Self::MAX_LINE_BYTES {
                 return Err(Error::TooLarge(Self::MAX_LINE_BYTES));
             }
+            if line_end.is_none() {
+                held = held.or_else(|| self.responses.as_ref().map(Held::new));
+                if let Some(held) = &held
+                    && !held.add(len).await
+                {
+                    return Err(Error::NoRoom);
+                }
+            }
             bytes.extend_from_slice(&available[..len]);
             self.body.consume(len);
         }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -13,6 +13,7 @@
 
 use crate::config::service::Class;
 use crate::decide::flow::Event;
+use crate::decide::flow::Refusal;
 use crate::edge::caller::Completion;
 use crate::edge::caller::Refused;
 use crate::edge::caller::Writer;
@@ -28,6 +29,7 @@
 use crate::entry::job;
 use crate::entry::pipe;
 use crate::entry::serve::Head;
+use crate::entry::serve::NO_ROOM_RETRY_AFTER;
 use crate::metric::Counter;
 use crate::table::EndpointId;
 use crate::table::RequestId;
@@ -97,7 +99,7 @@
 /// Why a request ended before its answer was complete.
 enum Stop {
     Refused(Refused),
-    /// The caller disconnected.
+    /// The caller disconnected, or its answer has no room.
     Disconnected,
 }
 
@@ -299,16 +301,36 @@
 
 async fn complete(mut run: Run, link: Link, writer: Writer) -> Response {
     let text = std::sync::Mutex::new(String::new());
+    let held = run.entry.endpoints.hold();
     let sink = |token: String| {
-        text.lock().expect("text").push_str(&token);
-        std::future::ready(true)
+        let (text, held) = (&text, &held);
+        async move {
+            let has_room = held.add(token.len()).await;
+            if has_room {
+                text.lock().expect("text").push_str(&token);
+            }
+            has_room
+        }
+    };
+    let no_room = async {
+        held.refused().await;
+        Err(Stop::Disconnected)
     };
-    let result = run.execute(sink).or(disconnected(&link)).await;
+    let result = run.execute(sink).or(disconnected(&link)).or(no_room).await;
     match result {
+        Err(Stop::Disconnected) if held.is_refused() => {
+            run.entry.on_event(Event::HungUp(run.id));
+            run.cancel();
+            let refusal = Refusal::Failed(Outcome::Unknown, Some(NO_ROOM_RETRY_AFTER));
+            refuse(&run.entry, &refusal.into())
+        }
         Ok(()) => {
             run.entry.metrics.count(Counter::Answered);
             let text = text.into_inner().expect("text");
-            http::json(StatusCode::Ok, &writer.complete(&text, run.delivered))
+            let mut res = http::json(StatusCode::Ok, &writer.complete(&text, run.delivered));
+            held.complete();
+            http::hold_until_sent(&mut res, held);
+            res
         }
         Err(Stop::Refused(refused)) => refuse(&run.entry, &refused),
         Err(Stop::Disconnected) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -140,7 +140,7 @@
             claims,
             peers,
             drain: Drain::default(),
-            endpoints: call::Client::new(pool.clone()),
+            endpoints: call::Client::new(pool.with_response_bound(limits.answers)),
             pool,
             started_at: Instant::now(),
             next_number: AtomicU64::new(1),
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -29,6 +29,7 @@
 use crate::edge::endpoint::Outcome;
 use crate::edge::endpoint::call;
 use crate::edge::endpoint::call::Reply;
+use crate::edge::http;
 use crate::edge::http::Link;
 use crate::edge::platform;
 use crate::entry::Entry;
@@ -128,7 +129,7 @@
     match result {
         Some(Ok(reply)) => {
             entry.metrics.count(Counter::Answered);
-            response(&reply)
+            response(reply)
         }
         Some(Err(refused)) => refuse(&entry, &refused),
         None => {
@@ -139,11 +140,14 @@
     }
 }
 
-fn response(reply: &Reply) -> Response {
+fn response(reply: Reply) -> Response {
     let status = StatusCode::try_from(reply.status).unwrap_or(StatusCode::BadGateway);
     let mut res = Response::new(status);
-    res.set_body(Body::from_bytes(reply.body.clone()));
+    res.set_body(Body::from_bytes(reply.body));
     res.insert_header("content-type", reply.mime.as_str());
+    if let Some(held) = reply.held {
+        http::hold_until_sent(&mut res, held);
+    }
     res
 }
 
@@ -301,6 +305,7 @@
         status: answer.status,
         mime: mime.map_or_else(String::new, |(_, value)| value),
         body: answer.body.into_bytes(),
+        held: None,
     }
 }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -26,8 +26,8 @@
 
 /// Longest deadline that a caller may set: a day, for overnight work.
 const MAX_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
-/// Retry-after while bodies of others take the memory: another entry may have room at once.
-const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Retry-after while requests or answers of others take the memory: another entry may have room at once.
+pub const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The metadata of a request.
 #[derive(Debug, Clone)]
