Orders to an engine follow the limits of its own service

Cause: after each answer and each request for an adapter, the holder of the lease tried the next order with the limits of every service, not with those of the engine's own. Which came first was the order of a hash map.

send_next looks up the service of the engine, so that no caller can pass other limits.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -582,7 +582,7 @@
         set_target(daemon, now, placement);
     }
     for key in keys {
-        send_next(daemon, now, &key, engines);
+        send_next(daemon, now, &key);
     }
 }
 
@@ -714,10 +714,5 @@
     if is_satisfied {
         return;
     }
-    let Some(config) = daemon.config.borrow().clone() else {
-        return;
-    };
-    for (_, engines) in config.engines() {
-        send_next(daemon, now, key, engines);
-    }
+    send_next(daemon, now, key);
 }
--- a/src/daemon/placer/order.rs
+++ b/src/daemon/placer/order.rs
@@ -20,6 +20,7 @@
 use crate::edge::dialect::Action;
 use crate::table::instance::Key;
 use crate::table::routing::Engines;
+use crate::table::routing::Service;
 
 /// Time after which a target whose load was not accepted is planned again. It is longer than the
 /// longest stream that an unload waits for.
@@ -29,8 +30,19 @@
 /// Time added to the published load time before the engine is polled.
 const LOAD_TIME_MARGIN: Duration = Duration::from_millis(60);
 
+/// Returns the service that an engine belongs to.
+fn service_of(daemon: &Daemon, key: &Key) -> Option<Rc<Service>> {
+    let fleet = daemon.fleet.borrow();
+    let service = &fleet.get(key)?.instance.service;
+    daemon.config.borrow().as_ref()?.services.get(service).cloned()
+}
+
 /// Sends the next order to an engine, if one is due, in a separate task.
-pub(super) fn send_next(daemon: &Rc<Daemon>, now: Duration, key: &Key, engines: &Engines) {
+pub(super) fn send_next(daemon: &Rc<Daemon>, now: Duration, key: &Key) {
+    let service = service_of(daemon, key);
+    let Some(engines) = service.as_ref().and_then(|service| service.engines.as_ref()) else {
+        return;
+    };
     if daemon.orders.is_late() || gate::check(daemon, key, Call::Order).is_err() {
         return;
     }
@@ -126,10 +138,7 @@
     let (shared, key) = (daemon.clone(), key.clone());
     let work = async move {
         execute(&shared, &key, &task, expect, duration).await;
-        let config = shared.config.borrow().clone();
-        for (_, engines) in config.iter().flat_map(|config| config.engines()) {
-            send_next(&shared, clock::now(), &key, engines);
-        }
+        send_next(&shared, clock::now(), &key);
     };
     daemon.ex.spawn(work).detach();
 }
