An adapter is ordered only if the engine has memory for it

Cause: only the number of adapters was compared with the places. That all of them fit was ensured where the placer loads models, which keeps room for all places; the platform keeps none.

An adapter fits if it does beside all that the engine holds and loads. If not, another one gives way, or an engine of the service that has room is chosen.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -53,6 +53,7 @@
 use crate::table::routing::Config;
 use crate::table::routing::Engines;
 use crate::table::routing::Model;
+use crate::table::routing::Service;
 
 /// Request rate, per second, for each replica of an adapter. Daemons that request an adapter at the
 /// same time each name the engine that is best for them; without this limit the adapter would be
@@ -435,6 +436,13 @@
     rows.map(|row| row.instance.key.clone()).collect()
 }
 
+/// Returns the service that an endpoint belongs to.
+fn service_of(daemon: &Daemon, key: &Key) -> Option<Rc<Service>> {
+    let fleet = daemon.fleet.borrow();
+    let service = &fleet.get(key)?.instance.service;
+    daemon.config.borrow().as_ref()?.services.get(service).cloned()
+}
+
 /// Adds trackers for newly registered engines, and removes those of engines that are gone.
 fn sync_trackers(daemon: &Daemon, now: Duration, config: &Config) {
     let fleet = daemon.fleet.borrow();
@@ -658,9 +666,13 @@
     from: Option<SocketAddr>,
 ) {
     let now = clock::now();
+    let service = service_of(daemon, requested);
+    let Some(engines) = service.as_ref().and_then(|service| service.engines.as_ref()) else {
+        return;
+    };
     let key = &{
         let placer = daemon.placer.borrow();
-        orders::engine_for_adapter(now, &placer.trackers, requested, model).clone()
+        orders::engine_for_adapter(now, &placer.trackers, requested, model, engines).clone()
     };
     let is_satisfied = {
         let mut placer = daemon.placer.borrow_mut();
--- a/src/daemon/placer/order.rs
+++ b/src/daemon/placer/order.rs
@@ -14,13 +14,13 @@
 use crate::daemon::placer::log_held;
 use crate::daemon::placer::log_target;
 use crate::daemon::placer::poll;
+use crate::daemon::placer::service_of;
 use crate::decide::orders;
 use crate::decide::orders::Task;
 use crate::edge::dialect::Acknowledgement;
 use crate::edge::dialect::Action;
 use crate::table::instance::Key;
 use crate::table::routing::Engines;
-use crate::table::routing::Service;
 
 /// Time after which a target whose load was not accepted is planned again. It is longer than the
 /// longest stream that an unload waits for.
@@ -30,13 +30,6 @@
 /// Time added to the published load time before the engine is polled.
 const LOAD_TIME_MARGIN: Duration = Duration::from_millis(60);
 
-/// Returns the service that an engine belongs to.
-fn service_of(daemon: &Daemon, key: &Key) -> Option<Rc<Service>> {
-    let fleet = daemon.fleet.borrow();
-    let service = &fleet.get(key)?.instance.service;
-    daemon.config.borrow().as_ref()?.services.get(service).cloned()
-}
-
 /// Sends the next order to an engine, if one is due, in a separate task.
 pub(super) fn send_next(daemon: &Rc<Daemon>, now: Duration, key: &Key) {
     let service = service_of(daemon, key);
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -23,6 +23,7 @@
 use crate::table::instance::Resident;
 use crate::table::instance::is_resident;
 use crate::table::routing::Engines;
+use crate::table::routing::Model;
 
 /// Decayed number of recent requests for an adapter, over the smoothing window of `Demand`, below
 /// which no stream uses it any more.
@@ -278,6 +279,11 @@
         self.draining && evicted.into_iter().any(|row| row == model)
     }
 
+    /// Returns the number of adapters that are resident.
+    pub fn adapter_count(&self) -> usize {
+        self.resident.iter().map(|row| row.adapters.len()).sum()
+    }
+
     /// Returns the models and adapters for which the engine takes requests.
     pub fn serving(&self) -> Vec<Resident> {
         let rows = self.resident.iter().filter(|row| self.serves(&row.model));
@@ -468,14 +474,11 @@
     starved: impl Fn(&str, &str) -> bool,
 ) -> Option<Task> {
     tracker.prune_wanted_adapters();
-    let adapter_count: usize = tracker.resident.iter().map(|row| row.adapters.len()).sum();
-    let has_place = adapter_count + tracker.loading_adapters < engines.adapter_slots as usize;
     loop {
         let is_starved = |(model, adapter): &(ModelId, AdapterId)| starved(model, adapter);
         let position = tracker.wanted_adapters.iter().position(is_starved).unwrap_or(0);
         let (model, adapter) = tracker.wanted_adapters.get(position)?.clone();
-        engines.model(&model)?;
-        if has_place {
+        if fits_adapter(tracker, engines, engines.model(&model)?) {
             return Some(Task { action: Action::Load, model, adapter: Some(adapter) });
         }
         let is_starved = starved(&model, &adapter);
@@ -496,6 +499,23 @@
     }
 }
 
+/// Returns whether another adapter of a model fits into an engine beside all that it holds and loads.
+/// The platform may have filled it further than `weight_capacity_mb`. A model whose size is not
+/// published counts as the largest one.
+fn fits_adapter(tracker: &Tracker, engines: &Engines, model: &Model) -> bool {
+    let adapter_count = tracker.adapter_count() + tracker.loading_adapters;
+    let largest = |size: fn(&Model) -> f64| engines.models.iter().map(size).fold(0.0, f64::max);
+    let held = tracker.resident.iter().map(|row| {
+        let published = engines.model(&row.model);
+        let weights = published.map_or_else(|| largest(|row| row.weights_mb), |row| row.weights_mb);
+        let adapter = published.map_or_else(|| largest(|row| row.adapter_mb), |row| row.adapter_mb);
+        weights + adapter * row.adapters.len() as f64
+    });
+    let loading = largest(|row| row.adapter_mb) * tracker.loading_adapters as f64;
+    adapter_count < engines.adapter_slots as usize
+        && held.sum::<f64>() + loading + model.adapter_mb <= engines.weights_mb
+}
+
 /// Returns the memory for weights at an engine that holds all its adapters, in MB.
 pub fn weight_capacity_mb(engines: &Engines) -> f64 {
     let largest = engines.models.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
@@ -515,16 +535,23 @@
 }
 
 /// Returns the engine that is to load a requested adapter: the one that was asked for, unless it takes
-/// no orders for adapters now and another one with the model does. Of those, the one with the fewest
-/// adapters wanted is chosen.
+/// no orders for adapters now or has no room for any, and another one with the model does. Of those,
+/// the one with the fewest adapters wanted is chosen.
 pub fn engine_for_adapter<'a>(
     now: Duration,
     trackers: &'a BTreeMap<Key, Tracker>,
     requested: &'a Key,
     model: &str,
+    engines: &Engines,
 ) -> &'a Key {
+    let has_room = |tracker: &Tracker| {
+        let published = engines.model(model);
+        tracker.adapter_count() > 0
+            || published.is_some_and(|row| fits_adapter(tracker, engines, row))
+    };
     let is_candidate = |tracker: &Tracker| {
-        tracker.max_load.is_none() && tracker.takes_adapters(now) && tracker.serves(model)
+        let is_ready = tracker.max_load.is_none() && tracker.takes_adapters(now);
+        is_ready && tracker.serves(model) && has_room(tracker)
     };
     if trackers.get(requested).is_some_and(is_candidate) {
         return requested;
--- a/tests/decide_desk.rs
+++ b/tests/decide_desk.rs
@@ -218,6 +218,34 @@
     assert_eq!(load, Some(task(Action::Load, "a", Some("z"))));
 }
 
+/// Guards against an adapter that is ordered to an engine whose memory is full before its places are.
+#[test]
+fn adapter_is_not_loaded_beyond_the_memory() {
+    let limits = Engines { weights_mb: 91.5, ..engines() };
+    let next = |tracker: &mut Tracker| {
+        orders::next_adapter_task(ms(0), tracker, &limits, |_, _| 1.0, |_, _| true)
+    };
+    let mut full = engine(&[("a", &["x"]), ("c", &[])]);
+    full.wanted_adapters.push_back(("c".to_string(), "z".to_string()));
+    assert_eq!(next(&mut full), Some(task(Action::Unload, "a", Some("x"))));
+    full.resident[0].adapters.clear();
+    assert_eq!(next(&mut full), Some(task(Action::Load, "c", Some("z"))));
+}
+
+/// Guards against an adapter that waits for an engine with no room for any, while another one has room.
+#[test]
+fn adapter_goes_to_an_engine_with_room() {
+    let key = |i: u64| Key { id: format!("e{i}"), born: 1 };
+    let limits = Engines { weights_mb: 90.5, ..engines() };
+    let trackers = BTreeMap::from([
+        (key(0), engine(&[("a", &[]), ("c", &[])])),
+        (key(1), engine(&[("a", &[]), ("b", &[])])),
+    ]);
+    let requested = key(0);
+    let chosen = orders::engine_for_adapter(ms(0), &trackers, &requested, "a", &limits);
+    assert_eq!(*chosen, key(1));
+}
+
 fn trend_of(rate: impl Fn(u64) -> f64) -> (Trend, Duration) {
     let mut trend = Trend::new(ms(0));
     for step in 0..120 {
--- a/tests/decide_missing.rs
+++ b/tests/decide_missing.rs
@@ -182,7 +182,7 @@
     let loading = Tracker { target: Some(target("b")), ..tracker(&[]) };
     let mut trackers = BTreeMap::from([(key(0), loading), (key(1), tracker(&[]))]);
     let chosen = |trackers: &BTreeMap<Key, Tracker>, requested: usize| {
-        orders::engine_for_adapter(NOW, trackers, &key(requested), "a").clone()
+        orders::engine_for_adapter(NOW, trackers, &key(requested), "a", &engines()).clone()
     };
     assert_eq!(chosen(&trackers, 0), key(1));
     assert_eq!(chosen(&trackers, 1), key(1));
