An answer of a leaving endpoint is whole if the endpoint goes on

Cause: a leaving endpoint was taken to end after its last answer, unless it had stated when it ends. An outcome that can't be told apart was taken for the better one.

A whole answer right after which its endpoint ends counts as cut; the other way round, callers keep half of an answer and can't know it.

--- a/src/daemon/quarantine.rs
+++ b/src/daemon/quarantine.rs
@@ -7,8 +7,7 @@
 //! crashed if that is refused. As it may listen again by then, an engine is also asked when it
 //! started, and of other endpoints it counts whether a connection from before has been closed. An
 //! endpoint that can't be reached at all may have been cut off, and one that is leaving ends
-//! without a crash: after its last answer, or within its answers if it has stated when it ends. No
-//! request is suspected for that.
+//! without a crash, within its answers as well. No request is suspected for that.
 
 use std::cell::Cell;
 use std::collections::HashMap;
@@ -189,8 +188,8 @@
 }
 
 /// Returns whether an endpoint has crashed that has just closed a request's connection, and if so
-/// records the request as one that ran there, or whether it has ended as it had stated. `liveness` is
-/// a connection from before that. Waits for the result for at most `limit`.
+/// records the request as one that ran there, or whether it was leaving and has ended. `liveness` is a
+/// connection from before that. Waits for the result for at most `limit`.
 pub async fn has_crashed_after(
     daemon: &Rc<Daemon>,
     key: &Key,
@@ -198,9 +197,9 @@
     liveness: Option<Connection>,
     limit: Duration,
 ) -> bool {
-    let ending = daemon.fleet.borrow().ending(key);
+    let departing = daemon.fleet.borrow().departing(key);
     let result = async {
-        if let Some(addr) = ending {
+        if let Some(addr) = departing {
             return has_ended(daemon, addr, liveness).await;
         }
         loop {
@@ -221,7 +220,7 @@
     result.or(timeout).await
 }
 
-/// Returns whether an endpoint has ended that had stated when.
+/// Returns whether an endpoint that was leaving has ended.
 async fn has_ended(daemon: &Daemon, addr: SocketAddr, liveness: Option<Connection>) -> bool {
     let Ok(link) = link::dial(&daemon.ex, addr, CHECK_TIMEOUT).await else {
         return true;
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -93,12 +93,11 @@
 /// Last record of a removed endpoint.
 #[derive(Debug, Clone, Copy)]
 struct Removed {
+    address: SocketAddr,
     heartbeat: u64,
     state: State,
     /// Until when the endpoint wants no calls from this daemon.
     backoff_until: Duration,
-    /// Its address if it had stated when it ends.
-    ending: Option<SocketAddr>,
 }
 
 /// Endpoints known to a daemon.
@@ -171,12 +170,15 @@
         self.rows.values()
     }
 
-    /// Returns the address of an endpoint that has stated when it ends, also after its removal.
-    pub fn ending(&self, key: &Key) -> Option<SocketAddr> {
-        match self.rows.get(key) {
-            Some(row) => row.instance.ending(),
-            None => self.removed.get(key)?.ending,
+    /// Returns the address of an endpoint that is leaving or whose record was removed: it may end at any
+    /// time, whatever it still runs. One that has started again was not leaving.
+    pub fn departing(&self, key: &Key) -> Option<SocketAddr> {
+        if let Some(row) = self.rows.get(key) {
+            return (row.instance.state == State::Leaving).then_some(row.instance.address);
         }
+        let removed = self.removed.get(key)?;
+        let has_restarted = || self.rows.values().any(|row| row.instance.key.is_successor_of(key));
+        (removed.state == State::Leaving || !has_restarted()).then_some(removed.address)
     }
 
     /// Returns an endpoint.
@@ -921,10 +923,10 @@
             let software = (row.instance.service.clone(), row.instance.software.clone());
             self.removed_software.insert(software, now);
             let removed = Removed {
+                address: row.instance.address,
                 heartbeat: row.instance.heartbeat,
                 state: row.instance.state,
                 backoff_until: row.backoff_until,
-                ending: row.instance.ending(),
             };
             self.removed.insert(key.clone(), removed);
         }
--- a/src/table/instance.rs
+++ b/src/table/instance.rs
@@ -154,13 +154,6 @@
     pub heartbeat: u64,
 }
 
-impl Instance {
-    /// Returns its address if it has stated when it ends, whatever it still runs then.
-    pub fn ending(&self) -> Option<SocketAddr> {
-        self.remaining.map(|_| self.address)
-    }
-}
-
 /// An engine's own report.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
--- a/tests/decide_fleet.rs
+++ b/tests/decide_fleet.rs
@@ -388,6 +388,26 @@
     }
 }
 
+/// Guards against taking a crash after which an endpoint has started again for a planned end, and a
+/// planned end for a crash.
+#[test]
+fn restarted_endpoint_was_not_leaving() {
+    let (first, address) = (key("x", 1), instance("x", 1, "a1", &[]).address);
+    let departing = |state: State, successor: Option<Instance>| {
+        let mut fleet = fleet(&[Instance { state, ..instance("x", 1, "a1", &[]) }]);
+        match successor {
+            Some(successor) => drop(fleet.put(ms(0), successor)),
+            None => fleet.remove(ms(0), "x", None),
+        }
+        fleet.departing(&first)
+    };
+    let successor = || Some(instance("x", 2, "a1", &[]));
+    assert_eq!(fleet(&[instance("x", 1, "a1", &[])]).departing(&first), None);
+    assert_eq!(departing(State::Live, successor()), None);
+    assert_eq!(departing(State::Live, None), Some(address));
+    assert_eq!(departing(State::Leaving, successor()), Some(address));
+}
+
 /// A broker that chooses for another daemon must not choose what that daemon does not call, but may
 /// choose it for others.
 #[test]
