Models are placed for each service by its own engines

Models that engines of the first service hold were never loaded on those of the second, and 6 of 7 were refused for a minute.

Cause: the placer asked the engines of all services which models and adapters are missing, which replica is the last, which engine loads an adapter and which load elsewhere an unload waits for.

Each tracked engine has its service, what is missing is kept by service, and a model that was requested in vain for five seconds may take the place of the last replica of an idle one whose weights are not at hand.

--- a/src/daemon/placer.rs
+++ b/src/daemon/placer.rs
@@ -47,6 +47,7 @@
 use crate::edge::dialect::Revision;
 use crate::table::AdapterId;
 use crate::table::ModelId;
+use crate::table::ServiceId;
 use crate::table::instance::Key;
 use crate::table::instance::Residency;
 use crate::table::instance::is_resident;
@@ -139,10 +140,10 @@
     unlisted: Notifier,
     /// Demand of the callers of all daemons.
     pub demand: Demand,
-    /// Adapters that were requested and are on no engine.
-    missing_adapters: HashMap<(ModelId, AdapterId), Missing>,
-    /// Models that are requested and resident on no engine, and since when.
-    missing_models: HashMap<ModelId, Duration>,
+    /// Adapters that were requested and are on no engine of the service.
+    missing_adapters: HashMap<(ServiceId, ModelId, AdapterId), Missing>,
+    /// Models that are requested and resident on no engine of the service, and since when.
+    missing_models: HashMap<(ServiceId, ModelId), Duration>,
     /// Orders without an answer, also those from before the lease was lost.
     pub late_orders: LateOrders,
     /// What was last written into the lease object for its next holder. The write may have had no
@@ -327,14 +328,20 @@
         known.map(|(tracker, key)| (key, tracker.announcement(now))).collect()
     }
 
-    /// Returns the engines on which an adapter is resident or about to be loaded, without those that
-    /// take few requests. An engine that loads a model takes no other order for seconds.
-    fn engines_with_adapter(&self, now: Duration, request: &(ModelId, AdapterId)) -> Vec<Key> {
+    /// Returns the engines of a service on which an adapter is resident or about to be loaded, without
+    /// those that take few requests. An engine that loads a model takes no other order for seconds.
+    fn engines_with_adapter(
+        &self,
+        now: Duration,
+        service: &str,
+        request: &(ModelId, AdapterId),
+    ) -> Vec<Key> {
         let holds = |tracker: &Tracker| {
             let is_loaded = tracker.serves_adapter(&request.0, &request.1);
             let is_wanted =
                 tracker.takes_adapters(now) && tracker.wanted_adapters.contains(request);
-            tracker.max_load.is_none() && (is_loaded || is_wanted)
+            let takes_requests = tracker.service == service && tracker.max_load.is_none();
+            takes_requests && (is_loaded || is_wanted)
         };
         self.trackers
             .iter()
@@ -343,11 +350,11 @@
             .collect()
     }
 
-    /// Updates the models that are requested but not resident on any engine, not counting engines
-    /// that take few requests.
-    fn track_missing_models(&mut self, now: Duration, engines: &Engines) {
+    /// Updates the models of a service that are requested but not resident on any of its engines, not
+    /// counting engines that take few requests.
+    fn track_missing_models(&mut self, now: Duration, service: &ServiceId, engines: &Engines) {
         let mut resident_models: HashSet<&ModelId> = HashSet::new();
-        for tracker in self.trackers.values() {
+        for tracker in self.trackers.values().filter(|tracker| tracker.service == *service) {
             // A limited engine goes on serving models with little demand.
             let serves = |model: &ModelId| {
                 let share = 1.0 / tracker.resident.len() as f64;
@@ -358,17 +365,18 @@
             resident_models.extend(models.filter(|model| serves(model)));
         }
         let wanted = |model: &ModelId| self.demand.wanted(now, model).is_some();
-        self.missing_models.retain(|model, _| !resident_models.contains(model) && wanted(model));
+        let is_missing = |model: &ModelId| !resident_models.contains(model) && wanted(model);
+        self.missing_models.retain(|(other, model), _| other != service || is_missing(model));
         let models = engines.models.iter().map(|model| &model.name);
-        for model in models.filter(|model| !resident_models.contains(model) && wanted(model)) {
-            self.missing_models.entry(model.clone()).or_insert(now);
+        for model in models.filter(|model| is_missing(model)) {
+            self.missing_models.entry((service.clone(), model.clone())).or_insert(now);
         }
     }
 
-    /// Returns a model's requirement for the plan.
-    fn requirement(&self, now: Duration, model: &Model) -> Requirement {
+    /// Returns a model's requirement for the plan of a service.
+    fn requirement(&self, now: Duration, service: &ServiceId, model: &Model) -> Requirement {
         let name = &model.name;
-        let since = self.missing_models.get(name);
+        let since = self.missing_models.get(&(service.clone(), name.clone()));
         let wanted = since.and_then(|_| self.demand.wanted(now, name));
         Requirement {
             model: name.clone(),
@@ -376,15 +384,16 @@
             demand: wanted.unwrap_or_else(|| self.demand.expected(now, name)),
             requested_for: since.map(|since| now.saturating_sub(*since)),
             idle: self.demand.is_idle(now, name),
-            missing_adapters: self.starved_adapters_of(now, name),
+            missing_adapters: self.starved_adapters_of(now, service, name),
         }
     }
 
-    /// Returns the number of a model's adapters that are requested and have been on no engine for
-    /// longer than an order takes.
-    fn starved_adapters_of(&self, now: Duration, model: &str) -> usize {
+    /// Returns the number of a model's adapters that are requested and have been on no engine of a
+    /// service for longer than an order takes.
+    fn starved_adapters_of(&self, now: Duration, service: &str, model: &str) -> usize {
         let is_starved = |request: &Missing| request.is_wanted(now) && request.is_starved(now);
-        let rows = self.missing_adapters.iter().filter(|((other, _), _)| other == model);
+        let rows = self.missing_adapters.iter();
+        let rows = rows.filter(|((owner, name, _), _)| owner == service && name == model);
         rows.filter(|(_, request)| is_starved(request)).count()
     }
 
@@ -463,11 +472,12 @@
         let age = wall_clock.saturating_sub(Duration::from_millis(instance.key.born));
         let held_until = placer.late_orders.held_until(now, age);
         let held_until = held_until.filter(|_| fleet.had_predecessor(&instance.key));
+        let service = instance.service.clone();
         let tracker = placer.trackers.entry(instance.key.clone()).or_insert_with(|| {
             held.extend(held_until.map(|until| (instance.key.clone(), until - now)));
             new.push(instance.key.clone());
             let tracker = Tracker::new(now, instance.resident.clone(), instance.copies.clone());
-            Tracker { held_until: held_until.unwrap_or_default(), ..tracker }
+            Tracker { service, held_until: held_until.unwrap_or_default(), ..tracker }
         });
         // Another daemon may have told of the restart meanwhile.
         tracker.held_until = tracker.held_until.max(held_until.unwrap_or_default());
@@ -561,16 +571,17 @@
 }
 
 /// Plans the placement of a service's models, and sends the orders that are due.
-fn place_models(daemon: &Rc<Daemon>, now: Duration, service: &str, engines: &Engines) {
+fn place_models(daemon: &Rc<Daemon>, now: Duration, service: &ServiceId, engines: &Engines) {
     let (requirements, keys, hosts, allowed_loads) = {
         let fleet = daemon.fleet.borrow();
         let mut placer = daemon.placer.borrow_mut();
         let allowed_loads =
             placer.allowed_loads(now, engines.loads_per_second, daemon.settings.ceiling.window);
-        placer.track_missing_models(now, engines);
-        let requirements: Vec<Requirement> =
-            engines.models.iter().map(|model| placer.requirement(now, model)).collect();
-        let rows = fleet.rows().filter(|row| row.instance.service == service && row.is_usable(now));
+        placer.track_missing_models(now, service, engines);
+        let requirement = |model| placer.requirement(now, service, model);
+        let requirements: Vec<Requirement> = engines.models.iter().map(requirement).collect();
+        let is_own = |row: &&Endpoint| row.instance.service == *service;
+        let rows = fleet.rows().filter(|row| is_own(row) && row.is_usable(now));
         let mut rows: Vec<&Endpoint> = rows.collect();
         rows.sort_by(|a, b| a.instance.key.cmp(&b.instance.key));
         let host = |row: &&Endpoint| {
@@ -666,8 +677,10 @@
     from: Option<SocketAddr>,
 ) {
     let now = clock::now();
-    let service = service_of(daemon, requested);
-    let Some(engines) = service.as_ref().and_then(|service| service.engines.as_ref()) else {
+    let Some(service) = service_of(daemon, requested) else {
+        return;
+    };
+    let Some(engines) = &service.engines else {
         return;
     };
     let key = &{
@@ -687,7 +700,8 @@
         }
         let has_adapter = tracker.serves_adapter(model, adapter);
         let request = (model.to_string(), adapter.to_string());
-        let with_adapter = placer.engines_with_adapter(now, &request);
+        let missing_key = (service.name.clone(), model.to_string(), adapter.to_string());
+        let with_adapter = placer.engines_with_adapter(now, &service.name, &request);
         let serves = |key: &Key| {
             placer.tracker(key).is_some_and(|tracker| tracker.serves_adapter(model, adapter))
         };
@@ -698,10 +712,10 @@
         };
         if announced.is_empty() {
             let missing = Missing { since: now, requested_at: now };
-            let row = placer.missing_adapters.entry(request.clone()).or_insert(missing);
+            let row = placer.missing_adapters.entry(missing_key).or_insert(missing);
             row.record(now);
         } else {
-            placer.missing_adapters.remove(&request);
+            placer.missing_adapters.remove(&missing_key);
         }
         let rate = placer.demand.adapter_rate(now, model, adapter);
         let has_enough = with_adapter.len() > (rate / REPLICA_REQUEST_RATE) as usize;
--- a/src/daemon/placer/order.rs
+++ b/src/daemon/placer/order.rs
@@ -32,8 +32,10 @@
 
 /// Sends the next order to an engine, if one is due, in a separate task.
 pub(super) fn send_next(daemon: &Rc<Daemon>, now: Duration, key: &Key) {
-    let service = service_of(daemon, key);
-    let Some(engines) = service.as_ref().and_then(|service| service.engines.as_ref()) else {
+    let Some(service) = service_of(daemon, key) else {
+        return;
+    };
+    let Some(engines) = &service.engines else {
         return;
     };
     if daemon.orders.is_late() || gate::check(daemon, key, Call::Order).is_err() {
@@ -48,7 +50,8 @@
         let Placer { trackers, demand, cold_loads, missing_adapters, late_orders, .. } =
             &mut *placer;
         let starved = |model: &str, adapter: &str| {
-            let missing = missing_adapters.get(&(model.to_string(), adapter.to_string()));
+            let missing_key = (service.name.clone(), model.to_string(), adapter.to_string());
+            let missing = missing_adapters.get(&missing_key);
             missing.is_some_and(|missing| missing.is_starved(now))
         };
         let rate = |model: &str, adapter: &str| demand.adapter_count(now, model, adapter);
@@ -166,8 +169,9 @@
         if let Some(tracker) = placer.trackers.get_mut(key) {
             tracker.record_adapter(clock::now(), task);
         }
-        if let Some(adapter) = &task.adapter {
-            placer.missing_adapters.remove(&(task.model.clone(), adapter.clone()));
+        let service = placer.trackers.get(key).map(|tracker| tracker.service.clone());
+        if let (Some(service), Some(adapter)) = (service, &task.adapter) {
+            placer.missing_adapters.remove(&(service, task.model.clone(), adapter.clone()));
         }
     }
     if needs_poll {
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -16,6 +16,7 @@
 use crate::table::AdapterId;
 use crate::table::ModelId;
 use crate::table::RegionId;
+use crate::table::ServiceId;
 use crate::table::instance::Copies;
 use crate::table::instance::Key;
 use crate::table::instance::Report;
@@ -59,6 +60,8 @@
 /// The placer's state of one engine.
 #[derive(Debug, Clone)]
 pub struct Tracker {
+    /// The service that it belongs to: it runs requests of no other one.
+    pub service: ServiceId,
     /// Number of orders that it has accepted; `None` before its first report.
     pub accepted_orders: Option<u64>,
     /// Models and adapters that are resident.
@@ -127,6 +130,7 @@
     /// report.
     pub fn new(now: Duration, resident: Vec<Resident>, copies: Copies) -> Self {
         Tracker {
+            service: ServiceId::default(),
             accepted_orders: None,
             resident,
             loading_adapters: 0,
@@ -535,8 +539,8 @@
 }
 
 /// Returns the engine that is to load a requested adapter: the one that was asked for, unless it takes
-/// no orders for adapters now or has no room for any, and another one with the model does. Of those,
-/// the one with the fewest adapters wanted is chosen.
+/// no orders for adapters now or has no room for any, and another one of its service with the model does.
+/// Of those, the one with the fewest adapters wanted is chosen.
 pub fn engine_for_adapter<'a>(
     now: Duration,
     trackers: &'a BTreeMap<Key, Tracker>,
@@ -553,15 +557,17 @@
         let is_ready = tracker.max_load.is_none() && tracker.takes_adapters(now);
         is_ready && tracker.serves(model) && has_room(tracker)
     };
-    if trackers.get(requested).is_some_and(is_candidate) {
+    let Some(asked) = trackers.get(requested).filter(|tracker| !is_candidate(tracker)) else {
         return requested;
-    }
-    let others = trackers.iter().filter(|(_, tracker)| is_candidate(tracker));
+    };
+    let others = trackers
+        .iter()
+        .filter(|(_, tracker)| tracker.service == asked.service && is_candidate(tracker));
     let best = others.min_by_key(|(_, tracker)| tracker.wanted_adapters.len());
     best.map_or(requested, |(key, _)| key)
 }
 
-/// Returns the models at an engine that no other engine serves. Another engine that is also to
+/// Returns the models at an engine that no other engine of its service serves. Another engine that is also to
 /// unload the model counts as serving it until it is draining: if it did not count, of several
 /// engines that are to unload a model without callers, each would wait for another replica to be
 /// loaded.
@@ -569,27 +575,36 @@
     let Some(tracker) = trackers.get(key) else {
         return Vec::new();
     };
+    let service = &tracker.service;
     let models = tracker.resident.iter().map(|row| row.model.clone());
     let others = |model: &ModelId| {
         trackers.iter().any(|(other, tracker)| {
-            other != key && tracker.max_load.is_none() && tracker.serves(model)
+            let is_other = other != key && tracker.service == *service;
+            is_other && tracker.max_load.is_none() && tracker.serves(model)
         })
     };
     models.filter(|model| !others(model)).collect()
 }
 
-/// Returns the models at an engine that must not be unloaded: no other engine serves them, and they
-/// are requested, or a load from the weight store would be needed to return them. `idle` returns
-/// whether a model has not been requested for a while.
+/// Returns the models at an engine that must not be unloaded: no other engine of its service serves
+/// them, and they are requested, or a load from the weight store would be needed to return them and the
+/// target of the engine is served elsewhere. `idle` returns whether a model has not been requested for
+/// a while.
 pub fn protected_models(
     trackers: &BTreeMap<Key, Tracker>,
     key: &Key,
     idle: impl Fn(&str) -> bool,
 ) -> Vec<ModelId> {
     let mut models = sole_models(trackers, key);
-    let has_copy =
-        |model: &ModelId| trackers.get(key).is_some_and(|tracker| tracker.copies.has(model));
-    models.retain(|model| !(idle(model) && has_copy(model)));
+    let Some(tracker) = trackers.get(key) else {
+        return models;
+    };
+    let is_served = |target: &Target| {
+        let mut others = trackers.values().filter(|other| other.service == tracker.service);
+        others.any(|other| other.serves(&target.model))
+    };
+    let loads_missing = tracker.target.as_ref().is_some_and(|target| !is_served(target));
+    models.retain(|model| !(idle(model) && (tracker.copies.has(model) || loads_missing)));
     models
 }
 
@@ -599,8 +614,9 @@
     let Some(tracker) = trackers.get(key) else {
         return false;
     };
-    let loads = |tracker: &Tracker, model: &ModelId| {
-        tracker.target.as_ref().is_some_and(|target| target.model == *model)
+    let loads = |other: &Tracker, model: &ModelId| {
+        let loads = other.target.as_ref().is_some_and(|target| target.model == *model);
+        other.service == tracker.service && loads
     };
     let blocks =
         |model: &&ModelId| protected.contains(model) && is_resident(&tracker.resident, model, None);
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -11,7 +11,8 @@
 //! one or two models that have other replicas. It must lower the sum by a minimum ratio, which is
 //! higher for slower loads. The last replica of a model is evicted only if the model has not been
 //! requested for a while and its weights stay in the engine's host memory or on its disk, from where
-//! it returns in a fifth of the time of a load from the store. Where only other last replicas are in
+//! it returns in a fifth of the time of a load from the store, or if callers have requested in vain for
+//! a while what takes its place. Where only other last replicas are in
 //! the way, one of them is first loaded on another engine and may then be evicted. An engine carries
 //! out one step at a time.
 //!
@@ -478,9 +479,9 @@
         let mut free_mb = stock.free_mb;
         while free_mb < row.requirement.weights_mb {
             let missing_mb = row.requirement.weights_mb - free_mb;
-            let mut evicted_model = self.pick_evicted(host, &evicted, missing_mb, 2);
+            let mut evicted_model = self.pick_evicted(model, host, &evicted, missing_mb, 2);
             if evicted_model.is_none() && blocked.is_none() {
-                evicted_model = self.pick_evicted(host, &evicted, missing_mb, 1);
+                evicted_model = self.pick_evicted(model, host, &evicted, missing_mb, 1);
                 blocked = evicted_model;
             }
             let evicted_model = evicted_model.ok_or(Obstacle::Room)?;
@@ -602,17 +603,21 @@
         evicted.iter().map(|row| self.rows[*row].load_per_replica()).sum()
     }
 
-    /// Returns whether a model may lose its last replica, which is on a host: no caller requests it,
-    /// and a load there is fast.
-    fn is_dispensable(&self, model: usize, host: usize) -> bool {
-        self.rows[model].requirement.idle && self.stocks[host].cached.contains(&model)
+    /// Returns whether a model may lose its last replica, which is on a host, to another one: no caller
+    /// requests it, and a load there is fast, or callers have requested the other one in vain for long.
+    fn is_dispensable(&self, model: usize, host: usize, replacement: usize) -> bool {
+        let is_starved =
+            self.rows[replacement].cause() == Cause::Missing && !self.is_waiting(replacement);
+        let is_cached = self.stocks[host].cached.contains(&model);
+        self.rows[model].requirement.idle && (is_cached || is_starved)
     }
 
-    /// Returns the model whose eviction from a host costs the least: it has at least `min_replicas`
-    /// replicas, or may lose its last one, and little demand per replica. One that frees `missing_mb`
-    /// alone is preferred.
+    /// Returns the model whose eviction from a host for another one costs the least: it has at least
+    /// `min_replicas` replicas, or may lose its last one, and little demand per replica. One that frees
+    /// `missing_mb` alone is preferred.
     fn pick_evicted(
         &self,
+        replacement: usize,
         host: usize,
         chosen: &[usize],
         missing_mb: f64,
@@ -622,7 +627,8 @@
         let evictable = stock.resident.iter().filter(|row| !stock.unloading.contains(row)).copied();
         let evictable = evictable.filter(|row| !chosen.contains(row));
         let evictable = evictable.filter(|row| {
-            self.rows[*row].hosts.len() >= min_replicas || self.is_dispensable(*row, host)
+            self.rows[*row].hosts.len() >= min_replicas
+                || self.is_dispensable(*row, host, replacement)
         });
         // A model that is loading elsewhere has too few replicas now: its serving replicas stay
         // until then.
--- a/tests/decide_missing.rs
+++ b/tests/decide_missing.rs
@@ -76,6 +76,25 @@
     assert_eq!(obstacles["b"], BTreeMap::from([(Obstacle::Demand, 4)]));
 }
 
+/// Guards against a model that is never loaded, as models that nobody requests keep all places.
+#[test]
+fn model_requested_in_vain_replaces_the_last_replica_of_an_idle_one() {
+    let hosts = [host(0, WEIGHTS_MB, &["a"])];
+    let evicted = |idle: bool, requested_for: u64| {
+        let last = Requirement { idle, ..requirement("a", 0.0) };
+        let wanted = missing("b", 2.0, Duration::from_secs(requested_for));
+        plan(&[last, wanted], &hosts).into_iter().next().map(|step| step.evicted)
+    };
+    assert_eq!(evicted(true, 6), Some(vec!["a".to_string()]));
+    assert_eq!(evicted(true, 1), None);
+    assert_eq!(evicted(false, 6), None);
+    let tracker =
+        Tracker { target: Some(Target { load_accepted: false, ..target("b") }), ..tracker(&[]) };
+    let trackers = BTreeMap::from([(key(0), tracker)]);
+    assert!(orders::protected_models(&trackers, &key(0), |_| true).is_empty());
+    assert_eq!(orders::protected_models(&trackers, &key(0), |_| false), ["a"]);
+}
+
 /// Guards against a model with too few replicas of which the log does not say why it gains none.
 #[test]
 fn model_with_too_few_replicas_has_obstacles() {
