An answer that its caller does not read makes way for others

Callers that read nothing of four answers of 16 MB took all of limits.answers, and every other call got 502.

A complete answer stays a candidate until it has been sent, by the same rule (largest product of bytes and time). If it is chosen, its connection is closed, so that its caller sees an answer that was cut.

Weighed: to count answers only until they are complete leaves those in the hands of slow callers unbounded; a time limit on sending cuts slow callers when there is room.

endless_crowd::answers_that_nobody_reads_make_way: 502 before, 200 after.

--- a/src/decide/intake.rs
+++ b/src/decide/intake.rs
@@ -9,6 +9,9 @@
 //! bytes and the time since it began: one that is small or new gives way last. It has not run, so that
 //! the refusal can promise that, and another daemon may have room. A complete request is never
 //! refused here.
+//!
+//! Responses of endpoints are given up in the same way. On the product's own face that holds for complete
+//! ones as well, until their callers have received them.
 
 use std::time::Duration;
 
--- a/src/edge/http/held_body.rs
+++ b/src/edge/http/held_body.rs
@@ -1,4 +1,4 @@
-//! Bodies that count as held until they have been sent.
+//! Responses that count as held until they have been sent.
 
 use std::io;
 use std::pin::Pin;
@@ -7,21 +7,38 @@
 
 use http_types::Body;
 use http_types::Response;
+use smol::channel::Sender;
+use smol::future::FutureExt;
 use smol::io::AsyncBufRead;
 use smol::io::AsyncRead;
 
 use crate::edge::http::intake::Held;
+use crate::edge::http::server::Link;
 
 struct HeldBody {
     body: Body,
-    _held: Held,
+    /// Closed as the body is dropped, which is then sent or given up.
+    _sending: Sender<()>,
 }
 
-/// Lets the body of a response count as held until it has been sent.
-pub fn hold_until_sent(res: &mut Response, held: Held) {
+/// Lets a response count as held until it has been sent. If another one needs its memory before that,
+/// its connection is closed: a caller that does not read would keep it for ever.
+pub fn hold_until_sent(res: &mut Response, held: Held, link: Link) {
+    let (sending, sent) = smol::channel::bounded(1);
     let len = res.len();
     let body = res.take_body();
-    res.set_body(Body::from_reader(HeldBody { body, _held: held }, len));
+    res.set_body(Body::from_reader(HeldBody { body, _sending: sending }, len));
+    smol::spawn(async move {
+        let refused = async {
+            held.refused().await;
+            link.close();
+        };
+        let sent = async {
+            let _ = sent.recv().await;
+        };
+        sent.or(refused).await;
+    })
+    .detach();
 }
 
 impl AsyncRead for HeldBody {
--- a/src/edge/http/intake.rs
+++ b/src/edge/http/intake.rs
@@ -175,7 +175,7 @@
     }
 
     /// Records that the message was received, so that it is not refused any more.
-    pub fn complete(&self) {
+    pub(super) fn complete(&self) {
         if let Some(row) = self.intake.lock().rows.get_mut(&self.number) {
             row.is_complete = true;
         }
--- a/src/edge/http/pool.rs
+++ b/src/edge/http/pool.rs
@@ -246,9 +246,6 @@
         }
         let held = self.responses.as_ref().map(Held::new);
         let buf = read_held(&mut self.body, self.body_len, max, held.as_ref()).await?;
-        if let Some(held) = &held {
-            held.complete();
-        }
         self.release();
         Ok((buf, held))
     }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -328,8 +328,7 @@
             run.entry.metrics.count(Counter::Answered);
             let text = text.into_inner().expect("text");
             let mut res = http::json(StatusCode::Ok, &writer.complete(&text, run.delivered));
-            held.complete();
-            http::hold_until_sent(&mut res, held);
+            http::hold_until_sent(&mut res, held, link);
             res
         }
         Err(Stop::Refused(refused)) => refuse(&run.entry, &refused),
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -129,7 +129,7 @@
     match result {
         Some(Ok(reply)) => {
             entry.metrics.count(Counter::Answered);
-            response(reply)
+            response(reply, link)
         }
         Some(Err(refused)) => refuse(&entry, &refused),
         None => {
@@ -140,13 +140,13 @@
     }
 }
 
-fn response(reply: Reply) -> Response {
+fn response(reply: Reply, link: Link) -> Response {
     let status = StatusCode::try_from(reply.status).unwrap_or(StatusCode::BadGateway);
     let mut res = Response::new(status);
     res.set_body(Body::from_bytes(reply.body));
     res.insert_header("content-type", reply.mime.as_str());
     if let Some(held) = reply.held {
-        http::hold_until_sent(&mut res, held);
+        http::hold_until_sent(&mut res, held, link);
     }
     res
 }
--- a/tests/endless_crowd.rs
+++ b/tests/endless_crowd.rs
@@ -25,6 +25,7 @@
 use smol::Task;
 use smol::Timer;
 use smol::future::FutureExt;
+use smol::io::AsyncWriteExt;
 use standin::engine::text::Ask;
 use standin::site;
 
@@ -39,6 +40,9 @@
 const STAY: Duration = Duration::from_secs(5);
 /// Interval at which the memory is read and an ordinary request is sent.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Size of an answer that is not read, of which four take all of `limits.answers`, and its callers.
+const UNREAD_BYTES: usize = 16 << 20;
+const UNREAD_CALLERS: usize = 8;
 /// Text of one token.
 const TOKEN_BYTES: usize = 32 << 10;
 
@@ -172,6 +176,68 @@
     assert!(served > 0 && failed == 0, "{failed} of other callers were not served");
 }
 
+/// Serves bodies of `UNREAD_BYTES`, and a short one at the path `/short`.
+fn start_service() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            thread::spawn(move || {
+                while let Some(request) = request::read(&mut stream) {
+                    let report = "{\"incarnation\":1,\"sequence\":1,\"accelerators\":[],\
+                                  \"resident\":[],\"applied\":[],\"running\":0,\"waiting\":0,\
+                                  \"draining\":false}";
+                    let body = match request.path.as_str() {
+                        "/report" => report.as_bytes().to_vec(),
+                        "/short" => b"short".to_vec(),
+                        _ => vec![b'a'; UNREAD_BYTES],
+                    };
+                    let attempt = request.attempt();
+                    let len = body.len();
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nX-Attempt: {attempt}\r\nContent-Length: {len}\r\n\r\n"
+                    );
+                    if stream.write_all(&[head.as_bytes(), &body].concat()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Guards against callers that read nothing of their answers and so take the memory for all others.
+#[test]
+fn answers_that_nobody_reads_make_way() {
+    let mut scene = Scene::with_services(vec![plain("letters", true)]);
+    let addr = start_service();
+    let instance = site::instance(addr, ("wien", "wien-1"), Role::Service);
+    let service = Some("letters".to_string());
+    scene.site.platform.put_instance(Instance { service, ..instance });
+    scene.entry("wien", &format!("limits:\n  answer: {UNREAD_BYTES}\n"));
+    scene.wait_ready(&scene.entries[0], &[addr]);
+    let (caller, entry) = (scene.caller.clone(), &scene.entries[0]);
+    smol::block_on(async {
+        let mut unread = Vec::new();
+        for _ in 0..UNREAD_CALLERS {
+            let mut stream =
+                smol::net::TcpStream::connect(entry.address).await.expect("a connection");
+            let request = b"GET /v1/services/letters/long HTTP/1.1\r\nHost: h\r\n\r\n";
+            stream.write_all(request).await.expect("the request is sent");
+            unread.push(stream);
+            Timer::after(INTERVAL).await;
+        }
+        Timer::after(STAY).await;
+        let path = "/v1/services/letters/short";
+        let reply = caller.call(entry.address, Method::Get, path, None, "").await;
+        let reply = reply.expect("an answer");
+        assert_eq!((reply.status, reply.text.as_str()), (200, "short"));
+        assert!(entry.resident() <= MEMORY_BYTES, "{} bytes", entry.resident());
+    });
+}
+
 #[test]
 fn plain_answers_without_end_at_once_are_bounded() {
     check(Answer::Chunks);
