--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -567,8 +567,8 @@
     best.map_or(requested, |(key, _)| key)
 }
 
-/// Returns the models at an engine that no other engine of its service serves. Another engine that is also to
-/// unload the model counts as serving it until it is draining: if it did not count, of several
+/// Returns the models at an engine that no other engine of its service serves. Another engine that is
+/// also to unload the model counts as serving it until it is draining: if it did not count, of several
 /// engines that are to unload a model without callers, each would wait for another replica to be
 /// loaded.
 pub fn sole_models(trackers: &BTreeMap<Key, Tracker>, key: &Key) -> Vec<ModelId> {
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -12,9 +12,8 @@
 //! higher for slower loads. The last replica of a model is evicted only if the model has not been
 //! requested for a while and its weights stay in the engine's host memory or on its disk, from where
 //! it returns in a fifth of the time of a load from the store, or if callers have requested in vain for
-//! a while what takes its place. Where only other last replicas are in
-//! the way, one of them is first loaded on another engine and may then be evicted. An engine carries
-//! out one step at a time.
+//! a while what takes its place. Where only other last replicas are in the way, one of them is first
+//! loaded on another engine and may then be evicted. An engine carries out one step at a time.
 //!
 //! A model without a replica comes first if callers request it, on an engine where its weights are at
 //! hand if there is one. One without requests comes last, and only goes into free memory: there are
